--- /dev/null
+++ b/codec/codec.go
@@ -0,0 +1,188 @@
+// Package codec translates between core types and wire types, so that
+// decisions do not know how messages are encoded. From functions check what
+// they read; an error names the field, what was found and what is allowed.
+// The package owns no state and takes no lock.
+package codec
+
+import (
+	"fmt"
+	"time"
+
+	"celerypoint.example/celerypoint/job"
+	"celerypoint.example/celerypoint/org"
+	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// Millis is a time in Unix milliseconds, 0 for the zero time.
+func Millis(t time.Time) int {
+	if t.IsZero() {
+		return 0
+	}
+	return int(t.UnixMilli())
+}
+
+// Time is the reverse of Millis.
+func Time(ms int) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(ms))
+}
+
+// JobTo encodes a job.
+func JobTo(j job.Job) wire.Job {
+	return wire.Job{
+		ID: j.ID, Org: j.Org, Labels: j.Labels, Selector: j.Selector,
+		Tasks: j.Tasks, AcceleratorsPerTask: j.AcceleratorsPerTask,
+		Adjacency: string(j.Adjacency), Urgency: string(j.Urgency),
+		DeadlineUnixMs: Millis(j.Deadline), Idempotent: j.Idempotent,
+		IdempotencyKey: j.IdempotencyKey, Preemptible: j.Preemptible,
+		DeclaredRunMs: int(j.DeclaredRun.Milliseconds()),
+		Payload:       wire.Text(j.Payload), AcceptedAtUnixMs: Millis(j.AcceptedAt),
+	}
+}
+
+// JobFrom decodes and checks a job.
+func JobFrom(w wire.Job) (job.Job, error) {
+	payload, err := wire.Bytes("payload", w.Payload)
+	if err != nil {
+		return job.Job{}, err
+	}
+	adjacency, err := shape.ParseAdjacency(w.Adjacency)
+	if err != nil {
+		return job.Job{}, err
+	}
+	urgency, err := job.ParseUrgency(w.Urgency)
+	if err != nil {
+		return job.Job{}, err
+	}
+	j := job.Job{
+		ID: w.ID, Org: w.Org, Labels: w.Labels, Selector: w.Selector,
+		Tasks: w.Tasks, AcceleratorsPerTask: w.AcceleratorsPerTask,
+		Adjacency: adjacency, Urgency: urgency,
+		Deadline: Time(w.DeadlineUnixMs), Idempotent: w.Idempotent,
+		IdempotencyKey: w.IdempotencyKey, Preemptible: w.Preemptible,
+		DeclaredRun: time.Duration(w.DeclaredRunMs) * time.Millisecond,
+		Payload:     payload, AcceptedAt: Time(w.AcceptedAtUnixMs),
+	}
+	if j.ID == "" {
+		return job.Job{}, fmt.Errorf("id: found none, allowed: a job identifier")
+	}
+	return j, j.Check()
+}
+
+// OrgTo encodes an organisation.
+func OrgTo(o org.Org) wire.Org {
+	return wire.Org{
+		Name: o.Name, Labels: o.Labels, Selector: o.Selector, ShedRank: o.ShedRank,
+		Guarantee: wire.Shape{
+			VMs: o.Guarantee.VMs, AcceleratorsPerVM: o.Guarantee.AcceleratorsPerVM,
+			Adjacency: string(o.Guarantee.Adjacency),
+		},
+	}
+}
+
+// OrgFrom decodes and checks an organisation.
+func OrgFrom(w wire.Org) (org.Org, error) {
+	adjacency, err := shape.ParseAdjacency(w.Guarantee.Adjacency)
+	if err != nil {
+		return org.Org{}, err
+	}
+	o := org.Org{
+		Name: w.Name, Labels: w.Labels, Selector: w.Selector, ShedRank: w.ShedRank,
+		Guarantee: shape.Shape{VMs: w.Guarantee.VMs, AcceleratorsPerVM: w.Guarantee.AcceleratorsPerVM, Adjacency: adjacency},
+	}
+	return o, o.Check()
+}
+
+// OutcomeTo encodes an outcome; nil gives nil.
+func OutcomeTo(o outcome.Outcome) *wire.Outcome {
+	switch o := o.(type) {
+	case outcome.Answer:
+		w := &wire.Outcome{Kind: wire.OutcomeKindAnswer, Length: int(o.Length), Checksum: wire.Checksum(o.Checksum), Body: wire.Text(o.Body)}
+		for _, p := range o.Parts {
+			w.Parts = append(w.Parts, wire.AnswerPart{VM: p.VM, Attempt: p.Attempt, Rank: p.Rank, Length: int(p.Length), Checksum: wire.Checksum(p.Checksum)})
+		}
+		return w
+	case outcome.Failed:
+		return &wire.Outcome{Kind: wire.OutcomeKindFailed, Reason: o.Reason, Cancelled: o.Cancelled}
+	case outcome.NotRun:
+		return &wire.Outcome{Kind: wire.OutcomeKindNotRun, Rule: o.Rule, Reason: o.Reason}
+	case outcome.Unknown:
+		return &wire.Outcome{Kind: wire.OutcomeKindUnknown, Reason: o.Reason}
+	default:
+		return nil
+	}
+}
+
+// OutcomeFrom decodes an outcome; nil gives nil.
+func OutcomeFrom(w *wire.Outcome) (outcome.Outcome, error) {
+	if w == nil {
+		return nil, nil
+	}
+	switch w.Kind {
+	case wire.OutcomeKindAnswer:
+		return answerFrom(w)
+	case wire.OutcomeKindFailed:
+		return outcome.Failed{Reason: w.Reason, Cancelled: w.Cancelled}, nil
+	case wire.OutcomeKindNotRun:
+		return outcome.NotRun{Rule: w.Rule, Reason: w.Reason}, nil
+	case wire.OutcomeKindUnknown:
+		return outcome.Unknown{Reason: w.Reason}, nil
+	default:
+		return nil, fmt.Errorf("outcome kind: found %q, allowed: answer, failed, notRun, unknown", w.Kind)
+	}
+}
+
+func answerFrom(w *wire.Outcome) (outcome.Outcome, error) {
+	sum, err := wire.ParseChecksum("checksum", w.Checksum)
+	if err != nil {
+		return nil, err
+	}
+	body, err := wire.Bytes("body", w.Body)
+	if err != nil {
+		return nil, err
+	}
+	a := outcome.Answer{Length: int64(w.Length), Checksum: sum, Body: body}
+	for _, p := range w.Parts {
+		sum, err := wire.ParseChecksum("parts.checksum", p.Checksum)
+		if err != nil {
+			return nil, err
+		}
+		a.Parts = append(a.Parts, outcome.Part{VM: p.VM, Attempt: p.Attempt, Rank: p.Rank, Length: int64(p.Length), Checksum: sum})
+	}
+	return a, nil
+}
+
+// HoldingTo encodes a holding.
+func HoldingTo(h vm.Holding) wire.Holding {
+	return wire.Holding{
+		Job: h.JobID, Attempt: h.Attempt, Org: h.Org, Tasks: h.Tasks, Accelerators: h.Accelerators,
+		Preemptible: h.Preemptible, Running: h.Running, Throttled: h.Throttled, StartedAtUnixMs: Millis(h.StartedAt),
+	}
+}
+
+// HoldingFrom decodes a holding.
+func HoldingFrom(w wire.Holding) vm.Holding {
+	return vm.Holding{
+		JobID: w.Job, Attempt: w.Attempt, Org: w.Org, Tasks: w.Tasks, Accelerators: w.Accelerators,
+		Preemptible: w.Preemptible, Running: w.Running, Throttled: w.Throttled, StartedAt: Time(w.StartedAtUnixMs),
+	}
+}
+
+// VMFrom decodes and checks the machine that an agent announces.
+func VMFrom(w wire.AnnounceParams) (vm.VM, error) {
+	switch {
+	case w.VM == "" || w.BootID == "" || w.Zone == "" || w.Rack == "" || w.Region == "":
+		return vm.VM{}, fmt.Errorf("announce: found an empty vm, bootId, zone, rack or region, allowed: none of them empty")
+	case w.Accelerators < 0 || w.Slots < 1:
+		return vm.VM{}, fmt.Errorf("announce: found accelerators=%d slots=%d, allowed: at least 0 and at least 1", w.Accelerators, w.Slots)
+	}
+	return vm.VM{
+		ID: w.VM, BootID: w.BootID, Zone: w.Zone, Rack: w.Rack, Region: w.Region, Labels: w.Labels,
+		Accelerators: w.Accelerators, Slots: w.Slots, Connections: w.Connections, CPUs: w.CPUs, MemoryMB: w.MemoryMB,
+	}, nil
+}
--- /dev/null
+++ b/gang/types.go
@@ -0,0 +1,199 @@
+package gang
+
+import (
+	"time"
+
+	"celerypoint.example/celerypoint/outcome"
+)
+
+// Phase is where an attempt is.
+type Phase string
+
+// The phases, in order. PhaseAborting and PhaseEnded can follow any.
+const (
+	PhaseReserving  Phase = "reserving"
+	PhaseCommitting Phase = "committing"
+	PhaseStarting   Phase = "starting"
+	PhaseRunning    Phase = "running"
+	PhaseAborting   Phase = "aborting"
+	PhaseEnded      Phase = "ended"
+)
+
+// MemberState is what is known of one VM's part.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberAsked    MemberState = "asked"
+	MemberReserved MemberState = "reserved"
+	MemberStarted  MemberState = "started"
+	// MemberDone has ended all its tasks with answers.
+	MemberDone MemberState = "done"
+	// MemberReleased has confirmed that it does not run and will not start.
+	MemberReleased MemberState = "released"
+	// MemberLost does not respond, so that its lease has to expire.
+	MemberLost MemberState = "lost"
+)
+
+// Member is one VM's part of an attempt.
+type Member struct {
+	VM        string
+	Tasks     int
+	FirstRank int
+	Reclaim   bool
+	State     MemberState
+	// Round is the round of the newest confirmation, 0 for none.
+	Round int
+	// Confirmed says that the member confirmed in the attempt's current round.
+	Confirmed bool
+	// Answers are the answers of the tasks that ended, in any order.
+	Answers []outcome.Part
+	// EverStarted says that a start may have reached the member.
+	EverStarted bool
+}
+
+// Attempt is one try to run a job whole. Step is the only code that changes it.
+type Attempt struct {
+	JobID string
+	// ID is unique over all attempts of all jobs.
+	ID string
+	// Term fences the attempt: the planner's term when it was made.
+	Term  int64
+	Phase Phase
+	// Members never changes in number or order.
+	Members []Member
+	// Idempotent says that a failed attempt may be followed by another.
+	Idempotent bool
+	// ReserveBy is when the reservations expire at the latest.
+	ReserveBy time.Time
+	// CommitOffset is the offset of the commit record, 0 before.
+	CommitOffset int64
+	// LeaseUntil is when the lease of every member has expired unless renewed,
+	// counted on this process's clock from the last start or renewal sent.
+	LeaseUntil time.Time
+	// NextConfirm is when the next round of confirmations starts.
+	NextConfirm time.Time
+	// CheckpointMs is the least progress that every member can resume from.
+	CheckpointMs int64
+	// Reason says why the attempt is aborting.
+	Reason string
+	// Result is what the attempt ends with once every member is released or
+	// its lease has expired; nil means that the job waits again.
+	Result outcome.Outcome
+}
+
+// Timing holds the spans that Step turns into deadlines.
+type Timing struct {
+	Reservation, Lease, ConfirmEvery time.Duration
+}
+
+// Event is sealed. Each says what happened to an attempt.
+type Event interface{ event() }
+
+// Events.
+type (
+	// Proposed begins the attempt.
+	Proposed struct{}
+	// Reserved says that the VM holds the accelerators.
+	Reserved struct{ VM string }
+	// Refused says that the VM granted nothing and holds nothing.
+	Refused struct{ VM, Rule, Reason string }
+	// Unreachable says that an order's answer did not come: the VM may or may
+	// not have acted.
+	Unreachable struct{ VM string }
+	// Committed says that the commit record is valid in the fold.
+	Committed struct{ Offset int64 }
+	// CommitVoid says that the commit record is not valid and never will be.
+	CommitVoid struct{ Reason string }
+	// Started says that the VM runs its tasks.
+	Started struct{ VM string }
+	// StartFailed says that the VM refused the start and will not start.
+	StartFailed struct{ VM, Rule, Reason string }
+	// Confirmed says that the VM's tasks run, in that round of the agent.
+	Confirmed struct {
+		VM    string
+		Round int
+	}
+	// NotRunning says that the VM confirmed that its part does not run.
+	NotRunning struct{ VM, Reason string }
+	// TaskEnded says that one task ended with an answer.
+	TaskEnded struct{ Part outcome.Part }
+	// TaskFailed says that one task ended with its own error.
+	TaskFailed struct{ VM, Reason string }
+	// TaskStopped says that one task was stopped, evicted or lost its lease.
+	TaskStopped struct {
+		VM, Reason   string
+		CheckpointMs int64
+	}
+	// Released says that the VM dropped its part and will not start it.
+	Released struct {
+		VM           string
+		Started      bool
+		CheckpointMs int64
+	}
+	// Lost says that the VM is gone.
+	Lost struct{ VM string }
+	// Cancelled says that the caller cancelled the job.
+	Cancelled struct{}
+	// Tick says only that time has passed.
+	Tick struct{}
+)
+
+func (Proposed) event()    {}
+func (Reserved) event()    {}
+func (Refused) event()     {}
+func (Unreachable) event() {}
+func (Committed) event()   {}
+func (CommitVoid) event()  {}
+func (Started) event()     {}
+func (StartFailed) event() {}
+func (Confirmed) event()   {}
+func (NotRunning) event()  {}
+func (TaskEnded) event()   {}
+func (TaskFailed) event()  {}
+func (TaskStopped) event() {}
+func (Released) event()    {}
+func (Lost) event()        {}
+func (Cancelled) event()   {}
+func (Tick) event()        {}
+
+// Order is sealed. Each is something that the daemon carries out.
+type Order interface{ order() }
+
+// Orders.
+type (
+	// Reserve asks the member to hold accelerators until ReserveBy.
+	Reserve struct{ VM string }
+	// Commit appends the commit record.
+	Commit struct{}
+	// Start starts the member under a lease.
+	Start struct{ VM string }
+	// Confirm asks the member whether it runs.
+	Confirm struct{ VM string }
+	// Renew extends the member's lease from its confirmation of the round on.
+	Renew struct {
+		VM    string
+		Round int
+	}
+	// Release drops or stops the member's part.
+	Release struct {
+		VM         string
+		Checkpoint bool
+	}
+	// Abort appends the abort record; the job waits again.
+	Abort struct {
+		Reason       string
+		CheckpointMs int64
+	}
+	// End appends the end record.
+	End struct{ Outcome outcome.Outcome }
+)
+
+func (Reserve) order() {}
+func (Commit) order()  {}
+func (Start) order()   {}
+func (Confirm) order() {}
+func (Renew) order()   {}
+func (Release) order() {}
+func (Abort) order()   {}
+func (End) order()     {}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,32 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestOwnerMovesLittle guards against a peer's loss moving keys that it did
+// not own, and against Owner and Ranked disagreeing.
+func TestOwnerMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "peers")
+		var peers []string
+		for i := range n {
+			peers = append(peers, fmt.Sprintf("entry%d", i))
+		}
+		key := rapid.String().Draw(t, "key")
+		ranked := Ranked(key, peers)
+		if got := Owner(key, peers); got != ranked[0] {
+			t.Fatalf("Owner = %q, first of Ranked = %q", got, ranked[0])
+		}
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		rest := append(append([]string{}, peers[:lost]...), peers[lost+1:]...)
+		if len(rest) > 0 && ranked[0] != peers[lost] {
+			if got := Owner(key, rest); got != ranked[0] {
+				t.Fatalf("Owner after losing %q = %q, want %q", peers[lost], got, ranked[0])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,266 @@
+// Package rpc carries JSON-RPC 2.0 between the system's own processes over
+// nbio connections. A frame is a 4-byte big-endian length and the JSON text.
+// Either side of a connection may call the other, and replies may come in any
+// order.
+//
+// Socket callbacks only cut frames and queue them; one goroutine for each
+// connection waits for its queue and runs the handler, which hands longer
+// work to a pool. The package owns its connections. Locks: the queue's mutex
+// in stream, which is taken last and never held during a call.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"celerypoint.example/celerypoint/wire"
+)
+
+// MaxFrameBytes bounds one message.
+const MaxFrameBytes = 1 << 20
+
+// maxQueuedBytes bounds what a connection holds in either direction; a peer
+// that sends faster, or reads slower, is disconnected.
+const maxQueuedBytes = 64 << 20
+
+// maxOpenFiles sizes nbio's table of connections: 8 bytes for each possible
+// file descriptor, so that an agent stays within its 32 MB.
+const maxOpenFiles = 1 << 15
+
+// ErrClosed says that the connection closed before the reply came. Whether
+// the other side acted is unknown.
+var ErrClosed = errors.New("rpc: connection closed")
+
+// CodeRefused is the code of an error that a handler returned.
+const CodeRefused = 1
+
+// Error is the error that the other side replied.
+type Error struct{ Message string }
+
+func (e *Error) Error() string { return "rpc: " + e.Message }
+
+// Request is a call from the other side. Exactly one of Reply and Fail is
+// called, from any goroutine.
+type Request struct {
+	Conn   *Conn
+	Method string
+	params []byte
+	id     jsonrpc2.ID
+	notif  bool
+}
+
+// Decode reads the parameters and refuses unknown fields.
+func (r *Request) Decode(v any) error { return wire.Decode(r.params, v) }
+
+// Reply answers the call.
+func (r *Request) Reply(result any) {
+	if r.notif {
+		return
+	}
+	// A failed write closes the connection, which the caller sees.
+	_ = r.Conn.conn.Reply(context.Background(), r.id, result)
+}
+
+// Fail answers the call with an error.
+func (r *Request) Fail(err error) {
+	if r.notif {
+		return
+	}
+	_ = r.Conn.conn.ReplyWithError(context.Background(), r.id, &jsonrpc2.Error{Code: CodeRefused, Message: err.Error()})
+}
+
+// Handler takes the calls of one connection in the order of their arrival. It
+// must not block.
+type Handler func(r *Request)
+
+// Conn is one connection. Close it when done.
+type Conn struct {
+	conn   *jsonrpc2.Conn
+	remote string
+}
+
+// Remote is the address of the other side.
+func (c *Conn) Remote() string { return c.remote }
+
+// Done is closed when the connection is.
+func (c *Conn) Done() <-chan struct{} { return c.conn.DisconnectNotify() }
+
+// Close closes the connection; calls in flight end with ErrClosed.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// Pending is a call whose reply has not been waited for.
+type Pending struct{ waiter jsonrpc2.Waiter }
+
+// Start sends a call without waiting for its reply.
+func (c *Conn) Start(method string, params any) (Pending, error) {
+	w, err := c.conn.DispatchCall(context.Background(), method, params)
+	if err != nil {
+		return Pending{}, translate(method, err)
+	}
+	return Pending{w}, nil
+}
+
+// Wait waits for the reply until the context ends.
+func (p Pending) Wait(ctx context.Context, method string, result any) error {
+	var raw json.RawMessage
+	if err := p.waiter.Wait(ctx, &raw); err != nil {
+		return translate(method, err)
+	}
+	if result == nil {
+		return nil
+	}
+	if err := wire.Decode(raw, result); err != nil {
+		return fmt.Errorf("rpc: %s: %w", method, err)
+	}
+	return nil
+}
+
+// Call sends a call and waits for its reply. An *Error means that the other
+// side refused; any other error leaves open whether it acted.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	p, err := c.Start(method, params)
+	if err != nil {
+		return err
+	}
+	return p.Wait(ctx, method, result)
+}
+
+func translate(method string, err error) error {
+	var refused *jsonrpc2.Error
+	switch {
+	case errors.As(err, &refused):
+		return &Error{Message: method + ": " + refused.Message}
+	case errors.Is(err, jsonrpc2.ErrClosed), errors.Is(err, io.EOF):
+		return fmt.Errorf("%s: %w", method, ErrClosed)
+	default:
+		return fmt.Errorf("rpc: %s: %w", method, err)
+	}
+}
+
+// Engine owns a listener, which may be absent, and connections.
+type Engine struct {
+	nb      *nbio.Engine
+	handler Handler
+	accept  func(*Conn)
+}
+
+// Option configures an Engine.
+type Option func(*Engine, *nbio.Config)
+
+// WithListen makes the engine listen on a TCP address.
+func WithListen(address string) Option {
+	return func(_ *Engine, c *nbio.Config) { c.Addrs = []string{address} }
+}
+
+// WithAccept sets a function that is told of each accepted connection.
+func WithAccept(f func(*Conn)) Option {
+	return func(e *Engine, _ *nbio.Config) { e.accept = f }
+}
+
+var quiet sync.Once
+
+// New starts an engine whose connections all use the handler.
+func New(h Handler, options ...Option) (*Engine, error) {
+	quiet.Do(func() {
+		logging.SetLevel(logging.LevelError)
+		nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxOpenFiles)
+	})
+	e := &Engine{handler: h}
+	config := nbio.Config{Name: "rpc", Network: "tcp", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxQueuedBytes}
+	for _, o := range options {
+		o(e, &config)
+	}
+	e.nb = nbio.NewEngine(config)
+	e.nb.OnOpen(func(c *nbio.Conn) {
+		if c.Session() == nil {
+			conn := e.attach(c)
+			if e.accept != nil {
+				e.accept(conn)
+			}
+		}
+	})
+	e.nb.OnData(func(c *nbio.Conn, data []byte) {
+		if s, ok := c.Session().(*stream); ok {
+			s.feed(data)
+		}
+	})
+	e.nb.OnClose(func(c *nbio.Conn, _ error) {
+		if s, ok := c.Session().(*stream); ok {
+			s.closeQueue()
+		}
+	})
+	if err := e.nb.Start(); err != nil {
+		return nil, fmt.Errorf("rpc: listen on %v: %w", config.Addrs, err)
+	}
+	return e, nil
+}
+
+func (e *Engine) attach(c *nbio.Conn) *Conn {
+	s := newStream(c)
+	c.SetSession(s)
+	conn := &Conn{remote: c.RemoteAddr().String()}
+	ready := make(chan struct{})
+	conn.conn = jsonrpc2.NewConn(context.Background(), s, handlerFunc(func(r *jsonrpc2.Request) {
+		<-ready
+		request := &Request{Conn: conn, Method: r.Method, id: r.ID, notif: r.Notif}
+		if r.Params != nil {
+			request.params = *r.Params
+		}
+		e.handler(request)
+	}), jsonrpc2.SetLogger(stdlog.New(io.Discard, "", 0)))
+	close(ready)
+	return conn
+}
+
+type handlerFunc func(*jsonrpc2.Request)
+
+func (f handlerFunc) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) { f(r) }
+
+// Address is the address that the engine listens on, or empty.
+func (e *Engine) Address() string {
+	if len(e.nb.Addrs) == 0 {
+		return ""
+	}
+	return e.nb.Addrs[0]
+}
+
+// Dial connects to an engine until the context ends.
+func (e *Engine) Dial(ctx context.Context, address string) (*Conn, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
+	}
+	c, err := nbio.NBConn(raw)
+	if err != nil {
+		_ = raw.Close()
+		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
+	}
+	conn := e.attach(c)
+	if _, err := e.nb.AddConn(c); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
+	}
+	return conn, nil
+}
+
+// stopTimeout bounds how long Close waits for connections to end.
+const stopTimeout = 2 * time.Second
+
+// Close closes the listener and every connection.
+func (e *Engine) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = e.nb.Shutdown(ctx)
+}
