rpc: send calls without a waiting goroutine

Cause: an entry has thousands of short requests in flight at peak demand, and a blocked worker for each would exhaust the pool. Change: Conn.Send calls back on the reply, the deadline or the close. Result: go test ./rpc passes, with a test for each of the three ends.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -5,8 +5,8 @@
 //
 // Socket callbacks only cut frames and queue them; one goroutine for each
 // connection waits for its queue and runs the handler, which hands longer
-// work to a pool. The package owns its connections. Locks: the queue's mutex
-// in stream, which is taken last and never held during a call.
+// work to a pool. The package owns its connections. Locks: the mutex of
+// Conn, then the queue's mutex in stream; neither is held during a call.
 package rpc
 
 import (
@@ -17,6 +17,7 @@
 	"io"
 	stdlog "log"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -88,6 +89,18 @@
 type Conn struct {
 	conn   *jsonrpc2.Conn
 	remote string
+
+	mu sync.Mutex
+	// sent holds the calls of Send that wait for a reply, by identifier. It
+	// is nil once the connection is closed.
+	sent map[string]*sentCall
+	last uint64
+}
+
+type sentCall struct {
+	method string
+	done   func(result []byte, err error)
+	timer  *time.Timer
 }
 
 // Remote is the address of the other side.
@@ -99,6 +112,73 @@
 // Close closes the connection; calls in flight end with ErrClosed.
 func (c *Conn) Close() { _ = c.conn.Close() }
 
+// ErrTimeout says that no reply came before the deadline. Whether the other
+// side acted is unknown.
+var ErrTimeout = errors.New("rpc: no reply before the deadline")
+
+// Send sends a call and returns at once. It calls done exactly once, with the
+// reply or an error, from a goroutine of the transport: done must not block.
+// No goroutine waits meanwhile, so that one process can have thousands of
+// calls in flight.
+func (c *Conn) Send(method string, params any, deadline time.Time, done func(result []byte, err error)) {
+	c.mu.Lock()
+	if c.sent == nil {
+		c.mu.Unlock()
+		done(nil, fmt.Errorf("%s: %w", method, ErrClosed))
+		return
+	}
+	c.last++
+	id := strconv.FormatUint(c.last, 36)
+	call := &sentCall{method: method, done: done}
+	c.sent[id] = call
+	call.timer = time.AfterFunc(time.Until(deadline), func() {
+		c.finish(id, nil, fmt.Errorf("%s: %w", method, ErrTimeout))
+	})
+	c.mu.Unlock()
+	_, err := c.conn.DispatchCall(context.Background(), method, params, jsonrpc2.PickID(jsonrpc2.ID{Str: id, IsString: true}))
+	if err != nil {
+		c.finish(id, nil, translate(method, err))
+	}
+}
+
+func (c *Conn) finish(id string, result []byte, err error) {
+	c.mu.Lock()
+	call := c.sent[id]
+	delete(c.sent, id)
+	c.mu.Unlock()
+	if call == nil {
+		return
+	}
+	call.timer.Stop()
+	call.done(result, err)
+}
+
+func (c *Conn) received(_ *jsonrpc2.Request, response *jsonrpc2.Response) {
+	if response == nil || !response.ID.IsString {
+		return
+	}
+	switch {
+	case response.Error != nil:
+		c.finish(response.ID.Str, nil, &Error{Message: response.Error.Message})
+	case response.Result != nil:
+		c.finish(response.ID.Str, *response.Result, nil)
+	default:
+		c.finish(response.ID.Str, []byte("null"), nil)
+	}
+}
+
+// failSent ends every call of Send once the connection is closed.
+func (c *Conn) failSent() {
+	c.mu.Lock()
+	sent := c.sent
+	c.sent = nil
+	c.mu.Unlock()
+	for _, call := range sent {
+		call.timer.Stop()
+		call.done(nil, fmt.Errorf("%s: %w", call.method, ErrClosed))
+	}
+}
+
 // Pending is a call whose reply has not been waited for.
 type Pending struct{ waiter jsonrpc2.Waiter }
 
@@ -209,7 +289,8 @@
 func (e *Engine) attach(c *nbio.Conn) *Conn {
 	s := newStream(c)
 	c.SetSession(s)
-	conn := &Conn{remote: c.RemoteAddr().String()}
+	conn := &Conn{remote: c.RemoteAddr().String(), sent: map[string]*sentCall{}}
+	s.onClose = conn.failSent
 	ready := make(chan struct{})
 	conn.conn = jsonrpc2.NewConn(context.Background(), s, handlerFunc(func(r *jsonrpc2.Request) {
 		<-ready
@@ -218,7 +299,7 @@
 			request.params = *r.Params
 		}
 		e.handler(request)
-	}), jsonrpc2.SetLogger(stdlog.New(io.Discard, "", 0)))
+	}), jsonrpc2.OnRecv(conn.received), jsonrpc2.SetLogger(stdlog.New(io.Discard, "", 0)))
 	close(ready)
 	return conn
 }
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -103,3 +103,32 @@
 		})
 	}
 }
+
+// TestSend guards against a call whose callback is lost or called twice: after
+// a reply, after the deadline, and after the connection closes.
+func TestSend(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	server := listen(t, func(r *Request) {
+		if r.Method == "drain" {
+			r.Reply(wire.DrainResult{Holdings: 3})
+		}
+	})
+	client := listen(t, func(r *Request) {})
+	conn, err := client.Dial(ctx, server.Address())
+	qt.Assert(t, err, qt.IsNil)
+	results := make(chan error, 8)
+	send := func(method string, deadline time.Time) {
+		conn.Send(method, wire.DrainParams{}, deadline, func(_ []byte, err error) { results <- err })
+	}
+	send("drain", time.Now().Add(testTimeout))
+	qt.Assert(t, <-results, qt.IsNil)
+	send("run", time.Now().Add(20*time.Millisecond))
+	qt.Assert(t, <-results, qt.ErrorIs, ErrTimeout)
+	send("run", time.Now().Add(testTimeout))
+	conn.Close()
+	qt.Assert(t, <-results, qt.ErrorIs, ErrClosed)
+	send("drain", time.Now().Add(testTimeout))
+	qt.Assert(t, <-results, qt.ErrorIs, ErrClosed)
+	qt.Assert(t, results, qt.HasLen, 0)
+}
--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -19,6 +19,8 @@
 	// partial holds bytes of an unfinished frame. Only the poller's goroutine
 	// uses it.
 	partial []byte
+	// onClose is called once, when the connection has closed.
+	onClose func()
 
 	mu    sync.Mutex
 	ready *sync.Cond
@@ -75,9 +77,13 @@
 
 func (s *stream) closeQueue() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	first := !s.closed
 	s.closed = true
 	s.ready.Broadcast()
+	s.mu.Unlock()
+	if first && s.onClose != nil {
+		s.onClose()
+	}
 }
 
 // ReadObject waits for the next frame; it implements jsonrpc2.ObjectStream.
