gang: add the steps of an attempt

Cause: the entry daemon needs the protocol of a gang attempt as a pure function. Members gain Boot, HeldBy, ExpiresBy and Ran; Reserve carries Hold, Confirm carries Asked, which Confirmed gives back, Renew carries the Lease to grant, Reserved and Released carry the agent's boot ID, TaskStopped carries the rank, Abort carries FailedVM, and Timing has Reclaim.

--- a/gang/types.go
+++ b/gang/types.go
@@ -46,10 +46,36 @@
 	Round int
 	// Confirmed says that the member confirmed in the attempt's current round.
 	Confirmed bool
+	// ConfirmedAt is when that confirmation arrived.
+	ConfirmedAt time.Time
+	// Boot is the boot ID of the agent that reserved. A release that another
+	// boot confirms proves nothing about a start before the restart.
+	Boot string
+	// HeldBy is when the reservation has expired at the latest, so that a
+	// start is refused from then on. Zero before MemberReserved.
+	HeldBy time.Time
+	// ExpiresBy is when the member surely neither runs nor can start unless a
+	// renewal moves it. Zero while no start was ordered.
+	ExpiresBy time.Time
+	// Checkpoints are the progress that stopped tasks reported.
+	Checkpoints []Checkpoint
+	// ReleasedCheckpointMs is the progress that the release reported for all
+	// of the member's tasks, 0 for none.
+	ReleasedCheckpointMs int64
 	// Answers are the answers of the tasks that ended, in any order.
 	Answers []outcome.Part
 	// EverStarted says that a start may have reached the member.
 	EverStarted bool
+	// Ran says that the member confirmed that it started.
+	Ran bool
+	// EndKnown says that the agent that reserved confirmed the release.
+	EndKnown bool
+}
+
+// Checkpoint is the progress that one stopped task can resume from.
+type Checkpoint struct {
+	Rank int
+	Ms   int64
 }
 
 // Attempt is one try to run a job whole. Step is the only code that changes it.
@@ -69,14 +95,27 @@
 	// CommitOffset is the offset of the commit record, 0 before.
 	CommitOffset int64
 	// LeaseUntil is when the lease of every member has expired unless renewed,
-	// counted on this process's clock from the last start or renewal sent.
+	// counted on this process's clock: the latest ExpiresBy of the members.
 	LeaseUntil time.Time
+	// Round numbers the rounds of confirmations, RoundStart is when the
+	// current one began, and RoundOpen says that it still awaits members.
+	Round      int
+	RoundStart time.Time
+	RoundOpen  bool
 	// NextConfirm is when the next round of confirmations starts.
 	NextConfirm time.Time
 	// CheckpointMs is the least progress that every member can resume from.
 	CheckpointMs int64
 	// Reason says why the attempt is aborting.
 	Reason string
+	// Resumed says that another planner made the attempt and may still renew
+	// it.
+	Resumed bool
+	// Cancelled says that the caller cancelled the job.
+	Cancelled bool
+	// FailedVM is the VM whose task ended with the job's own error, empty for
+	// none.
+	FailedVM string
 	// Result is what the attempt ends with once every member is released or
 	// its lease has expired; nil means that the job waits again.
 	Result outcome.Outcome
@@ -85,6 +124,9 @@
 // Timing holds the spans that Step turns into deadlines.
 type Timing struct {
 	Reservation, Lease, ConfirmEvery time.Duration
+	// Reclaim is added to the reservation of an attempt in which a member
+	// reclaims, because its grant may take that long while the others hold.
+	Reclaim time.Duration
 }
 
 // Event is sealed. Each says what happened to an attempt.
@@ -95,7 +137,7 @@
 	// Proposed begins the attempt.
 	Proposed struct{}
 	// Reserved says that the VM holds the accelerators.
-	Reserved struct{ VM string }
+	Reserved struct{ VM, Boot string }
 	// Refused says that the VM granted nothing and holds nothing.
 	Refused struct{ VM, Rule, Reason string }
 	// Unreachable says that an order's answer did not come: the VM may or may
@@ -109,12 +151,16 @@
 	Started struct{ VM string }
 	// StartFailed says that the VM refused the start and will not start.
 	StartFailed struct{ VM, Rule, Reason string }
-	// Confirmed says that the VM's tasks run, in that round of the agent.
+	// Confirmed says that the VM's tasks run or ended with answers, in that
+	// round of the agent. Asked is the number that the Confirm order carried,
+	// so that a late reply does not count for a later round.
 	Confirmed struct {
 		VM    string
 		Round int
+		Asked int
 	}
-	// NotRunning says that the VM confirmed that its part does not run.
+	// NotRunning says that the VM confirmed that a task of its part neither
+	// runs nor ended with an answer.
 	NotRunning struct{ VM, Reason string }
 	// TaskEnded says that one task ended with an answer.
 	TaskEnded struct{ Part outcome.Part }
@@ -123,11 +169,13 @@
 	// TaskStopped says that one task was stopped, evicted or lost its lease.
 	TaskStopped struct {
 		VM, Reason   string
+		Rank         int
 		CheckpointMs int64
 	}
-	// Released says that the VM dropped its part and will not start it.
+	// Released says that the VM dropped its part and will not start it. Boot
+	// is the boot ID of the agent that confirmed it.
 	Released struct {
-		VM           string
+		VM, Boot     string
 		Started      bool
 		CheckpointMs int64
 	}
@@ -162,28 +210,42 @@
 
 // Orders.
 type (
-	// Reserve asks the member to hold accelerators until ReserveBy.
-	Reserve struct{ VM string }
+	// Reserve asks the member to hold accelerators for that long from the
+	// grant on.
+	Reserve struct {
+		VM   string
+		Hold time.Duration
+	}
 	// Commit appends the commit record.
 	Commit struct{}
 	// Start starts the member under a lease.
 	Start struct{ VM string }
-	// Confirm asks the member whether it runs.
-	Confirm struct{ VM string }
-	// Renew extends the member's lease from its confirmation of the round on.
+	// Confirm asks the member whether it runs. The reply carries Asked back.
+	Confirm struct {
+		VM    string
+		Asked int
+	}
+	// Renew extends the member's lease to Lease after its confirmation of the
+	// round. Lease is shorter than the whole lease by the time that the
+	// confirmation took, so that no lease outlives the start of the round by
+	// more than one whole lease.
 	Renew struct {
 		VM    string
 		Round int
+		Lease time.Duration
 	}
 	// Release drops or stops the member's part.
 	Release struct {
 		VM         string
 		Checkpoint bool
 	}
-	// Abort appends the abort record; the job waits again.
+	// Abort appends the abort record; the job waits again. FailedVM is set
+	// when the job's own error ended the attempt there: the daemon counts such
+	// VMs and appends an end record with outcome.Failed after the last try.
 	Abort struct {
 		Reason       string
 		CheckpointMs int64
+		FailedVM     string
 	}
 	// End appends the end record.
 	End struct{ Outcome outcome.Outcome }
