--- /dev/null
+++ b/entryd/short.go
@@ -0,0 +1,258 @@
+package entryd
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"celerypoint.example/celerypoint/agent"
+	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/job"
+	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/selector"
+	"celerypoint.example/celerypoint/timeline"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/wire"
+)
+
+const (
+	// shortWait bounds a short request without a deadline.
+	shortWait = 10 * time.Minute
+	// noVMRetry is the pause while no VM can take a short request.
+	noVMRetry = 200 * time.Millisecond
+	// noVMWait bounds how long a short request waits for any VM.
+	noVMWait = 5 * time.Second
+	// maxFailedVMs is the number of VMs on which a job may fail by itself
+	// before its own error is its answer.
+	maxFailedVMs = 3
+	// avoidFor is how long a VM that refused a job is passed over for it.
+	avoidFor = time.Second
+)
+
+// submitShort runs an urgent idempotent task without the log.
+func (d *Daemon) submitShort(j job.Job) job.View {
+	r := &running{
+		job: j, phase: job.PhaseWaiting, waitSince: j.AcceptedAt,
+		failedOn: map[string]string{}, avoid: map[string]time.Time{}, done: make(chan struct{}),
+	}
+	d.jobs.mu.Lock()
+	d.jobs.byID[j.ID] = r
+	d.jobs.mu.Unlock()
+	d.shorts.Add(1)
+	d.ring.Add(timeline.Event{Kind: "jobAccepted", Job: j.ID, Org: j.Org, Detail: "short"})
+	d.submit(func() { d.tryShort(r) })
+	v, _ := d.viewHere(j.ID)
+	return v
+}
+
+// tryShort sends a short request to a VM.
+func (d *Daemon) tryShort(r *running) {
+	now := time.Now()
+	deadline := r.job.Deadline
+	if deadline.IsZero() {
+		deadline = r.job.AcceptedAt.Add(shortWait)
+	}
+	if !now.Before(deadline) {
+		d.endShort(r, d.expired(r))
+		return
+	}
+	d.jobs.mu.Lock()
+	cancelled, avoid := r.cancelAsked, r.avoid
+	mayHaveRun := r.mayHaveRun
+	d.jobs.mu.Unlock()
+	if cancelled {
+		d.endShort(r, d.cancelledShort(r))
+		return
+	}
+	id, conn := d.chooseVM(r.job, avoid, now)
+	if conn == nil {
+		if now.Sub(r.job.AcceptedAt) > noVMWait && !mayHaveRun {
+			d.endShort(r, outcome.NotRun{Rule: "noVMReachable", Reason: "no VM that the selector allows can be reached"})
+			return
+		}
+		time.AfterFunc(noVMRetry, func() { d.submit(func() { d.tryShort(r) }) })
+		return
+	}
+	d.jobs.mu.Lock()
+	r.tries++
+	r.sentTo, r.attempt = id, r.job.ID+"/"+strconv.Itoa(r.tries)
+	r.phase, r.vms = job.PhaseStarting, []string{id}
+	attemptID := r.attempt
+	d.jobs.mu.Unlock()
+	params := wire.RunParams{Job: codec.JobTo(r.job), Attempt: attemptID, QueueMs: int(deadline.Sub(now).Milliseconds()), Config: d.vmConfig(id)}
+	d.count("shortSent")
+	send(d, conn, agent.MethodRun, params, deadline, func(result wire.RunResult, err error) {
+		d.shortDone(r, id, attemptID, result, err)
+	})
+}
+
+// shortDone takes the end of one try.
+func (d *Daemon) shortDone(r *running, id, attemptID string, result wire.RunResult, err error) {
+	d.vms.mu.Lock()
+	if t := d.vms.byID[id]; t != nil && t.short > 0 {
+		t.short--
+	}
+	d.vms.mu.Unlock()
+	if err != nil || result.Status != wire.RunStatusRefused {
+		d.jobs.mu.Lock()
+		r.mayHaveRun = true
+		d.jobs.mu.Unlock()
+	}
+	if err != nil {
+		d.count("shortRetriedUnreachable")
+		d.retryShort(r, id, fmt.Sprintf("VM %s: %v", id, err))
+		return
+	}
+	switch result.Status {
+	case wire.RunStatusAnswered:
+		d.answerShort(r, id, attemptID, result)
+	case wire.RunStatusFailed:
+		d.jobs.mu.Lock()
+		r.failedOn[id] = result.Reason
+		failures := len(r.failedOn)
+		d.jobs.mu.Unlock()
+		if failures >= maxFailedVMs {
+			d.endShort(r, outcome.Failed{Reason: fmt.Sprintf("failed on %d VMs, lastly: %s", failures, result.Reason)})
+			return
+		}
+		d.count("shortRetriedFailed")
+		d.retryShort(r, id, result.Reason)
+	case wire.RunStatusRefused:
+		d.count("shortRefused." + result.Rule)
+		if result.Rule == "queueFull" || result.Rule == "deadlineUnreachable" {
+			d.refusedShort(r, id, result)
+			return
+		}
+		d.retryShort(r, id, result.Rule)
+	default:
+		d.retryShort(r, id, result.Reason)
+	}
+}
+
+// refusedShort gives up when several VMs had no room before the deadline: more
+// tries would only add load.
+func (d *Daemon) refusedShort(r *running, id string, result wire.RunResult) {
+	d.jobs.mu.Lock()
+	tries := r.tries
+	d.jobs.mu.Unlock()
+	if tries < maxFailedVMs {
+		d.retryShort(r, id, result.Rule)
+		return
+	}
+	d.jobs.mu.Lock()
+	mayHaveRun := r.mayHaveRun
+	d.jobs.mu.Unlock()
+	if mayHaveRun {
+		d.endShort(r, outcome.Unknown{Reason: "an earlier try may have run, the last was refused: " + result.Rule})
+		return
+	}
+	d.endShort(r, outcome.NotRun{Rule: result.Rule, Reason: result.Reason})
+}
+
+func (d *Daemon) retryShort(r *running, id, reason string) {
+	d.ring.Add(timeline.Event{Kind: "shortRetried", Job: r.job.ID, Org: r.job.Org, VM: id, Detail: reason})
+	d.jobs.mu.Lock()
+	avoid := make(map[string]time.Time, len(r.avoid)+1)
+	for k, v := range r.avoid {
+		avoid[k] = v
+	}
+	avoid[id] = time.Now().Add(avoidFor)
+	r.avoid = avoid
+	d.jobs.mu.Unlock()
+	d.tryShort(r)
+}
+
+func (d *Daemon) answerShort(r *running, id, attemptID string, result wire.RunResult) {
+	sum, err := wire.ParseChecksum("checksum", result.Checksum)
+	if err != nil {
+		d.retryShort(r, id, err.Error())
+		return
+	}
+	body, err := wire.Bytes("body", result.Body)
+	if err != nil {
+		d.retryShort(r, id, err.Error())
+		return
+	}
+	a := outcome.Answer{Length: int64(result.Length), Checksum: sum, Body: body}
+	if len(body) != result.Length {
+		a.Body = nil
+		a.Parts = []outcome.Part{{VM: id, Attempt: attemptID, Length: int64(result.Length), Checksum: sum}}
+	}
+	d.jobs.mu.Lock()
+	r.startedAt = time.Now().Add(-time.Duration(result.RanMs) * time.Millisecond)
+	d.jobs.mu.Unlock()
+	d.endShort(r, a)
+}
+
+// expired is the outcome of a short request whose deadline passed. It is not
+// run only when it was never sent, or every VM that got it refused it.
+func (d *Daemon) expired(r *running) outcome.Outcome {
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	if !r.mayHaveRun {
+		return outcome.NotRun{Rule: "deadlinePassed", Reason: "no VM took the request before its deadline"}
+	}
+	return outcome.Unknown{Reason: "the deadline passed after the request was sent to VM " + r.sentTo}
+}
+
+func (d *Daemon) cancelledShort(r *running) outcome.Outcome {
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	if !r.mayHaveRun {
+		return outcome.NotRun{Rule: "cancelledBeforeStart", Reason: "the caller cancelled the request before any VM started it"}
+	}
+	return outcome.Failed{Reason: "cancelled by the caller", Cancelled: true}
+}
+
+func (d *Daemon) endShort(r *running, o outcome.Outcome) {
+	d.jobs.mu.Lock()
+	first := r.outcome == nil
+	r.end(o)
+	d.jobs.mu.Unlock()
+	if !first {
+		return
+	}
+	d.shorts.Add(-1)
+	d.count("short." + string(outcome.KindOf(o)))
+	d.ring.Add(timeline.Event{Kind: "jobEnded", Job: r.job.ID, Org: r.job.Org, VM: r.sentTo, Detail: describe(o)})
+}
+
+// chooseVM picks the VM with the most room for a short task: one with free
+// accelerators if there is one, then the fewest short requests in flight from
+// this entry, ties broken at random so that entries spread their choices.
+func (d *Daemon) chooseVM(j job.Job, avoid map[string]time.Time, now time.Time) (string, *rpc.Conn) {
+	s, err := selector.Parse(j.Selector)
+	if err != nil {
+		return "", nil
+	}
+	best, bestFree, bestLoad := "", false, 0
+	views := d.views()
+	d.vms.mu.Lock()
+	defer d.vms.mu.Unlock()
+	offset := rand.IntN(len(views) + 1)
+	for i := range views {
+		v := views[(i+offset)%len(views)]
+		t := d.vms.byID[v.ID]
+		if t == nil || closed(t.conn) || !v.Usable(now) || !s.Matches(v.EffectiveLabels) || v.Accelerators < j.AcceleratorsPerTask ||
+			now.Before(avoid[v.ID]) || t.short >= max(1, v.Connections) {
+			continue
+		}
+		free := hasRoom(v, t.short, j.AcceleratorsPerTask)
+		if best == "" || free && !bestFree || free == bestFree && t.short < bestLoad {
+			best, bestFree, bestLoad = v.ID, free, t.short
+		}
+	}
+	if best == "" {
+		return "", nil
+	}
+	d.vms.byID[best].short++
+	return best, d.vms.byID[best].conn
+}
+
+// hasRoom reports whether a VM has free accelerators and slots beyond the short
+// requests that are on their way to it.
+func hasRoom(v vm.View, short, accelerators int) bool {
+	return v.FreeSlots() > short && v.FreeAccelerators() >= (short+1)*accelerators
+}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -19,6 +19,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -233,8 +234,14 @@
 	nb      *nbio.Engine
 	handler Handler
 	accept  func(*Conn)
+	// received and sent count bytes with their frame headers, over all
+	// connections.
+	received, sent atomic.Int64
 }
 
+// Traffic returns the bytes received and sent over all connections since New.
+func (e *Engine) Traffic() (received, sent int64) { return e.received.Load(), e.sent.Load() }
+
 // Option configures an Engine.
 type Option func(*Engine, *nbio.Config)
 
@@ -272,6 +279,7 @@
 	})
 	e.nb.OnData(func(c *nbio.Conn, data []byte) {
 		if s, ok := c.Session().(*stream); ok {
+			e.received.Add(int64(len(data)))
 			s.feed(data)
 		}
 	})
@@ -287,7 +295,7 @@
 }
 
 func (e *Engine) attach(c *nbio.Conn) *Conn {
-	s := newStream(c)
+	s := newStream(c, &e.sent)
 	c.SetSession(s)
 	conn := &Conn{remote: c.RemoteAddr().String(), sent: map[string]*sentCall{}}
 	s.onClose = conn.failSent
--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/lesismal/nbio"
 )
@@ -16,6 +17,8 @@
 // goroutine that reads the connection.
 type stream struct {
 	raw *nbio.Conn
+	// sent counts the bytes written, for the whole engine.
+	sent *atomic.Int64
 	// partial holds bytes of an unfinished frame. Only the poller's goroutine
 	// uses it.
 	partial []byte
@@ -30,8 +33,8 @@
 	closed bool
 }
 
-func newStream(c *nbio.Conn) *stream {
-	s := &stream{raw: c}
+func newStream(c *nbio.Conn, sent *atomic.Int64) *stream {
+	s := &stream{raw: c, sent: sent}
 	s.ready = sync.NewCond(&s.mu)
 	return s
 }
@@ -119,6 +122,7 @@
 	frame := make([]byte, headerBytes+len(body))
 	binary.BigEndian.PutUint32(frame, uint32(len(body)))
 	copy(frame[headerBytes:], body)
+	s.sent.Add(int64(len(frame)))
 	if _, err := s.raw.Write(frame); err != nil {
 		return fmt.Errorf("rpc: write: %w", err)
 	}
