Assign guarantees, place, admit and document rules

Cause: the entry daemon needs the decisions behind it. Change: add guarantee.Assign, placement.Decide with both policies, admission.Decide, one record per rule in rules, and vmindex, which arranges VMs by selector and domain for the two packing decisions.

--- /dev/null
+++ b/guarantee/assign_test.go
@@ -0,0 +1,153 @@
+package guarantee
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+
+	"celerypoint.example/celerypoint/org"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/vmindex"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// fleet makes VMs of 3 to a rack, 12 racks to a zone and 3 zones to a region.
+func fleet(n int, accelerators func(i int) int) []vm.View {
+	vms := make([]vm.View, n)
+	for i := range vms {
+		zone := fmt.Sprintf("z%d", i/36)
+		vms[i] = vm.View{VM: vm.VM{
+			ID: fmt.Sprintf("vm%05d", i), Rack: fmt.Sprintf("k%d", i/3), Zone: zone, Region: fmt.Sprintf("r%d", i/108),
+			Accelerators: accelerators(i),
+		}, EffectiveLabels: map[string]string{"zone": zone, "parity": fmt.Sprint(i % 2)}}
+	}
+	return vms
+}
+
+func eight(int) int { return 8 }
+
+func shaped(name string, vms, each int, a shape.Adjacency, selector string) org.Org {
+	return org.Org{Name: name, Selector: selector, Guarantee: shape.Shape{VMs: vms, AcceleratorsPerVM: each, Adjacency: a}}
+}
+
+func TestAssign(t *testing.T) {
+	tests := []struct {
+		name string
+		vms  int
+		orgs []org.Org
+		want Assignment
+	}{
+		{"one VM holds a shape that must be on one", 3, []org.Org{shaped("a", 2, 3, shape.AdjacencyVM, "")},
+			Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 6}}}},
+		{"what fits of a shape is kept", 2, []org.Org{shaped("a", 3, 5, shape.AdjacencyRack, "")},
+			Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 5, "vm00001": 5}}, Unmet: []string{"a"}}},
+		{"parts share a VM when there is no other", 2, []org.Org{shaped("a", 4, 4, shape.AdjacencyZone, "")},
+			Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 8, "vm00001": 8}}}},
+		{"the large shape goes first", 2, []org.Org{shaped("a", 1, 1, "", ""), shaped("b", 2, 8, shape.AdjacencyZone, "")},
+			Assignment{Shares: map[string]map[string]int{"b": {"vm00000": 8, "vm00001": 8}}, Unmet: []string{"a"}}},
+		{"others leave the VMs that a selector needs", 2, []org.Org{shaped("a", 1, 8, "", ""), shaped("b", 1, 2, "", "parity=0")},
+			Assignment{Shares: map[string]map[string]int{"a": {"vm00001": 8}, "b": {"vm00000": 2}}}},
+		{"a shape that asks for nothing is met", 1, []org.Org{{Name: "a"}},
+			Assignment{Shares: map[string]map[string]int{}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.Assert(t, Assign(tt.orgs, fleet(tt.vms, eight), Assignment{}), qt.DeepEquals, tt.want)
+		})
+	}
+}
+
+// TestAssignRepacks guards against kept shares leaving a shape unmet that a
+// new packing has room for.
+func TestAssignRepacks(t *testing.T) {
+	orgs := []org.Org{shaped("a", 1, 4, "", ""), shaped("b", 1, 4, "", ""), shaped("c", 1, 8, "", "")}
+	previous := Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 4}, "b": {"vm00001": 4}}}
+	got := Assign(orgs, fleet(2, eight), previous)
+	qt.Assert(t, got.Unmet, qt.HasLen, 0)
+}
+
+// TestAssignProperties guards against shares beyond a VM's accelerators, on
+// VMs that are out of service or that the selector excludes, against shapes
+// that are reported wrongly, and against results that depend on the order of
+// the input or change when nothing did.
+func TestAssignProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := fleet(rapid.IntRange(0, 12).Draw(t, "vms"), func(int) int { return rapid.IntRange(0, 8).Draw(t, "accelerators") })
+		var orgs []org.Org
+		for i := range rapid.IntRange(0, 6).Draw(t, "orgs") {
+			orgs = append(orgs, shaped(fmt.Sprint(i), rapid.IntRange(1, 5).Draw(t, "n"), rapid.IntRange(1, 8).Draw(t, "k"),
+				rapid.SampledFrom([]shape.Adjacency{"", "vm", "rack", "zone", "region"}).Draw(t, "adjacency"),
+				rapid.SampledFrom([]string{"", "", "parity=0", "parity!=0"}).Draw(t, "selector")))
+		}
+		first := Assign(orgs, vms, Assignment{})
+		check(t, orgs, vms, first)
+		if again := Assign(orgs, vms, first); !reflect.DeepEqual(again, first) {
+			t.Fatalf("assigned again without a change: %v, before %v", again, first)
+		}
+		for i := range vms {
+			vms[i].Lost = rapid.IntRange(0, 5).Draw(t, "lost") == 0
+			vms[i].Draining = rapid.IntRange(0, 5).Draw(t, "draining") == 0
+		}
+		second := Assign(orgs, vms, first)
+		check(t, orgs, vms, second)
+		slices.Reverse(vms)
+		slices.Reverse(orgs)
+		if other := Assign(orgs, vms, first); !reflect.DeepEqual(other, second) {
+			t.Fatalf("in another order: %v, want %v", other, second)
+		}
+	})
+}
+
+func check(t *rapid.T, orgs []org.Org, vms []vm.View, a Assignment) {
+	x := vmindex.New(vms)
+	for i := range x.VMs {
+		sum := 0
+		for _, n := range a.OnVM(x.VMs[i].ID) {
+			sum += n
+		}
+		if v := x.VMs[i]; sum > v.Accelerators || sum > 0 && (v.Lost || v.Draining) {
+			t.Fatalf("%d shares on %+v", sum, v)
+		}
+	}
+	for _, o := range orgs {
+		levels := vmindex.Levels(o.Guarantee.Adjacency)
+		domains := map[int]bool{}
+		parts := 0
+		for id, n := range a.Shares[o.Name] {
+			i, ok := x.Find(id)
+			if !ok || !slices.Contains(x.Matching(o.Selector), i) || n%o.Guarantee.AcceleratorsPerVM != 0 || n == 0 {
+				t.Fatalf("organisation %+v has %d on %s", o, n, id)
+			}
+			domains[x.Domains[levels[len(levels)-1]][i]] = true
+			parts += n / o.Guarantee.AcceleratorsPerVM
+		}
+		if met := parts == o.Guarantee.VMs; len(domains) > 1 || met == slices.Contains(a.Unmet, o.Name) {
+			t.Fatalf("organisation %+v has %v, unmet %v", o, a.Shares[o.Name], a.Unmet)
+		}
+	}
+}
+
+// TestAssignMovesLittle guards against one lost VM moving the shares of
+// organisations that had none on it.
+func TestAssignMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := fleet(60, eight)
+		var orgs []org.Org
+		for i := range 12 {
+			orgs = append(orgs, shaped(fmt.Sprint(i), rapid.IntRange(1, 4).Draw(t, "n"), rapid.IntRange(1, 4).Draw(t, "k"), shape.AdjacencyZone, ""))
+		}
+		before := Assign(orgs, vms, Assignment{})
+		lost := rapid.IntRange(0, len(vms)-1).Draw(t, "lost")
+		vms[lost].Lost = true
+		after := Assign(orgs, vms, before)
+		for o, shares := range before.Shares {
+			if shares[vms[lost].ID] == 0 && !maps.Equal(shares, after.Shares[o]) {
+				t.Fatalf("organisation %s moved from %v to %v", o, shares, after.Shares[o])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/placement/machine.go
@@ -0,0 +1,154 @@
+package placement
+
+// account is what one organisation is owed and holds on one VM.
+type account struct {
+	org int
+	// share is owed to the organisation.
+	share int
+	// used is what its holdings use, firm what the non-preemptible ones use.
+	used, firm int
+	// fresh is the preemptible work that this pass has placed. The pass does
+	// not reclaim it again.
+	fresh int
+}
+
+// over is the use beyond the share.
+func (a account) over() int { return max(0, a.used-a.share) }
+
+// borrowed is the preemptible use beyond the share: what others may reclaim.
+func (a account) borrowed() int { return min(a.used-a.firm-a.fresh, a.over()) }
+
+// machine is one VM's capacity during a pass.
+type machine struct {
+	// free is the number of accelerators and slots the number of tasks that
+	// fit; both are 0 when the VM is not usable.
+	free, slots int
+	// unowed is the number of accelerators that no organisation is owed.
+	unowed int
+	// over and firmOver sum the use beyond the shares, of all work and of the
+	// non-preemptible work.
+	over, firmOver int
+	// borrowed sums what may be reclaimed.
+	borrowed int
+	// widest is the most accelerators that one preemptible task holds.
+	widest int
+	// evicted is the number of accelerators that the pass reclaims.
+	evicted  int
+	accounts []account
+}
+
+func (m *machine) account(org int) account {
+	for _, a := range m.accounts {
+		if a.org == org {
+			return a
+		}
+	}
+	return account{org: org}
+}
+
+// charge changes an organisation's account and the sums over the accounts.
+func (m *machine) charge(org int, by account) {
+	at := -1
+	for i := range m.accounts {
+		if m.accounts[i].org == org {
+			at = i
+		}
+	}
+	if at < 0 {
+		m.accounts = append(m.accounts, account{org: org})
+		at = len(m.accounts) - 1
+	}
+	a := &m.accounts[at]
+	m.over -= a.over()
+	m.firmOver -= max(0, a.firm-a.share)
+	m.borrowed -= a.borrowed()
+	a.share += by.share
+	a.used += by.used
+	a.firm += by.firm
+	a.fresh += by.fresh
+	m.over += a.over()
+	m.firmOver += max(0, a.firm-a.share)
+	m.borrowed += a.borrowed()
+}
+
+// firmRoom is the number of accelerators that non-preemptible work of the
+// organisation may hold in addition: its own share and what nobody is owed.
+func (m *machine) firmRoom(a account) int {
+	return max(0, a.share-a.firm) + max(0, m.unowed-m.firmOver)
+}
+
+// ownRoom is the number of free accelerators within the organisation's own
+// share and what nobody is owed.
+func (m *machine) ownRoom(r *request) int {
+	a := m.account(r.org)
+	if r.firm {
+		return min(m.free, m.firmRoom(a))
+	}
+	return min(m.free, max(0, a.share-a.used)+max(0, m.unowed-m.over))
+}
+
+// reclaimRoom is the number of accelerators when borrowers on the
+// organisation's own share are evicted.
+func (m *machine) reclaimRoom(r *request) int {
+	a := m.account(r.org)
+	n := min(m.free+m.borrowed, a.share-a.used)
+	if r.firm {
+		n = min(n, m.firmRoom(a))
+	}
+	return n
+}
+
+// tasks turns accelerators into tasks. Evicting borrowers frees at least one
+// slot for every widest accelerators.
+func (m *machine) tasks(r *request, accelerators int) int {
+	if r.size == 0 {
+		return m.slots
+	}
+	n := accelerators / r.size
+	for n > m.slots {
+		most := m.slots + m.slotsFreed(max(0, n*r.size-m.free))
+		if n <= most {
+			break
+		}
+		n = most
+	}
+	return n
+}
+
+// slotsFreed is the least number of slots that come free when the pass
+// reclaims more accelerators on top of those it has reclaimed already.
+func (m *machine) slotsFreed(accelerators int) int {
+	if accelerators == 0 || m.widest == 0 {
+		return 0
+	}
+	return (m.evicted+accelerators+m.widest-1)/m.widest - (m.evicted+m.widest-1)/m.widest
+}
+
+// take places tasks and reports whether borrowers have to be evicted.
+func (m *machine) take(r *request, tasks int) bool {
+	n := tasks * r.size
+	beyond := max(0, n-m.free)
+	if beyond > 0 {
+		m.evict(beyond)
+	}
+	m.free -= n
+	m.slots -= tasks
+	by := account{used: n, fresh: n}
+	if r.firm {
+		by = account{used: n, firm: n}
+	}
+	m.charge(r.org, by)
+	return beyond > 0
+}
+
+func (m *machine) evict(accelerators int) {
+	m.slots += m.slotsFreed(accelerators)
+	m.evicted += accelerators
+	for i := 0; i < len(m.accounts) && accelerators > 0; i++ {
+		if n := min(accelerators, m.accounts[i].borrowed()); n > 0 {
+			m.charge(m.accounts[i].org, account{used: -n})
+			m.free += n
+			accelerators -= n
+		}
+	}
+}
--- /dev/null
+++ b/placement/pass.go
@@ -0,0 +1,225 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"celerypoint.example/celerypoint/job"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/vmindex"
+)
+
+// request is a waiting job with what the pass looks up about it.
+type request struct {
+	*Waiting
+	org int
+	// size is the number of accelerators of a task.
+	size int
+	// firm says that the job is not preemptible.
+	firm     bool
+	matching []int
+	levels   []shape.Adjacency
+	// below says that the organisation is below its guarantee without the job.
+	below bool
+}
+
+func (r *request) widest() shape.Adjacency { return r.levels[len(r.levels)-1] }
+
+// class is what decides whether a job fits, apart from its number of tasks.
+type class struct {
+	org, size int
+	firm      bool
+	selector  string
+	adjacency shape.Adjacency
+	// passes says that the job ends before the head can start.
+	passes bool
+}
+
+// pass is the state of one planning pass.
+type pass struct {
+	in       Input
+	index    *vmindex.Index
+	machines []machine
+	orgs     map[string]int
+	// owed, used and firm sum the shares and the use of each organisation.
+	owed, used, firm []int
+	// shareOn lists the VMs on which an organisation has a share.
+	shareOn [][]int
+
+	// head is the oldest waiting gang; see reserveForHead.
+	head *request
+	// placed lists what this pass has placed on each VM.
+	placed    [][]vm.Holding
+	held      []bool
+	heldUntil time.Time
+	// ends maps the attempts that this pass has placed to their expected ends.
+	ends map[string]time.Time
+
+	// failed maps a class to the fewest tasks that did not fit. Capacity only
+	// shrinks during a pass, so neither do larger jobs of the class.
+	failed map[class]int
+	open   map[openKey][]int
+	caps   []int
+	// never maps what decides it to the most tasks that could ever fit.
+	never map[neverKey]int
+	why   map[whyKey]Wait
+	plan  Plan
+}
+
+type openKey struct {
+	selector string
+	slotOnly bool
+}
+
+func newPass(in Input) *pass {
+	p := &pass{
+		in:     in,
+		index:  vmindex.New(in.VMs),
+		orgs:   map[string]int{},
+		failed: map[class]int{},
+		open:   map[openKey][]int{},
+		never:  map[neverKey]int{},
+		why:    map[whyKey]Wait{},
+		ends:   map[string]time.Time{},
+	}
+	n := len(p.index.VMs)
+	p.held = make([]bool, n)
+	p.placed = make([][]vm.Holding, n)
+	p.caps = make([]int, n)
+	p.machines = make([]machine, n)
+	for i := range p.index.VMs {
+		p.load(&p.machines[i], &p.index.VMs[i])
+	}
+	for name, shares := range in.Shares.Shares {
+		o := p.org(name)
+		for id, share := range shares {
+			if i, ok := p.index.Find(id); ok {
+				p.machines[i].charge(o, account{share: share})
+				p.machines[i].unowed -= share
+				p.owed[o] += share
+				p.shareOn[o] = append(p.shareOn[o], i)
+			}
+		}
+		slices.Sort(p.shareOn[o])
+	}
+	return p
+}
+
+// load sets the machine from what the VM's agent announced.
+func (p *pass) load(m *machine, v *vm.View) {
+	m.unowed = v.Accelerators
+	free, slots := v.Accelerators, v.Slots
+	for k := range v.Holdings {
+		h := &v.Holdings[k]
+		free -= h.Accelerators
+		slots -= h.Tasks
+		o := p.org(h.Org)
+		firm := h.Accelerators
+		if h.Preemptible {
+			firm = 0
+			m.widest = max(m.widest, (h.Accelerators+h.Tasks-1)/max(1, h.Tasks))
+		}
+		m.charge(o, account{used: h.Accelerators, firm: firm})
+		p.used[o] += h.Accelerators
+		p.firm[o] += firm
+	}
+	// Lent accelerators are held twice, so the difference can be negative.
+	if v.Usable(p.in.Now) {
+		m.free, m.slots = max(0, free), max(0, slots)
+	}
+}
+
+func (p *pass) org(name string) int {
+	n, ok := p.orgs[name]
+	if !ok {
+		n = len(p.orgs)
+		p.orgs[name] = n
+		p.owed = append(p.owed, 0)
+		p.used = append(p.used, 0)
+		p.firm = append(p.firm, 0)
+		p.shareOn = append(p.shareOn, nil)
+	}
+	return n
+}
+
+func (p *pass) request(w *Waiting) *request {
+	return &request{
+		Waiting:  w,
+		org:      p.org(w.Job.Org),
+		size:     w.Job.AcceleratorsPerTask,
+		firm:     !w.Job.Preemptible,
+		matching: p.index.Matching(w.Job.Selector),
+		levels:   vmindex.Levels(w.Job.Adjacency),
+	}
+}
+
+func (p *pass) class(r *request) class {
+	return class{
+		org: r.org, size: r.size, firm: r.firm, selector: r.Job.Selector, adjacency: r.widest(),
+		passes: p.passesHead(r),
+	}
+}
+
+// candidates lists the matching VMs that can still take something of the
+// request's kind. The list only shrinks during a pass.
+func (p *pass) candidates(r *request) []int {
+	key := openKey{r.Job.Selector, r.size == 0}
+	list, ok := p.open[key]
+	if !ok {
+		list = slices.Clone(r.matching)
+	}
+	list = slices.DeleteFunc(list, func(i int) bool {
+		m := &p.machines[i]
+		return m.slots == 0 || r.size > 0 && m.free == 0
+	})
+	p.open[key] = list
+	return list
+}
+
+// allowed reports whether the request may be placed on the VM at all.
+func (p *pass) allowed(r *request, i int) bool {
+	if p.held[i] && r != p.head && !p.passesHead(r) {
+		return false
+	}
+	return len(r.AvoidVMs) == 0 || !r.AvoidVMs[p.index.VMs[i].ID]
+}
+
+// place takes the capacity and adds the placement to the plan.
+func (p *pass) place(r *request, members []member) {
+	pl := Placement{JobID: r.Job.ID}
+	for _, m := range members {
+		reclaim := p.machines[m.at].take(r, m.tasks)
+		pl.Members = append(pl.Members, Member{VM: p.index.VMs[m.at].ID, Tasks: m.tasks, Reclaim: reclaim})
+		p.placed[m.at] = append(p.placed[m.at], vm.Holding{
+			Attempt: placedAttempt(r.Job.ID), Org: r.Job.Org,
+			Tasks: m.tasks, Accelerators: m.tasks * r.size, Preemptible: !r.firm,
+		})
+	}
+	n := r.Job.Accelerators()
+	p.used[r.org] += n
+	if r.firm {
+		p.firm[r.org] += n
+	}
+	p.ends[placedAttempt(r.Job.ID)] = p.expectedEnd(r)
+	p.plan.Placements = append(p.plan.Placements, pl)
+}
+
+func (p *pass) wait(r *request, rule string, never bool, format string, args ...any) {
+	p.plan.Waits = append(p.plan.Waits, Wait{
+		JobID: r.Job.ID, Rule: rule, Never: never, Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+// urgencyRank orders the lanes.
+func urgencyRank(u job.Urgency) int {
+	switch u {
+	case job.UrgencyUrgent:
+		return 0
+	case job.UrgencyBatch:
+		return 2
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/placement/property_test.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"celerypoint.example/celerypoint/guarantee"
+	"celerypoint.example/celerypoint/org"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/vmindex"
+	"pgregory.net/rapid"
+)
+
+var adjacencies = []shape.Adjacency{"", shape.AdjacencyVM, shape.AdjacencyRack, shape.AdjacencyZone, shape.AdjacencyRegion}
+
+// drawInput makes a small fleet whose running work keeps the rules.
+func drawInput(t *rapid.T) Input {
+	in := Input{Now: now, Policy: rapid.SampledFrom([]Policy{PolicyBaseline, PolicyAdjacent}).Draw(t, "policy"), ExpectedEnds: map[string]time.Time{}}
+	names := []string{"a", "b", "c"}
+	in.VMs = fleet(rapid.IntRange(0, 9).Draw(t, "vms"), func(int) int { return rapid.IntRange(0, 4).Draw(t, "accelerators") })
+	var orgs []org.Org
+	for _, n := range names {
+		orgs = append(orgs, org.Org{Name: n, Guarantee: shape.Shape{
+			VMs: rapid.IntRange(1, 3).Draw(t, "shape"), AcceleratorsPerVM: rapid.IntRange(1, 3).Draw(t, "each"),
+			Adjacency: rapid.SampledFrom(adjacencies).Draw(t, "near"),
+		}})
+	}
+	in.Shares = guarantee.Assign(orgs, in.VMs, guarantee.Assignment{})
+	for i := range in.VMs {
+		v := &in.VMs[i]
+		v.Slots = rapid.IntRange(1, 5).Draw(t, "slots")
+		v.Draining = rapid.IntRange(0, 9).Draw(t, "draining") == 0
+		for k := range rapid.IntRange(0, 3).Draw(t, "holdings") {
+			h := vm.Holding{
+				Attempt: fmt.Sprintf("a%d.%d", i, k), Org: rapid.SampledFrom(names).Draw(t, "holder"), Tasks: 1,
+				Accelerators: rapid.IntRange(0, 2).Draw(t, "held"), Preemptible: rapid.Bool().Draw(t, "preemptible"),
+				Running: true,
+			}
+			v.Holdings = append(v.Holdings, h)
+			if v.FreeAccelerators() < 0 || v.FreeSlots() < 0 || firmExcess(in, *v) > 0 {
+				v.Holdings = v.Holdings[:len(v.Holdings)-1]
+			} else if rapid.Bool().Draw(t, "known") {
+				in.ExpectedEnds[h.Attempt] = now.Add(time.Duration(rapid.IntRange(-5, 30).Draw(t, "end")) * time.Minute)
+			}
+		}
+	}
+	for i := range rapid.IntRange(0, 12).Draw(t, "waiting") {
+		w := waiting(fmt.Sprintf("j%d", i), rapid.SampledFrom(names).Draw(t, "org"), rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.IntRange(0, 2).Draw(t, "size"))
+		w.Job.Adjacency = rapid.SampledFrom(adjacencies).Draw(t, "adjacency")
+		w.Job.Preemptible = rapid.Bool().Draw(t, "stoppable")
+		w.Job.Selector = rapid.SampledFrom([]string{"", "parity=0", "parity!=0", "none"}).Draw(t, "selector")
+		w.Since = now.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "since")) * time.Minute)
+		w.ExpectedRun = time.Duration(rapid.IntRange(0, 20).Draw(t, "run")) * time.Minute
+		if rapid.IntRange(0, 3).Draw(t, "avoid") == 0 {
+			w.AvoidVMs = map[string]bool{"vm00000": true}
+		}
+		in.Waiting = append(in.Waiting, w)
+	}
+	return in
+}
+
+// firmExcess is how many accelerators non-preemptible work holds on the VM
+// beyond the shares of its organisations and what nobody is owed.
+func firmExcess(in Input, v vm.View) int {
+	firm := map[string]int{}
+	for _, h := range v.Holdings {
+		if !h.Preemptible {
+			firm[h.Org] += h.Accelerators
+		}
+	}
+	shares := in.Shares.OnVM(v.ID)
+	excess := -v.Accelerators
+	for _, n := range shares {
+		excess += n
+	}
+	for o, n := range firm {
+		excess += max(0, n-shares[o])
+	}
+	return excess
+}
+
+// TestPlanKeepsRules guards against overcommitted VMs, non-preemptible work on
+// the shares of others, reclaim beyond an organisation's own share, gangs that
+// are split or too far apart, and jobs that a plan forgets or lists twice.
+func TestPlanKeepsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		plan := Decide(in)
+		if again := Decide(in); !reflect.DeepEqual(plan, again) {
+			t.Fatalf("two plans for one input: %v and %v", plan, again)
+		}
+		jobs := map[string]Waiting{}
+		for _, w := range in.Waiting {
+			jobs[w.Job.ID] = w
+		}
+		vms := map[string]*vm.View{}
+		for i := range in.VMs {
+			v := in.VMs[i]
+			v.Holdings = append([]vm.Holding{}, v.Holdings...)
+			vms[v.ID] = &v
+		}
+		for _, w := range plan.Waits {
+			if _, ok := jobs[w.JobID]; !ok || w.Rule == "" || w.Reason == "" {
+				t.Fatalf("wait %+v is doubled, unknown or incomplete", w)
+			}
+			delete(jobs, w.JobID)
+		}
+		for _, p := range plan.Placements {
+			w, ok := jobs[p.JobID]
+			if !ok {
+				t.Fatalf("job %s is placed and listed elsewhere", p.JobID)
+			}
+			delete(jobs, p.JobID)
+			checkMembers(t, in, w, p, vms)
+		}
+		if len(jobs) > 0 {
+			t.Fatalf("jobs in no list: %v", jobs)
+		}
+	})
+}
+
+func checkMembers(t *rapid.T, in Input, w Waiting, p Placement, vms map[string]*vm.View) {
+	x := vmindex.New(in.VMs)
+	levels := vmindex.Levels(w.Job.Adjacency)
+	domains := map[int]bool{}
+	tasks := 0
+	for _, m := range p.Members {
+		v := vms[m.VM]
+		at, _ := x.Find(m.VM)
+		domains[x.Domains[levels[len(levels)-1]][at]] = true
+		tasks += m.Tasks
+		if m.Tasks < 1 || !v.Usable(now) || w.AvoidVMs[m.VM] || firmExcess(in, *v) > 0 {
+			t.Fatalf("job %+v must not be on %+v", w, *v)
+		}
+		need := m.Tasks * w.Job.AcceleratorsPerTask
+		if m.Reclaim {
+			evictBorrowers(t, in, v, need-v.FreeAccelerators())
+		}
+		v.Holdings = append(v.Holdings, vm.Holding{Attempt: w.Job.ID, Org: w.Job.Org, Tasks: m.Tasks, Accelerators: need, Preemptible: w.Job.Preemptible})
+		if v.FreeAccelerators() < 0 || v.FreeSlots() < 0 {
+			t.Fatalf("job %+v overcommits %+v", w, *v)
+		}
+		if firmExcess(in, *v) > 0 {
+			t.Fatalf("job %+v is on shares of others on %+v", w, *v)
+		}
+		if m.Reclaim && usedBy(v, w.Job.Org) > in.Shares.OnVM(m.VM)[w.Job.Org] {
+			t.Fatalf("job %+v reclaims beyond its share on %+v", w, *v)
+		}
+		if in.Policy == PolicyBaseline && usedBy(v, w.Job.Org) > in.Shares.OnVM(m.VM)[w.Job.Org]+max(0, unowedLeft(in, v, w.Job.Org)) && need > 0 {
+			t.Fatalf("job %+v borrows on %+v", w, *v)
+		}
+	}
+	if len(domains) > 1 || tasks != w.Job.Tasks {
+		t.Fatalf("job %+v is split: %+v", w, p)
+	}
+}
+
+func usedBy(v *vm.View, org string) int {
+	n := 0
+	for _, h := range v.Holdings {
+		if h.Org == org {
+			n += h.Accelerators
+		}
+	}
+	return n
+}
+
+// unowedLeft is what nobody is owed on the VM, less what other organisations
+// use beyond their shares.
+func unowedLeft(in Input, v *vm.View, but string) int {
+	shares := in.Shares.OnVM(v.ID)
+	left := v.Accelerators
+	for _, n := range shares {
+		left -= n
+	}
+	for _, o := range []string{"a", "b", "c"} {
+		if o != but {
+			left -= max(0, usedBy(v, o)-shares[o])
+		}
+	}
+	return left
+}
+
+// evictBorrowers removes whole holdings of other organisations that use more
+// than their share, until the accelerators are free. Work that the plan itself
+// has placed stays.
+func evictBorrowers(t *rapid.T, in Input, v *vm.View, accelerators int) {
+	shares := in.Shares.OnVM(v.ID)
+	for i := 0; i < len(v.Holdings) && accelerators > 0; i++ {
+		h := v.Holdings[i]
+		if h.Running && h.Preemptible && h.Accelerators > 0 && usedBy(v, h.Org) > shares[h.Org] {
+			accelerators -= h.Accelerators
+			v.Holdings = append(v.Holdings[:i:i], v.Holdings[i+1:]...)
+			i--
+		}
+	}
+	if accelerators > 0 {
+		t.Fatalf("nothing to reclaim for %d accelerators on %+v", accelerators, *v)
+	}
+}
