--- a/configfold/apply.go
+++ b/configfold/apply.go
@@ -110,7 +110,10 @@
 	for id := range s.Draining {
 		used[ObjectOf(SetDrain{VM: id})] = true
 	}
+	// The bound depends on the point, not on the record that passed it: a
+	// process that starts from a snapshot may pass it with another record.
+	dropped := offset/sweepEvery*sweepEvery - KeepDeleted
 	maps.DeleteFunc(s.Versions, func(object string, version int64) bool {
-		return version <= offset-KeepDeleted && !used[object]
+		return version <= dropped && !used[object]
 	})
 }
--- a/configfold/state.go
+++ b/configfold/state.go
@@ -32,10 +32,10 @@
 // MaxRecent bounds Recent: an hour and a half of changes at 18,000 a day.
 const MaxRecent = 1024
 
-// KeepDeleted is how many offsets the version of a deleted organisation, or of
-// a VM without labels and drain, is kept: two days of changes at 18,000 a day.
-// VM IDs come and go every day, so keeping all of them would grow the state
-// without bound.
+// KeepDeleted is the least number of offsets that the version of a deleted
+// organisation, or of a VM without labels or drain, is kept: two days of
+// changes at 18,000 a day. VM IDs come and go every day, so keeping all of
+// them would grow the state without bound.
 const KeepDeleted = 36000
 
 // sweepEvery is how many offsets pass between two searches for versions to
--- a/jobfold/apply.go
+++ b/jobfold/apply.go
@@ -18,7 +18,7 @@
 	if offset <= s.Through {
 		return Stale{}
 	}
-	if c, ok := r.(Snapshot); ok && c.State.Through > s.Through {
+	if c, ok := r.(Snapshot); ok && !c.Partial && c.State.Through > s.Through {
 		*s = *c.State.Clone()
 		return Valid{}
 	}
@@ -37,7 +37,7 @@
 	case Ended:
 		return s.end(offset, r)
 	case Snapshot:
-		return Void{Reason: "the state covers as much as the snapshot"}
+		return Void{Reason: "the snapshot is partial, or the state covers as much"}
 	default:
 		return Void{Reason: fmt.Sprintf("found a record of type %T, which the fold does not know", r)}
 	}
@@ -75,25 +75,42 @@
 	if e == nil {
 		return void
 	}
+	if reason := s.refusal(e, r); reason != "" {
+		// A second copy of the record must not find the job waiting again.
+		e.try(r.Attempt)
+		return Void{Reason: reason}
+	}
+	e.try(e.Attempt)
+	e.Phase, e.Attempt, e.CommitOffset, e.Members = PhaseCommitted, r.Attempt, offset, parts(r.Members)
+	e.Commits++
+	return Valid{}
+}
+
+// refusal says why the commit is void, or is empty.
+func (s *State) refusal(e *Entry, r Commit) string {
 	switch newest := s.Terms[e.Region].Number; {
 	case newest == 0 || r.Term != newest:
-		return Void{Reason: fmt.Sprintf("commit: found term %d, the region's newest term is %d", r.Term, newest)}
+		return fmt.Sprintf("commit: found term %d, the region's newest term is %d", r.Term, newest)
 	case e.Phase != PhaseWaiting:
-		return Void{Reason: "the job has a committed attempt"}
+		return "the job has a committed attempt"
 	case e.CancelAsked:
-		return Void{Reason: "the job was cancelled"}
+		return "the job was cancelled"
 	case !e.Job.Idempotent && e.Commits > 0:
-		return Void{Reason: "the job is not idempotent and was committed before"}
+		return "the job is not idempotent and was committed before"
 	case r.Attempt == "" || r.Attempt == e.Attempt || slices.Contains(e.Tried, r.Attempt):
-		return Void{Reason: "the attempt is empty or was committed before"}
+		return "the attempt is empty or had a commit before"
+	default:
+		return ""
 	}
-	if e.Attempt != "" {
-		e.Tried = append(e.Tried, e.Attempt)
-		e.Tried = e.Tried[max(0, len(e.Tried)-MaxTried):]
+}
+
+// try notes the attempt in Tried, unless it is noted already.
+func (e *Entry) try(attempt string) {
+	if attempt == "" || slices.Contains(e.Tried, attempt) {
+		return
 	}
-	e.Phase, e.Attempt, e.CommitOffset, e.Members = PhaseCommitted, r.Attempt, offset, parts(r.Members)
-	e.Commits++
-	return Valid{}
+	e.Tried = append(e.Tried, attempt)
+	e.Tried = e.Tried[max(0, len(e.Tried)-MaxTried):]
 }
 
 func (s *State) abort(r Abort) Result {
--- a/jobfold/state.go
+++ b/jobfold/state.go
@@ -7,14 +7,14 @@
 	"celerypoint.example/celerypoint/gang"
 )
 
-// KeepEnded is how many offsets an ended job stays in the state, so that its
+// KeepEnded is the least number of offsets that an ended job stays, so that its
 // caller finds the outcome: about two hours at 14,000 jobs a day with seven
 // records each. It is counted in offsets, because the fold has no clock and
 // every process has to drop the same jobs.
 const KeepEnded = 8192
 
-// KeepClaimed is how many offsets an ended job that holds a claim stays in the
-// state, so that a repeated key finds its result: about 16 hours.
+// KeepClaimed is the same for an ended job that holds a claim, so that a
+// repeated key finds its result: about 16 hours.
 const KeepClaimed = 65536
 
 // MaxTried bounds Entry.Tried. A repeated commit record comes within the time
@@ -55,15 +55,18 @@
 	if !sweep {
 		return
 	}
+	// The bounds depend on the point, not on the record that passed it: a
+	// process that starts from a snapshot may pass it with another record.
+	point := offset / sweepEvery * sweepEvery
 	maps.DeleteFunc(s.Jobs, func(id string, e *Entry) bool {
 		if e.Phase != PhaseEnded {
 			return false
 		}
 		c, claimed := claimOf(e.Job)
 		if !claimed {
-			return e.EndedOffset <= offset-KeepEnded
+			return e.EndedOffset <= point-KeepEnded
 		}
-		if e.EndedOffset > offset-KeepClaimed {
+		if e.EndedOffset > point-KeepClaimed {
 			return false
 		}
 		delete(s.Claims, c)
--- a/jobfold/types.go
+++ b/jobfold/types.go
@@ -29,8 +29,8 @@
 	Members      []gang.Member
 	// CheckpointMs is the progress to resume from.
 	CheckpointMs int64
-	// Tried are the attempts before Attempt, the newest last, at most MaxTried,
-	// so that a repeated commit record is void.
+	// Tried are other attempts whose commits were valid or void, the newest
+	// last, at most MaxTried, so that a repeated commit record is void.
 	Tried []string
 	// Commits counts the valid commits. It is at most 1 for a job that is not
 	// idempotent.
@@ -73,7 +73,8 @@
 	}
 	// Commit lets an attempt start. It is valid only when the term is the
 	// region's newest, the job waits, no cancel was asked, and a job that is
-	// not idempotent was never committed. An attempt is committed once.
+	// not idempotent was never committed. The first
+	// commit record of an attempt counts.
 	Commit struct {
 		JobID, Attempt string
 		Term           int64
@@ -96,7 +97,12 @@
 		Outcome        outcome.Outcome
 	}
 	// Snapshot holds the whole state through an offset.
-	Snapshot struct{ State *State }
+	Snapshot struct {
+		State *State
+		// Partial says that State lacks jobs, because the snapshot has several
+		// records. A partial one is void; platformlog joins the parts.
+		Partial bool
+	}
 )
 
 func (Accepted) record()    {}
--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -67,8 +67,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
+			// httpserver.New must not run concurrently: it sets variables of nbio.
 			l, c, ctx := serveLog(t)
+			t.Parallel()
 			l.SetFaults(tt.faults)
 			ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 			defer cancel()
--- a/platformlog/jobs.go
+++ b/platformlog/jobs.go
@@ -1,6 +1,7 @@
 package platformlog
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -79,7 +80,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return jobfold.Snapshot{State: s}, nil
+		return jobfold.Snapshot{State: s, Partial: w.Snapshot.Parts > 1}, nil
 	}
 	if w.JobID == "" {
 		return nil, fmt.Errorf("jobId: found none, allowed: a job identifier")
@@ -152,12 +153,51 @@
 	return w
 }
 
+// maxPartBytes bounds the jobs in one record of a snapshot, as JSON, with room
+// for one more job below MaxBatchBytes. A snapshot at the design size, with
+// thousands of jobs and their payloads, does not fit in one append.
+const maxPartBytes = 4 << 20
+
+// JobsSnapshotRecords encodes the whole state as one or more records, each
+// small enough for an append of its own. They are appended in order, each after
+// the one before succeeded; Tail joins them. Equal states give equal bodies, so parts that two processes
+// append for one offset can stand in for one another.
+func JobsSnapshotRecords(id string, s *jobfold.State) ([]Record, error) {
+	return splitSnapshot(id, JobsSnapshotTo(s), maxPartBytes)
+}
+
+func splitSnapshot(id string, whole wire.JobsSnapshot, limit int) ([]Record, error) {
+	parts := []*wire.JobsSnapshot{{Through: whole.Through, Jobs: []wire.JobState{}, Terms: whole.Terms}}
+	size := 0
+	for _, j := range whole.Jobs {
+		text, err := json.Marshal(j)
+		if err != nil {
+			return nil, fmt.Errorf("snapshot.jobs: %q: %w", j.Job.ID, err)
+		}
+		if size += len(text); size > limit {
+			size = len(text)
+			parts = append(parts, &wire.JobsSnapshot{Through: whole.Through, Jobs: []wire.JobState{}, Terms: []wire.RegionTerm{}})
+		}
+		last := parts[len(parts)-1]
+		last.Jobs = append(last.Jobs, j)
+	}
+	var records []Record
+	for i, p := range parts {
+		p.Part, p.Parts = i+1, len(parts)
+		records = append(records, Record{ID: fmt.Sprintf("%s/%d", id, i+1), Body: wire.JobRecord{Kind: wire.JobRecordKindSnapshot, Snapshot: p}})
+	}
+	return records, nil
+}
+
 // JobsSnapshotFrom decodes and checks a state.
 func JobsSnapshotFrom(w wire.JobsSnapshot) (*jobfold.State, error) {
 	s := jobfold.New()
 	if w.Through < 1 {
 		return nil, fmt.Errorf("snapshot.through: found %d, allowed: at least 1", w.Through)
 	}
+	if w.Parts < 0 || w.Part < min(w.Parts, 1) || w.Part > w.Parts {
+		return nil, fmt.Errorf("snapshot.part: found %d of %d, allowed: 1 to the number of parts, or both 0", w.Part, w.Parts)
+	}
 	s.Through = int64(w.Through)
 	for _, t := range w.Terms {
 		if t.Region == "" || t.Term < 1 || t.Term > w.Through {
--- a/platformlog/read.go
+++ b/platformlog/read.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"celerypoint.example/celerypoint/wire"
@@ -96,16 +98,19 @@
 	return Page{Oldest: int64(p.Oldest), Next: int64(p.Next), Records: p.Records}, nil
 }
 
-// Tail calls f with the pages from the offset on as they come, also with an
-// empty one when there was no new record for a while, until ctx ends or f
-// returns an error, and returns that error. It goes on over outages.
+// Tail calls f with the pages from the offset on as they come, until ctx ends
+// or f returns an error, and returns that error. It goes on over outages. An
+// empty page says that f has had every record; the first one comes at once,
+// later ones when there was no new record for a while.
 //
 // When records from the offset on have expired, the next page begins with the
-// newest snapshot record whose following records are all retained, and those
-// records follow it, also the ones with lower offsets than the snapshot
-// record's. Tail returns ErrExpired when no such snapshot is retained.
+// newest whole snapshot whose following records are all retained, joined into
+// one record, and all records behind the offset that it covers follow, also
+// those with lower offsets than the snapshot's. Tail returns ErrExpired when no
+// such snapshot is retained.
 func (c *Client) Tail(ctx context.Context, stream string, from int64, f func(Page) error) error {
-	// The first read does not wait, so that f learns at once that it has all.
+	// Reads do not wait before the first empty page, so that f learns at once
+	// that it has all.
 	wait := time.Duration(0)
 	for n := 0; ; {
 		p, err := c.Read(ctx, stream, from, maxReadRecords, wait)
@@ -125,7 +130,10 @@
 			n++
 			continue
 		}
-		n, wait = 0, tailWait
+		n = 0
+		if len(p.Records) == 0 {
+			wait = tailWait
+		}
 		if err := f(p); err != nil {
 			return err
 		}
@@ -134,37 +142,43 @@
 }
 
 // recover reads all records from the oldest retained on, and returns the
-// newest usable snapshot and what follows it.
+// newest usable snapshot and what follows the offset that it covers. That
+// includes the snapshot's own records, which change nothing any more but move
+// the fold to the offset that the other processes have.
 func (c *Client) recover(ctx context.Context, stream string, oldest int64) (Page, error) {
 	whole := Page{Next: oldest}
-	found := false
+	var newest *snapshot
+	parts := map[int64]*snapshot{}
 	for {
 		p, err := c.Read(ctx, stream, whole.Next, maxReadRecords, 0)
 		if err != nil {
 			return Page{}, err
 		}
+		if len(p.Records) == 0 {
+			break
+		}
 		whole.Oldest, whole.Next = p.Oldest, p.Next
 		for _, r := range p.Records {
-			through, ok := SnapshotThrough(stream, r)
-			if !ok || through+1 < oldest {
-				whole.Records = append(whole.Records, r)
+			whole.Records = append(whole.Records, r)
+			s, ok := snapshotOf(stream, r)
+			if !ok || s.through+1 < oldest || newest != nil && s.through <= newest.through {
 				continue
 			}
-			found = true
-			kept := []wire.LogRecord{r}
-			for _, k := range whole.Records {
-				if _, ok := SnapshotThrough(stream, k); !ok && int64(k.Offset) > through {
-					kept = append(kept, k)
-				}
+			if seen, ok := parts[s.through]; ok {
+				s.join(seen)
 			}
-			whole.Records = kept
-		}
-		switch {
-		case len(p.Records) > 0:
-		case found:
-			return whole, nil
-		default:
-			return Page{}, ErrExpired{Stream: stream, Oldest: oldest}
+			parts[s.through] = s
+			if !s.whole() {
+				continue
+			}
+			newest = s
+			whole.Records = slices.DeleteFunc(whole.Records, func(r wire.LogRecord) bool { return int64(r.Offset) <= s.through })
+			maps.DeleteFunc(parts, func(through int64, _ *snapshot) bool { return through <= s.through })
 		}
 	}
+	if newest == nil {
+		return Page{}, ErrExpired{Stream: stream, Oldest: oldest}
+	}
+	whole.Records = slices.Insert(whole.Records, 0, newest.record())
+	return whole, nil
 }
--- a/platformlog/snapshot.go
+++ b/platformlog/snapshot.go
@@ -1,10 +1,11 @@
 package platformlog
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"celerypoint.example/celerypoint/configfold"
-	"celerypoint.example/celerypoint/jobfold"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -46,26 +47,73 @@
 
 // SnapshotThrough returns the offset that a snapshot record of the stream
 // covers. Ok is false for other records, also for a snapshot that cannot be
-// read.
+// read and for a part that is not the last.
 func SnapshotThrough(stream string, r wire.LogRecord) (through int64, ok bool) {
-	if body, ok := r.Body.(map[string]any); !ok || body["kind"] != string(wire.ConfigKindSnapshot) {
+	s, ok := snapshotOf(stream, r)
+	if !ok || s.jobs != nil && s.jobs.Part != s.jobs.Parts {
 		return 0, false
 	}
+	return s.through, true
+}
+
+// snapshot is a snapshot of which some parts were read.
+type snapshot struct {
+	through int64
+	// newest is the record of the part that was read last.
+	newest wire.LogRecord
+	// jobs is the part that was read last, nil in the stream config.
+	jobs *wire.JobsSnapshot
+	// parts are the parts by number. It has one in the stream config.
+	parts map[int]*wire.JobsSnapshot
+}
+
+func snapshotOf(stream string, r wire.LogRecord) (*snapshot, bool) {
+	if body, ok := r.Body.(map[string]any); !ok || body["kind"] != string(wire.ConfigKindSnapshot) {
+		return nil, false
+	}
 	if stream == StreamConfig {
 		c, err := ParseConfig(r)
 		if err != nil {
-			return 0, false
+			return nil, false
 		}
 		s, ok := c.Change.(configfold.Snapshot)
-		return s.State.Offset, ok
+		return &snapshot{through: s.State.Offset, newest: r}, ok
 	}
-	j, err := ParseJob(r)
-	if err != nil {
-		return 0, false
+	var w wire.JobRecord
+	if _, err := ParseJob(r); err != nil || decodeBody(r, &w) != nil || w.Snapshot == nil {
+		return nil, false
 	}
-	s, ok := j.(jobfold.Snapshot)
-	if !ok {
-		return 0, false
+	return &snapshot{
+		through: int64(w.Snapshot.Through), newest: r, jobs: w.Snapshot,
+		parts: map[int]*wire.JobsSnapshot{w.Snapshot.Part: w.Snapshot},
+	}, true
+}
+
+// join adds the parts that were read before, unless they are of a snapshot
+// that was split differently.
+func (s *snapshot) join(seen *snapshot) {
+	for n, p := range seen.parts {
+		if _, ok := s.parts[n]; !ok && p.Parts == s.jobs.Parts {
+			s.parts[n] = p
+		}
+	}
+}
+
+func (s *snapshot) whole() bool {
+	return s.jobs == nil || len(s.parts) == max(s.jobs.Parts, 1)
+}
+
+// record returns the whole snapshot as one record.
+func (s *snapshot) record() wire.LogRecord {
+	if s.jobs == nil {
+		return s.newest
+	}
+	joined := wire.JobsSnapshot{Through: s.jobs.Through, Jobs: []wire.JobState{}, Terms: []wire.RegionTerm{}}
+	for _, n := range slices.Sorted(maps.Keys(s.parts)) {
+		joined.Jobs = append(joined.Jobs, s.parts[n].Jobs...)
+		joined.Terms = append(joined.Terms, s.parts[n].Terms...)
 	}
-	return s.State.Through, true
+	r := s.newest
+	r.Body = wire.JobRecord{Kind: wire.JobRecordKindSnapshot, Snapshot: &joined}
+	return r
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -566,7 +566,7 @@
 	// Region corresponds to the JSON schema field "region".
 	Region string `json:"region"`
 
-	// Attempts before the newest, the newest last.
+	// Other attempts that had a commit record, the newest last.
 	Tried []string `json:"tried,omitempty,omitzero"`
 
 	// Tries corresponds to the JSON schema field "tries".
@@ -611,6 +611,12 @@
 	// Jobs corresponds to the JSON schema field "jobs".
 	Jobs []JobState `json:"jobs"`
 
+	// From 1 on, when the snapshot has several records.
+	Part int `json:"part,omitempty,omitzero"`
+
+	// The number of records of the snapshot, 0 for one.
+	Parts int `json:"parts,omitempty,omitzero"`
+
 	// Terms corresponds to the JSON schema field "terms".
 	Terms []RegionTerm `json:"terms"`
 
