entryd: learn run times, quarantine VMs, and bound retries

Cause: a job that fails by itself was tried without end, and every request copied the view of all VMs. Change: estimate, quarantine and retrybudget under the jobs lock; views for admission and short requests are at most 50 ms old. Conclusion: the decisions stay outside entryd.

--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -50,6 +50,9 @@
 		d.assignDue.Store(time.Now().Add(assignDelay).UnixMilli())
 	}
 	if rebooted {
+		d.jobs.mu.Lock()
+		d.jobs.faults.ForgetVM(p.VM)
+		d.jobs.mu.Unlock()
 		d.loseMembers(p.VM, "the agent restarted")
 	}
 	if changed {
@@ -193,7 +196,28 @@
 	return views
 }
 
-// addPlanned adds the members of this entry's attempts to the holdings.
+// viewsFresh is how old the views may be that requests are judged by. At peak
+// demand a copy for each request would cost more than the request.
+const viewsFresh = 50 * time.Millisecond
+
+type cachedViews struct {
+	until time.Time
+	views []vm.View
+}
+
+// recentViews is views, at most viewsFresh old. The result is shared: callers
+// must not change it.
+func (d *Daemon) recentViews(now time.Time) []vm.View {
+	if c := d.viewCache.Load(); c != nil && now.Before(c.until) {
+		return c.views
+	}
+	views := d.views()
+	d.viewCache.Store(&cachedViews{until: now.Add(viewsFresh), views: views})
+	return views
+}
+
+// addPlanned adds the members of this entry's attempts to the holdings, and
+// until when each VM is quarantined.
 func (d *Daemon) addPlanned(views []vm.View) {
 	index := make(map[string]int, len(views))
 	for i := range views {
@@ -201,6 +225,9 @@
 	}
 	d.jobs.mu.Lock()
 	defer d.jobs.mu.Unlock()
+	for i := range views {
+		views[i].QuarantinedUntil = d.jobs.faults.Until(views[i].ID)
+	}
 	for id, a := range d.jobs.attempts {
 		for _, m := range a.Members {
 			i, ok := index[m.VM]
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"celerypoint.example/celerypoint/agent"
@@ -292,20 +291,13 @@
 func (d *Daemon) aborted(a gang.Attempt, o gang.Abort) {
 	d.jobs.mu.Lock()
 	r := d.jobs.byID[a.JobID]
-	failures := 0
-	if r != nil {
-		if o.FailedVM != "" {
-			r.failedOn[o.FailedVM] = o.Reason
-		}
-		failures = len(r.failedOn)
-		r.ending = failures >= maxFailedVMs
-		r.waitSince = r.job.AcceptedAt
-	}
 	d.jobs.mu.Unlock()
-	if failures >= maxFailedVMs {
-		d.count("jobFailsEverywhere")
-		o := outcome.Failed{Reason: fmt.Sprintf("jobFailsEverywhere: failed on %d VMs, lastly: %s", failures, o.Reason)}
-		d.submitLog(func() { d.appendEnd(a.JobID, a.ID, o) })
+	if r != nil && o.FailedVM != "" && d.jobFailed(r, o.FailedVM, o.Reason) {
+		d.jobs.mu.Lock()
+		r.ending = true
+		d.jobs.mu.Unlock()
+		failed := outcome.Failed{Reason: "jobFailsEverywhere: lastly on VM " + o.FailedVM + ": " + o.Reason}
+		d.submitLog(func() { d.appendEnd(a.JobID, a.ID, failed) })
 		return
 	}
 	d.count("attemptAborted")
@@ -339,11 +331,7 @@
 			}
 			result = whole
 			// Callers of this entry need not wait for the log to hold the end.
-			d.jobs.mu.Lock()
-			if r := d.jobs.byID[a.JobID]; r != nil {
-				r.end(result)
-			}
-			d.jobs.mu.Unlock()
+			d.answered(a, whole)
 		}
 		attemptID := a.ID
 		if a.CommitOffset == 0 {
@@ -356,6 +344,23 @@
 	})
 }
 
+// answered tells the callers of this entry, and learns from the run.
+func (d *Daemon) answered(a gang.Attempt, o outcome.Answer) {
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	for _, m := range a.Members {
+		d.jobs.faults.Succeeded(m.VM)
+	}
+	r := d.jobs.byID[a.JobID]
+	if r == nil {
+		return
+	}
+	if !r.startedAt.IsZero() {
+		d.jobs.model.Observe(r.job, time.Since(r.startedAt))
+	}
+	r.end(o)
+}
+
 // lostAnswer follows an attempt that ran whole, but whose answer is gone with
 // a VM.
 func (d *Daemon) lostAnswer(a gang.Attempt, err error) {
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -15,9 +15,11 @@
 
 	"celerypoint.example/celerypoint/configfold"
 	"celerypoint.example/celerypoint/entry"
+	"celerypoint.example/celerypoint/estimate"
 	"celerypoint.example/celerypoint/gang"
 	"celerypoint.example/celerypoint/jobfold"
 	"celerypoint.example/celerypoint/platformlog"
+	"celerypoint.example/celerypoint/quarantine"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/timeline"
 	"celerypoint.example/celerypoint/wire"
@@ -60,6 +62,8 @@
 	planDue  atomic.Int64
 	ticking  atomic.Bool
 	leaving  atomic.Bool
+	// viewCache holds the newest copy of the views; see recentViews.
+	viewCache atomic.Pointer[cachedViews]
 	// requests counts callers that wait for an answer; shorts counts short
 	// requests that have not ended.
 	requests, shorts atomic.Int64
@@ -96,6 +100,7 @@
 		jobs: jobTable{
 			fold: jobfold.New(), changed: make(chan struct{}), byID: map[string]*running{},
 			attempts: map[string]*attempt{}, holders: map[string]string{},
+			model: estimate.New(), faults: quarantine.New(),
 		},
 		startedAt: time.Now(),
 	}
--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -183,7 +183,7 @@
 // deadline passed.
 func (d *Daemon) waiting(now time.Time) []placement.Waiting {
 	d.jobs.mu.Lock()
-	var waiting []placement.Waiting
+	var waiting, failed []placement.Waiting
 	ends := map[string]outcome.Outcome{}
 	for id, e := range d.jobs.fold.Jobs {
 		r := d.jobs.byID[id]
@@ -196,9 +196,9 @@
 		case !e.Job.Deadline.IsZero() && now.After(e.Job.Deadline):
 			ends[id] = neverStarted(e, outcome.NotRun{Rule: "deadlinePassed", Reason: "the deadline passed while the job waited: " + r.waitsFor})
 		default:
-			w := placement.Waiting{Job: e.Job, Since: r.waitSince, ExpectedRun: e.Job.DeclaredRun, AvoidVMs: map[string]bool{}}
-			for v := range r.failedOn {
-				w.AvoidVMs[v] = true
+			w := placement.Waiting{Job: e.Job, Since: r.waitSince, ExpectedRun: d.jobs.model.Expected(e.Job), AvoidVMs: d.jobs.faults.Avoid(id)}
+			if len(w.AvoidVMs) > 0 {
+				failed = append(failed, placement.Waiting{Job: e.Job, AvoidVMs: d.jobs.faults.Avoid(id)})
 			}
 			for v, until := range r.avoid {
 				if now.Before(until) {
@@ -209,6 +209,11 @@
 		}
 	}
 	d.jobs.mu.Unlock()
+	for _, w := range failed {
+		if !d.anotherVM(w.Job, w.AvoidVMs, now) {
+			ends[w.Job.ID] = outcome.Failed{Reason: "jobFailsEverywhere: it failed on every VM that its selector allows"}
+		}
+	}
 	for id, o := range ends {
 		d.endWaiting(id, o)
 	}
@@ -276,6 +281,9 @@
 	a := gang.New(p.JobID, id, d.jobs.term, e.Job.Idempotent, members)
 	d.jobs.attempts[id] = &attempt{Attempt: a, job: e.Job}
 	d.jobs.holders[p.JobID] = id
+	for _, m := range p.Members {
+		d.jobs.faults.Probing(m.VM, p.JobID, now)
+	}
 	if r := d.jobs.byID[p.JobID]; r != nil {
 		r.waitsFor = ""
 	}
@@ -292,8 +300,11 @@
 	ends := map[string]time.Time{}
 	for id, a := range d.jobs.attempts {
 		r := d.jobs.byID[a.JobID]
-		if r != nil && !r.startedAt.IsZero() && a.job.DeclaredRun > 0 {
-			ends[id] = r.startedAt.Add(a.job.DeclaredRun)
+		if r == nil || r.startedAt.IsZero() {
+			continue
+		}
+		if end := d.jobs.model.ExpectedEnd(a.job, r.startedAt); !end.IsZero() {
+			ends[id] = end
 		}
 	}
 	return ends
--- a/entryd/short.go
+++ b/entryd/short.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/job"
@@ -24,9 +27,9 @@
 	noVMRetry = 200 * time.Millisecond
 	// noVMWait bounds how long a short request waits for any VM.
 	noVMWait = 5 * time.Second
-	// maxFailedVMs is the number of VMs on which a job may fail by itself
-	// before its own error is its answer.
-	maxFailedVMs = 3
+	// maxRefusals is the number of VMs that may refuse a short request for want
+	// of room before the caller is told.
+	maxRefusals = 3
 	// avoidFor is how long a VM that refused a job is passed over for it.
 	avoidFor = time.Second
 )
@@ -35,10 +38,11 @@
 func (d *Daemon) submitShort(j job.Job) job.View {
 	r := &running{
 		job: j, phase: job.PhaseWaiting, waitSince: j.AcceptedAt,
-		failedOn: map[string]string{}, avoid: map[string]time.Time{}, done: make(chan struct{}),
+		avoid: map[string]time.Time{}, done: make(chan struct{}),
 	}
 	d.jobs.mu.Lock()
 	d.jobs.byID[j.ID] = r
+	d.jobs.budget.Request()
 	d.jobs.mu.Unlock()
 	d.shorts.Add(1)
 	d.ring.Add(timeline.Event{Kind: "jobAccepted", Job: j.ID, Org: j.Org, Detail: "short"})
@@ -60,14 +64,19 @@
 	}
 	d.jobs.mu.Lock()
 	cancelled, avoid := r.cancelAsked, r.avoid
+	failedOn := d.jobs.faults.Avoid(r.job.ID)
 	mayHaveRun := r.mayHaveRun
 	d.jobs.mu.Unlock()
 	if cancelled {
 		d.endShort(r, d.cancelledShort(r))
 		return
 	}
-	id, conn := d.chooseVM(r.job, avoid, now)
+	id, conn := d.chooseVM(r.job, avoid, failedOn, now)
 	if conn == nil {
+		if len(failedOn) > 0 && !d.anotherVM(r.job, failedOn, now) {
+			d.endShort(r, outcome.Failed{Reason: "jobFailsEverywhere: it failed on every VM that its selector allows"})
+			return
+		}
 		if now.Sub(r.job.AcceptedAt) > noVMWait && !mayHaveRun {
 			d.endShort(r, outcome.NotRun{Rule: "noVMReachable", Reason: "no VM that the selector allows can be reached"})
 			return
@@ -109,12 +118,8 @@
 	case wire.RunStatusAnswered:
 		d.answerShort(r, id, attemptID, result)
 	case wire.RunStatusFailed:
-		d.jobs.mu.Lock()
-		r.failedOn[id] = result.Reason
-		failures := len(r.failedOn)
-		d.jobs.mu.Unlock()
-		if failures >= maxFailedVMs {
-			d.endShort(r, outcome.Failed{Reason: fmt.Sprintf("failed on %d VMs, lastly: %s", failures, result.Reason)})
+		if d.jobFailed(r, id, result.Reason) {
+			d.endShort(r, outcome.Failed{Reason: "jobFailsEverywhere: lastly on VM " + id + ": " + result.Reason})
 			return
 		}
 		d.count("shortRetriedFailed")
@@ -137,7 +142,7 @@
 	d.jobs.mu.Lock()
 	tries := r.tries
 	d.jobs.mu.Unlock()
-	if tries < maxFailedVMs {
+	if tries < maxRefusals {
 		d.retryShort(r, id, result.Rule)
 		return
 	}
@@ -153,12 +158,24 @@
 
 func (d *Daemon) retryShort(r *running, id, reason string) {
 	d.ring.Add(timeline.Event{Kind: "shortRetried", Job: r.job.ID, Org: r.job.Org, VM: id, Detail: reason})
+	now := time.Now()
 	d.jobs.mu.Lock()
+	if !d.jobs.budget.Retry(now) {
+		mayHaveRun := r.mayHaveRun
+		d.jobs.mu.Unlock()
+		d.count("retryBudgetSpent")
+		if mayHaveRun {
+			d.endShort(r, outcome.Unknown{Reason: "no retry is left in the budget after: " + reason})
+		} else {
+			d.endShort(r, outcome.NotRun{Rule: "retryBudgetSpent", Reason: "refused by VM " + id + ": " + reason})
+		}
+		return
+	}
 	avoid := make(map[string]time.Time, len(r.avoid)+1)
 	for k, v := range r.avoid {
 		avoid[k] = v
 	}
-	avoid[id] = time.Now().Add(avoidFor)
+	avoid[id] = now.Add(avoidFor)
 	r.avoid = avoid
 	d.jobs.mu.Unlock()
 	d.tryShort(r)
@@ -181,6 +198,8 @@
 		a.Parts = []outcome.Part{{VM: id, Attempt: attemptID, Length: int64(result.Length), Checksum: sum}}
 	}
 	d.jobs.mu.Lock()
+	d.jobs.faults.Succeeded(id)
+	d.jobs.model.Observe(r.job, time.Duration(result.RanMs)*time.Millisecond)
 	r.startedAt = time.Now().Add(-time.Duration(result.RanMs) * time.Millisecond)
 	d.jobs.mu.Unlock()
 	d.endShort(r, a)
@@ -222,13 +241,13 @@
 // chooseVM picks the VM with the most room for a short task: one with free
 // accelerators if there is one, then the fewest short requests in flight from
 // this entry, ties broken at random so that entries spread their choices.
-func (d *Daemon) chooseVM(j job.Job, avoid map[string]time.Time, now time.Time) (string, *rpc.Conn) {
+func (d *Daemon) chooseVM(j job.Job, avoid map[string]time.Time, failedOn map[string]bool, now time.Time) (string, *rpc.Conn) {
 	s, err := selector.Parse(j.Selector)
 	if err != nil {
 		return "", nil
 	}
 	best, bestFree, bestLoad := "", false, 0
-	views := d.views()
+	views := d.recentViews(now)
 	d.vms.mu.Lock()
 	defer d.vms.mu.Unlock()
 	offset := rand.IntN(len(views) + 1)
@@ -236,7 +255,7 @@
 		v := views[(i+offset)%len(views)]
 		t := d.vms.byID[v.ID]
 		if t == nil || closed(t.conn) || !v.Usable(now) || !s.Matches(v.EffectiveLabels) || v.Accelerators < j.AcceleratorsPerTask ||
-			now.Before(avoid[v.ID]) || t.short >= max(1, v.Connections) {
+			failedOn[v.ID] || now.Before(avoid[v.ID]) || t.short >= max(1, v.Connections) {
 			continue
 		}
 		free := hasRoom(v, t.short, j.AcceleratorsPerTask)
@@ -251,6 +270,36 @@
 	return best, d.vms.byID[best].conn
 }
 
+// jobFailed takes the failure of a job's task on a VM, and reports whether the
+// job is at fault and ends with its own error.
+func (d *Daemon) jobFailed(r *running, id, reason string) bool {
+	d.jobs.mu.Lock()
+	verdict := d.jobs.faults.Failed(id, r.job.ID, time.Now())
+	d.jobs.mu.Unlock()
+	d.ring.Add(timeline.Event{Kind: "taskFailed", Job: r.job.ID, Org: r.job.Org, VM: id, Detail: reason})
+	if verdict.SetAside {
+		d.count("vmQuarantined")
+		d.logger.WithFields(logrus.Fields{"vm": id, "until": verdict.Until}).Warn("VM quarantined")
+		d.ring.Add(timeline.Event{Kind: "vmQuarantined", VM: id, Detail: "until " + verdict.Until.Format(time.RFC3339)})
+	}
+	if verdict.JobFaulty {
+		d.count("jobFailsEverywhere")
+	}
+	return verdict.JobFaulty
+}
+
+// anotherVM reports whether a usable VM that the selector allows is left on
+// which the job has not failed.
+func (d *Daemon) anotherVM(j job.Job, failedOn map[string]bool, now time.Time) bool {
+	s, err := selector.Parse(j.Selector)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(d.recentViews(now), func(v vm.View) bool {
+		return !failedOn[v.ID] && !v.Lost && !v.Draining && s.Matches(v.EffectiveLabels)
+	})
+}
+
 // hasRoom reports whether a VM has free accelerators and slots beyond the short
 // requests that are on their way to it.
 func hasRoom(v vm.View, short, accelerators int) bool {
--- a/entryd/submit.go
+++ b/entryd/submit.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return in
 	}
-	for _, v := range d.views() {
+	for _, v := range d.recentViews(in.Now) {
 		if v.Lost || !s.Matches(v.EffectiveLabels) {
 			continue
 		}
@@ -102,18 +102,19 @@
 // queued counts the jobs of the lane that this entry knows and that wait or,
 // for short requests, have not ended.
 func (d *Daemon) queued(j job.Job) (int, time.Duration) {
-	if !j.Recorded() {
-		return int(d.shorts.Load()), j.DeclaredRun
-	}
 	d.jobs.mu.Lock()
 	defer d.jobs.mu.Unlock()
+	run := d.jobs.model.Expected(j)
+	if !j.Recorded() {
+		return int(d.shorts.Load()), run
+	}
 	n := 0
 	for _, e := range d.jobs.fold.Jobs {
 		if e.Phase == jobfold.PhaseWaiting && e.Job.Urgency == j.Urgency {
 			n++
 		}
 	}
-	return n, j.DeclaredRun
+	return n, run
 }
 
 // submitRecorded accepts a job through the log.
@@ -172,7 +173,7 @@
 	if r == nil {
 		r = &running{
 			job: e.Job, recorded: true, phase: job.PhaseWaiting, waitSince: e.Job.AcceptedAt,
-			failedOn: map[string]string{}, avoid: map[string]time.Time{}, done: make(chan struct{}),
+			avoid: map[string]time.Time{}, done: make(chan struct{}),
 		}
 		d.jobs.byID[id] = r
 	}
@@ -219,6 +220,7 @@
 	for id, r := range d.jobs.byID {
 		if r.outcome != nil && now.After(r.endedAt.Add(keepEnded)) && d.jobs.fold.Jobs[id] == nil {
 			delete(d.jobs.byID, id)
+			d.jobs.faults.ForgetJob(id)
 		}
 	}
 }
--- a/entryd/tables.go
+++ b/entryd/tables.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/estimate"
 	"celerypoint.example/celerypoint/gang"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/jobfold"
 	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/quarantine"
+	"celerypoint.example/celerypoint/retrybudget"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/vm"
 	"celerypoint.example/celerypoint/wire"
@@ -84,10 +87,8 @@
 	endedAt   time.Time
 	waitSince time.Time
 	waitsFor  string
-	// failedOn counts the VMs on which the job's own error ended it; avoid
-	// has those and the ones that refused it.
-	failedOn map[string]string
-	avoid    map[string]time.Time
+	// avoid says until when a VM that refused the job is passed over for it.
+	avoid map[string]time.Time
 	// cancelAsked says that the caller cancelled the job.
 	cancelAsked bool
 	// outcome is nil until the end; done is closed then.
@@ -130,6 +131,11 @@
 	lastJob  int64
 	lastTry  int64
 	snapshot snapshotState
+	// model, faults and budget are what this entry learned: run times, VMs and
+	// jobs that fail, and the credit for retries of short requests.
+	model  *estimate.Model
+	faults *quarantine.State
+	budget retrybudget.Budget
 	// purgeAt is when ended jobs are looked through.
 	purgeAt time.Time
 }
