Reserve VMs for the oldest gang without rebuilding the fleet

Cause: the reservation built the whole fleet anew for each candidate time, which took most of a planning pass with a burst of waiting jobs. Change: copy the accounts of the pass and release the attempts that end, choose the head only when a gang does not fit, and scan the VMs once for each job. Probed VMs take one task at a time. Members are in the order of their VMs.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -79,12 +79,16 @@
 // for headPatience, then organisations below their guarantee, then by arrival.
 func (p *pass) adjacent(requests []*request) {
 	p.markBelow(requests)
-	p.chooseHead(requests)
+	oldest := slices.IndexFunc(requests, func(r *request) bool { return r.Job.Gang() })
+	if oldest >= 0 && p.in.Now.Sub(requests[oldest].Since) >= headPatience {
+		p.chooseHead(requests)
+	}
 	patient := p.head != nil && p.in.Now.Sub(p.head.Since) >= headPatience
-	slices.SortStableFunc(requests, func(a, b *request) int {
+	turns := slices.Clone(requests)
+	slices.SortStableFunc(turns, func(a, b *request) int {
 		return cmp.Compare(p.turn(a, patient), p.turn(b, patient))
 	})
-	for _, r := range requests {
+	for _, r := range turns {
 		if p.refuse(r) {
 			continue
 		}
@@ -92,6 +96,9 @@
 			p.place(r, found)
 			continue
 		}
+		if r.Job.Gang() && p.head == nil {
+			p.chooseHead(requests)
+		}
 		if r == p.head {
 			p.reserveForHead()
 		}
--- /dev/null
+++ b/placement/decide_test.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"celerypoint.example/celerypoint/guarantee"
+	"celerypoint.example/celerypoint/job"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// holding makes a running task of the organisation.
+func holding(org string, accelerators int, preemptible bool) vm.Holding {
+	return vm.Holding{Attempt: org, Org: org, Tasks: 1, Accelerators: accelerators, Preemptible: preemptible, Running: true}
+}
+
+// TestDecide guards against a job on the wrong VMs, and against a wait that
+// names the wrong rule. Each VM has 4 accelerators; three are in a rack.
+func TestDecide(t *testing.T) {
+	both := []Policy{PolicyBaseline, PolicyAdjacent}
+	adjacent := []Policy{PolicyAdjacent}
+	firm := func(w Waiting) Waiting { w.Job.Preemptible = false; return w }
+	near := func(a shape.Adjacency, w Waiting) Waiting { w.Job.Adjacency = a; return w }
+	with := func(w Waiting, change func(w *Waiting)) Waiting { change(&w); return w }
+	late := func(minutes int, w Waiting) Waiting {
+		w.Since = now.Add(-time.Duration(minutes) * time.Minute)
+		return w
+	}
+	tests := []struct {
+		name     string
+		policies []Policy
+		vms      int
+		holdings map[int][]vm.Holding
+		shares   map[string]map[string]int
+		waiting  []Waiting
+		// want has a line for each placement and each wait, in order.
+		want []string
+	}{
+		{name: "the tightest VM keeps the large hole", policies: adjacent, vms: 2,
+			holdings: map[int][]vm.Holding{1: {holding("b", 2, true)}},
+			waiting:  []Waiting{waiting("j", "a", 2, 1)}, want: []string{"j vm00001:2"}},
+		{name: "the first VM fits first", policies: []Policy{PolicyBaseline}, vms: 2,
+			holdings: map[int][]vm.Holding{1: {holding("b", 2, true)}},
+			waiting:  []Waiting{waiting("j", "a", 2, 1)}, want: []string{"j vm00000:2"}},
+		{name: "a gang stays in the tightest rack that holds it", policies: adjacent, vms: 9,
+			holdings: map[int][]vm.Holding{0: {holding("b", 4, true)}, 6: {holding("b", 1, true)}},
+			waiting:  []Waiting{near("rack", waiting("j", "a", 8, 1))}, want: []string{"j vm00001:4 vm00002:4"}},
+		{name: "a gang larger than a rack", policies: both, vms: 9,
+			waiting: []Waiting{near("rack", waiting("j", "a", 13, 1))}, want: []string{"j exceedsMatchingCapacity never"}},
+		{name: "free accelerators are in several racks", policies: both, vms: 4,
+			holdings: map[int][]vm.Holding{0: {holding("b", 4, true)}, 1: {holding("b", 4, true)}},
+			waiting:  []Waiting{near("rack", waiting("j", "a", 8, 1))}, want: []string{"j tooFragmented"}},
+		{name: "nothing matches", policies: both, vms: 1,
+			waiting: []Waiting{with(waiting("j", "a", 1, 1), func(w *Waiting) { w.Job.Selector = "zone=none" })}, want: []string{"j selectorMatchesNothing never"}},
+		{name: "no VM", policies: both, waiting: []Waiting{waiting("j", "a", 1, 1)}, want: []string{"j noVMReachable"}},
+		{name: "the only VM failed before", policies: both, vms: 1,
+			waiting: []Waiting{with(waiting("j", "a", 1, 1), func(w *Waiting) { w.AvoidVMs = map[string]bool{"vm00000": true} })},
+			want:    []string{"j matchingVMsUnavailable"}},
+		{name: "the deadline has passed", policies: both, vms: 1,
+			waiting: []Waiting{with(waiting("j", "a", 1, 1), func(w *Waiting) { w.Job.Deadline = now })}, want: []string{"j deadlinePassed"}},
+		{name: "a task without accelerators keeps off free ones", policies: adjacent, vms: 2,
+			holdings: map[int][]vm.Holding{1: {holding("b", 4, true)}},
+			waiting:  []Waiting{waiting("j", "a", 1, 0)}, want: []string{"j vm00001:1"}},
+		{name: "the head blocks the queue", policies: []Policy{PolicyBaseline}, vms: 1,
+			holdings: map[int][]vm.Holding{0: {holding("b", 1, true)}},
+			waiting:  []Waiting{late(2, waiting("j", "a", 1, 4)), waiting("k", "a", 1, 1)}, want: []string{"j noFreeCapacity", "k behindQueueHead"}},
+		{name: "only preemptible work borrows", policies: adjacent, vms: 1,
+			shares:  map[string]map[string]int{"b": {"vm00000": 4}},
+			waiting: []Waiting{firm(waiting("j", "a", 1, 1)), waiting("k", "a", 1, 1)}, want: []string{"k vm00000:1", "j ownShareOnly"}},
+		{name: "the baseline does not borrow", policies: []Policy{PolicyBaseline}, vms: 1,
+			shares:  map[string]map[string]int{"b": {"vm00000": 4}},
+			waiting: []Waiting{waiting("k", "a", 1, 1)}, want: []string{"k ownShareOnly"}},
+		{name: "an organisation reclaims its share", policies: adjacent, vms: 1,
+			holdings: map[int][]vm.Holding{0: {holding("b", 4, true)}}, shares: map[string]map[string]int{"a": {"vm00000": 2}},
+			waiting: []Waiting{firm(waiting("j", "a", 2, 1)), waiting("k", "a", 1, 1)}, want: []string{"j vm00000:2 reclaim", "k noFreeCapacity"}},
+		{name: "non-preemptible work is not reclaimed", policies: adjacent, vms: 1,
+			holdings: map[int][]vm.Holding{0: {holding("b", 4, false)}}, shares: map[string]map[string]int{"a": {"vm00000": 2}},
+			waiting: []Waiting{waiting("j", "a", 2, 1)}, want: []string{"j noFreeCapacity"}},
+		{name: "urgent first, then below the guarantee, then by arrival", policies: adjacent, vms: 1,
+			holdings: map[int][]vm.Holding{0: {holding("b", 1, true)}}, shares: map[string]map[string]int{"c": {"vm00000": 1}},
+			waiting: []Waiting{late(3, waiting("j", "a", 1, 1)), late(2, waiting("k", "a", 1, 1)), waiting("l", "c", 1, 1),
+				with(waiting("m", "a", 1, 1), func(w *Waiting) { w.Job.Urgency = job.UrgencyUrgent })},
+			want: []string{"m vm00000:1", "l vm00000:1", "j vm00000:1", "k noFreeCapacity"}},
+		{name: "only short work passes the oldest gang", policies: adjacent, vms: 1,
+			holdings: map[int][]vm.Holding{0: {holding("b", 2, true)}},
+			waiting: []Waiting{late(3, waiting("j", "a", 4, 1)), late(2, waiting("k", "a", 1, 1)),
+				with(waiting("l", "a", 1, 1), func(w *Waiting) { w.ExpectedRun = 20 * time.Minute })},
+			want: []string{"l vm00000:1", "j noFreeCapacity", "k reservedForGang"}},
+		{name: "a gang that waited for long goes before other lanes", policies: adjacent, vms: 1,
+			waiting: []Waiting{with(late(11, waiting("j", "a", 4, 1)), func(w *Waiting) { w.Job.Urgency = job.UrgencyBatch }),
+				late(2, waiting("k", "a", 1, 1))},
+			want: []string{"j vm00000:4", "k noFreeCapacity"}},
+	}
+	for _, tt := range tests {
+		for _, policy := range tt.policies {
+			t.Run(tt.name+"/"+string(policy), func(t *testing.T) {
+				in := Input{Now: now, Policy: policy, VMs: fleet(tt.vms, func(int) int { return 4 }), Waiting: tt.waiting,
+					Shares: guarantee.Assignment{Shares: tt.shares}, ExpectedEnds: map[string]time.Time{"b": now.Add(30 * time.Minute)}}
+				for i, h := range tt.holdings {
+					in.VMs[i].Holdings = h
+				}
+				qt.Assert(t, lines(Decide(in)), qt.DeepEquals, tt.want)
+			})
+		}
+	}
+}
+
+func lines(p Plan) []string {
+	var all []string
+	for _, pl := range p.Placements {
+		line := pl.JobID
+		for _, m := range pl.Members {
+			line += fmt.Sprintf(" %s:%d", m.VM, m.Tasks)
+			if m.Reclaim {
+				line += " reclaim"
+			}
+		}
+		all = append(all, line)
+	}
+	for _, w := range p.Waits {
+		line := w.JobID + " " + w.Rule
+		if w.Never {
+			line += " never"
+		}
+		all = append(all, line)
+	}
+	return all
+}
+
+// TestProbe guards against more than one task, an urgent one or a gang on a VM
+// that was set aside and is probed.
+func TestProbe(t *testing.T) {
+	in := Input{Now: now, Policy: PolicyAdjacent, VMs: fleet(1, func(int) int { return 4 })}
+	in.VMs[0].QuarantinedUntil = now
+	urgent := waiting("a", "a", 1, 1)
+	urgent.Job.Urgency = job.UrgencyUrgent
+	in.Waiting = []Waiting{urgent, waiting("b", "a", 2, 1), waiting("c", "a", 1, 1), waiting("d", "a", 1, 1)}
+	plan := Decide(in)
+	qt.Assert(t, plan.Placements, qt.HasLen, 1)
+	qt.Assert(t, plan.Placements[0].JobID, qt.Equals, "c")
+}
+
+// TestBackfillKeepsReservation guards against later jobs that delay the oldest
+// gang beyond the time at which it could start when they were placed.
+func TestBackfillKeepsReservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		p := newPass(in)
+		var requests []*request
+		for i := range in.Waiting {
+			requests = append(requests, p.request(&in.Waiting[i]))
+		}
+		p.adjacent(requests)
+		if p.heldUntil.IsZero() {
+			return
+		}
+		if p.later(p.attempts(), p.heldUntil.UnixNano()).fit(p.head) == nil {
+			t.Fatalf("the gang %+v does not fit at %v: %+v", p.head.Job, p.heldUntil, p.plan)
+		}
+	})
+}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -102,10 +102,16 @@
 }
 
 func (p *pass) reason(r *request) Wait {
-	usable := 0
-	for _, i := range r.matching {
-		if p.index.VMs[i].Usable(p.in.Now) && !r.AvoidVMs[p.index.VMs[i].ID] {
-			usable++
+	usable, ok := p.usable[r.Job.Selector]
+	if !ok || len(r.AvoidVMs) > 0 {
+		usable = 0
+		for _, i := range r.matching {
+			if p.machines[i].usable && !r.AvoidVMs[p.index.VMs[i].ID] {
+				usable++
+			}
+		}
+		if len(r.AvoidVMs) == 0 {
+			p.usable[r.Job.Selector] = usable
 		}
 	}
 	if usable == 0 {
--- a/placement/head.go
+++ b/placement/head.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,25 +16,33 @@
 // are taken to end.
 const overdueEnd = time.Minute
 
+// running is one attempt's part on a VM. Times are Unix times in nanoseconds,
+// because the search compares 40,000 of them several times.
+type running struct {
+	at, org             int
+	tasks, accelerators int
+	firm                bool
+	end                 int64
+}
+
 // passesHead reports whether the request is expected to end before the head
 // can start.
 func (p *pass) passesHead(r *request) bool {
 	return !p.heldUntil.IsZero() && r.ExpectedRun > 0 && !p.in.Now.Add(r.ExpectedRun).After(p.heldUntil)
 }
 
-// chooseHead picks the oldest gang that fits once every attempt has ended.
+// chooseHead picks the oldest gang that is not placed and that fits once every
+// attempt has ended. Earlier requests come first.
 func (p *pass) chooseHead(requests []*request) {
 	var empty *pass
 	for _, r := range requests {
-		if !r.Job.Gang() || p.neverReason(r) != "" {
+		if r.placed || !r.Job.Gang() || p.neverReason(r) != "" {
 			continue
 		}
 		if empty == nil {
-			in := p.in
-			in.VMs = p.remaining(func(vm.Holding) bool { return false })
-			empty = newPass(in)
+			empty = p.later(p.attempts(), math.MaxInt64)
 		}
-		if empty.fit(empty.request(r.Waiting)) != nil {
+		if empty.fit(r) != nil {
 			p.head = r
 			return
 		}
@@ -44,42 +52,57 @@
 // reserveForHead finds the earliest time at which the head fits when running
 // attempts end as expected, and holds the VMs that it would use then.
 func (p *pass) reserveForHead() {
-	times := p.endTimes()
+	attempts := p.attempts()
+	times := make([]int64, 0, len(attempts))
+	for _, a := range attempts {
+		times = append(times, a.end)
+	}
+	slices.Sort(times)
+	times = slices.Compact(times)
 	var found []member
-	at, _ := slices.BinarySearchFunc(times, true, func(t time.Time, _ bool) int {
-		if f := p.fitAt(t); f != nil {
+	k, _ := slices.BinarySearchFunc(times, true, func(t int64, _ bool) int {
+		if f := p.later(attempts, t).fit(p.head); f != nil {
 			found = f
-			return 1
+			return 0
 		}
 		return -1
 	})
-	if at == len(times) {
+	if k == len(times) {
 		return
 	}
-	p.heldUntil = times[at]
+	p.heldUntil = time.Unix(0, times[k])
 	for _, m := range found {
 		p.held[m.at] = true
 	}
 }
 
-// endTimes lists the times at which attempts are expected to end, in order.
-func (p *pass) endTimes() []time.Time {
-	seen := map[time.Time]bool{}
+// attempts lists what ran before the pass and what the pass has placed.
+func (p *pass) attempts() []running {
+	if p.ran == nil {
+		p.ran = p.ranBefore()
+	}
+	return slices.Concat(p.ran, p.placed)
+}
+
+func (p *pass) ranBefore() []running {
+	n := 0
+	for i := range p.index.VMs {
+		n += len(p.index.VMs[i].Holdings)
+	}
+	all := make([]running, 0, n)
 	for i := range p.index.VMs {
 		for k := range p.index.VMs[i].Holdings {
-			seen[p.endOf(&p.index.VMs[i].Holdings[k])] = true
-		}
-		for k := range p.placed[i] {
-			seen[p.endOf(&p.placed[i][k])] = true
+			h := &p.index.VMs[i].Holdings[k]
+			all = append(all, running{
+				at: i, org: p.org(h.Org), tasks: h.Tasks, accelerators: h.Accelerators,
+				firm: !h.Preemptible, end: p.endOf(h).UnixNano(),
+			})
 		}
 	}
-	return slices.SortedFunc(maps.Keys(seen), time.Time.Compare)
+	return all
 }
 
 func (p *pass) endOf(h *vm.Holding) time.Time {
-	if t, ok := p.ends[h.Attempt]; ok {
-		return t
-	}
 	t, ok := p.in.ExpectedEnds[h.Attempt]
 	switch {
 	case !ok:
@@ -98,29 +121,49 @@
 	return p.in.Now.Add(r.ExpectedRun)
 }
 
-// placedAttempt names the attempt of a job that this pass has placed.
-func placedAttempt(jobID string) string { return "placed/" + jobID }
-
-// fitAt fits the head into the capacity at the time.
-func (p *pass) fitAt(t time.Time) []member {
-	in := p.in
-	in.VMs = p.remaining(func(h vm.Holding) bool { return p.endOf(&h).After(t) })
-	later := newPass(in)
-	return later.fit(later.request(p.head.Waiting))
+// later copies the pass as it is when the attempts that end by then are gone.
+func (p *pass) later(attempts []running, end int64) *pass {
+	q := &pass{
+		in: p.in, index: p.index, orgs: p.orgs, owed: p.owed, shareOn: p.shareOn,
+		used: slices.Clone(p.used), firm: slices.Clone(p.firm), machines: slices.Clone(p.machines),
+		head: p.head,
+	}
+	q.prepare()
+	n := 0
+	for i := range q.machines {
+		n += len(q.machines[i].accounts)
+	}
+	accounts := make([]account, 0, n)
+	for i := range q.machines {
+		m := &q.machines[i]
+		n := len(accounts)
+		accounts = append(accounts, m.accounts...)
+		m.accounts = accounts[n:len(accounts):len(accounts)]
+	}
+	for _, a := range attempts {
+		if a.end <= end {
+			q.release(a)
+		}
+	}
+	return q
 }
 
-// remaining copies the VMs with the holdings that stay, those that this pass
-// has placed included.
-func (p *pass) remaining(stays func(vm.Holding) bool) []vm.View {
-	vms := slices.Clone(p.index.VMs)
-	for i := range vms {
-		var holdings []vm.Holding
-		for _, h := range slices.Concat(vms[i].Holdings, p.placed[i]) {
-			if stays(h) {
-				holdings = append(holdings, h)
-			}
-		}
-		vms[i].Holdings = holdings
+// release ends an attempt's part. What the pass has reclaimed is gone already.
+func (p *pass) release(a running) {
+	m := &p.machines[a.at]
+	n, firm := a.accelerators, 0
+	if a.firm {
+		firm = n
+	} else {
+		gone := min(n, m.evicted)
+		m.evicted -= gone
+		n -= gone
+	}
+	if m.usable {
+		m.free += n
+		m.slots += a.tasks
 	}
-	return vms
+	m.charge(a.org, account{used: -n, firm: -firm})
+	p.used[a.org] -= n
+	p.firm[a.org] -= firm
 }
--- a/placement/machine.go
+++ b/placement/machine.go
@@ -20,6 +20,9 @@
 
 // machine is one VM's capacity during a pass.
 type machine struct {
+	usable bool
+	// probed says that the VM was set aside and takes one task to probe it.
+	probed bool
 	// free is the number of accelerators and slots the number of tasks that
 	// fit; both are 0 when the VM is not usable.
 	free, slots int
@@ -138,6 +141,9 @@
 		by = account{used: n, firm: n}
 	}
 	m.charge(r.org, by)
+	if m.probed {
+		m.free, m.slots = 0, 0
+	}
 	return beyond > 0
 }
 
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -23,6 +24,14 @@
 	levels   []shape.Adjacency
 	// below says that the organisation is below its guarantee without the job.
 	below bool
+	// placed says that the pass has placed the job.
+	placed bool
+}
+
+// probes reports whether the job may go to a VM that was set aside. A failure
+// there costs little when it is one task that can run again.
+func (r *request) probes() bool {
+	return !r.Job.Gang() && r.Job.Idempotent && r.Job.Urgency != job.UrgencyUrgent
 }
 
 func (r *request) widest() shape.Adjacency { return r.levels[len(r.levels)-1] }
@@ -33,8 +42,9 @@
 	firm      bool
 	selector  string
 	adjacency shape.Adjacency
-	// passes says that the job ends before the head can start.
-	passes bool
+	// passes says that the job ends before the head can start, probes that it
+	// may probe a VM.
+	passes, probes bool
 }
 
 // pass is the state of one planning pass.
@@ -50,22 +60,28 @@
 
 	// head is the oldest waiting gang; see reserveForHead.
 	head *request
-	// placed lists what this pass has placed on each VM.
-	placed    [][]vm.Holding
-	held      []bool
-	heldUntil time.Time
-	// ends maps the attempts that this pass has placed to their expected ends.
-	ends map[string]time.Time
+	// ran lists what ran before the pass, nil until it is needed, and placed
+	// what the pass has placed.
+	ran, placed []running
+	held        []bool
+	heldUntil   time.Time
 
 	// failed maps a class to the fewest tasks that did not fit. Capacity only
 	// shrinks during a pass, so neither do larger jobs of the class.
 	failed map[class]int
 	open   map[openKey][]int
-	caps   []int
+	// own and all are the tasks that each VM takes of the request at hand,
+	// within its own share and what nobody is owed, and in all. They are valid
+	// for the VMs in offering.
+	own, all []int
+	offering []int
+	spans    []span
 	// never maps what decides it to the most tasks that could ever fit.
 	never map[neverKey]int
-	why   map[whyKey]Wait
-	plan  Plan
+	// usable counts the usable VMs that a selector allows.
+	usable map[string]int
+	why    map[whyKey]Wait
+	plan   Plan
 }
 
 type openKey struct {
@@ -75,20 +91,12 @@
 
 func newPass(in Input) *pass {
 	p := &pass{
-		in:     in,
-		index:  vmindex.New(in.VMs),
-		orgs:   map[string]int{},
-		failed: map[class]int{},
-		open:   map[openKey][]int{},
-		never:  map[neverKey]int{},
-		why:    map[whyKey]Wait{},
-		ends:   map[string]time.Time{},
+		in:    in,
+		index: vmindex.New(in.VMs),
+		orgs:  map[string]int{},
 	}
-	n := len(p.index.VMs)
-	p.held = make([]bool, n)
-	p.placed = make([][]vm.Holding, n)
-	p.caps = make([]int, n)
-	p.machines = make([]machine, n)
+	p.prepare()
+	p.machines = make([]machine, len(p.index.VMs))
 	for i := range p.index.VMs {
 		p.load(&p.machines[i], &p.index.VMs[i])
 	}
@@ -107,6 +115,18 @@
 	return p
 }
 
+// prepare makes the tables that belong to one pass.
+func (p *pass) prepare() {
+	n := len(p.index.VMs)
+	p.held = make([]bool, n)
+	p.own, p.all = make([]int, n), make([]int, n)
+	p.failed = map[class]int{}
+	p.open = map[openKey][]int{}
+	p.never = map[neverKey]int{}
+	p.usable = map[string]int{}
+	p.why = map[whyKey]Wait{}
+}
+
 // load sets the machine from what the VM's agent announced.
 func (p *pass) load(m *machine, v *vm.View) {
 	m.unowed = v.Accelerators
@@ -126,7 +146,8 @@
 		p.firm[o] += firm
 	}
 	// Lent accelerators are held twice, so the difference can be negative.
-	if v.Usable(p.in.Now) {
+	if m.usable = v.Usable(p.in.Now); m.usable {
+		m.probed = !v.QuarantinedUntil.IsZero()
 		m.free, m.slots = max(0, free), max(0, slots)
 	}
 }
@@ -158,7 +179,7 @@
 func (p *pass) class(r *request) class {
 	return class{
 		org: r.org, size: r.size, firm: r.firm, selector: r.Job.Selector, adjacency: r.widest(),
-		passes: p.passesHead(r),
+		passes: p.passesHead(r), probes: r.probes(),
 	}
 }
 
@@ -183,18 +204,24 @@
 	if p.held[i] && r != p.head && !p.passesHead(r) {
 		return false
 	}
+	if p.machines[i].probed && !r.probes() {
+		return false
+	}
 	return len(r.AvoidVMs) == 0 || !r.AvoidVMs[p.index.VMs[i].ID]
 }
 
-// place takes the capacity and adds the placement to the plan.
+// place takes the capacity and adds the placement to the plan. Members are in
+// the order of their VMs, so that near ranks are near each other.
 func (p *pass) place(r *request, members []member) {
+	slices.SortFunc(members, func(a, b member) int { return cmp.Compare(a.at, b.at) })
+	r.placed = true
 	pl := Placement{JobID: r.Job.ID}
+	end := p.expectedEnd(r).UnixNano()
 	for _, m := range members {
 		reclaim := p.machines[m.at].take(r, m.tasks)
 		pl.Members = append(pl.Members, Member{VM: p.index.VMs[m.at].ID, Tasks: m.tasks, Reclaim: reclaim})
-		p.placed[m.at] = append(p.placed[m.at], vm.Holding{
-			Attempt: placedAttempt(r.Job.ID), Org: r.Job.Org,
-			Tasks: m.tasks, Accelerators: m.tasks * r.size, Preemptible: !r.firm,
+		p.placed = append(p.placed, running{
+			at: m.at, org: r.org, tasks: m.tasks, accelerators: m.tasks * r.size, firm: r.firm, end: end,
 		})
 	}
 	n := r.Job.Accelerators()
@@ -202,7 +229,6 @@
 	if r.firm {
 		p.firm[r.org] += n
 	}
-	p.ends[placedAttempt(r.Job.ID)] = p.expectedEnd(r)
 	p.plan.Placements = append(p.plan.Placements, pl)
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"celerypoint.example/celerypoint/admission"
+	"celerypoint.example/celerypoint/placement"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -30,3 +32,22 @@
 	_, ok := Find("no such rule")
 	qt.Check(t, ok, qt.IsFalse)
 }
+
+// TestEveryRuleHasRecord guards against a refusal or a wait that `celerypoint
+// explain` does not know.
+func TestEveryRuleHasRecord(t *testing.T) {
+	names := []string{
+		admission.RuleOrgUnknown, admission.RuleEntryLeaving, admission.RuleLogUnavailable,
+		admission.RuleSelectorMatchesNothing, admission.RuleExceedsMatchingCapacity, admission.RuleDeadlinePassed,
+		admission.RuleDeadlineUnreachable, admission.RuleQueueFull, admission.RuleShedByRank,
+		placement.RuleSelectorMatchesNothing, placement.RuleExceedsMatchingCapacity, placement.RuleDeadlinePassed,
+		placement.RuleNoVMReachable, placement.RuleMatchingVMsUnavailable, placement.RuleBehindQueueHead,
+		placement.RuleReservedForGang, placement.RuleOwnShareOnly, placement.RuleTooFragmented, placement.RuleNoFreeCapacity,
+		"staleTerm", "reservationExpired", "attemptReleased", "staleConfiguration", "vmDraining",
+		"cancelledBeforeStart", "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
+	}
+	for _, n := range names {
+		_, ok := Find(n)
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("%s", n))
+	}
+}
