gang: test the protocol under faults

Cause: lost, late and duplicated messages, restarts and a second planner have to leave the attempt's properties intact. Change: a simulation with rapid; Attempt gains RanBefore, which the daemon sets when an earlier attempt was committed; the doc of Confirm asks the agent to report ended tasks again. Without RanBefore a cancelled job that had run ended as not run; without the second report a planner that took over renewed a finished gang for ever. Conclusion: the agent has to report again when it is asked to confirm.

--- a/gang/abort.go
+++ b/gang/abort.go
@@ -13,7 +13,7 @@
 	}
 	s.Phase = PhaseEnded
 	if s.Cancelled {
-		s.end(outcome.NotRun{Rule: RuleCancelledBeforeStart, Reason: reason})
+		s.end(s.stopped())
 	}
 }
 
@@ -84,7 +84,7 @@
 
 // stopped is the outcome of an attempt that was stopped for good.
 func (s *step) stopped() outcome.Outcome {
-	ever, known := false, true
+	ever, known := s.RanBefore, true
 	for _, m := range s.Members {
 		ever = ever || m.EverStarted
 		known = known && (m.EndKnown || !m.EverStarted)
--- /dev/null
+++ b/gang/sim_test.go
@@ -0,0 +1,646 @@
+package gang
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"celerypoint.example/celerypoint/outcome"
+	"pgregory.net/rapid"
+)
+
+// The simulation runs in steps of 10 ms: faults stop at faultsEndMs, and by
+// horizonMs the job has to have ended.
+const (
+	stepMs      = 10
+	faultsEndMs = 25_000
+	horizonMs   = 80_000
+	callMs      = 1_000
+)
+
+// scenario is one drawn course.
+type scenario struct {
+	seed                             uint64
+	members, tasksPer, taskMs        int
+	idempotent, ownError             bool
+	dropPercent, dupPercent, delayMs int
+	restarts, pauses, evictions      int
+	takeoverMs, cancelMs             int
+	killFirst                        bool
+}
+
+// TestProtocolUnderFaults guards against a member that runs beyond its lease
+// without the others, a second start of a job that is not idempotent, an
+// outcome that says not run of a job that ran, an answer that is not whole,
+// an attempt that is closed while a member runs, and accelerators that stay
+// reserved. Messages are lost, late, duplicated and reordered, agents restart,
+// planners pause and a second planner takes over.
+func TestProtocolUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := func(low, high int, name string) int { return rapid.IntRange(low, high).Draw(t, name) }
+		s := scenario{
+			seed: rapid.Uint64().Draw(t, "seed"), members: n(1, 4, "members"), tasksPer: n(1, 2, "tasksPer"),
+			taskMs: n(1, 12, "taskTenths") * 500, idempotent: rapid.Bool().Draw(t, "idempotent"),
+			ownError: n(0, 5, "ownError") == 0, dropPercent: n(0, 30, "drop"), dupPercent: n(0, 20, "dup"),
+			delayMs: n(1, 1500, "delay"), restarts: n(0, 3, "restarts"), pauses: n(0, 2, "pauses"),
+			evictions: n(0, 1, "evictions"), killFirst: rapid.Bool().Draw(t, "killFirst"),
+		}
+		if rapid.Bool().Draw(t, "takeover") {
+			s.takeoverMs = n(1, 800, "takeoverAt") * stepMs
+		}
+		if n(0, 3, "cancel") == 0 {
+			s.cancelMs = n(1, 800, "cancelAt") * stepMs
+		}
+		w := newWorld(s)
+		w.run()
+		if w.fault != "" {
+			t.Fatalf("%s\nscenario %+v\n%s", w.fault, s, w.history())
+		}
+	})
+}
+
+// action is something that happens at a time.
+type action struct {
+	ms, seq int
+	do      func()
+}
+
+type world struct {
+	s        scenario
+	r        *rand.Rand
+	ms, seq  int
+	queue    []action
+	agents   []*simAgent
+	planners []*simPlanner
+	log      simLog
+	// lastWhole is when every member of an attempt last ran or was done.
+	lastWhole map[string]int
+	closed    map[string]bool
+	started   map[string]bool
+	fault     string
+	lines     []string
+}
+
+type simLog struct {
+	term, commits, offset int
+	committed             string
+	members               []Member
+	cancelled             bool
+	outcome               outcome.Outcome
+	failedVMs             map[string]bool
+}
+
+type simAgent struct {
+	vm       string
+	boot     int
+	up       bool
+	maxTerm  int64
+	attempts map[string]*simPart
+	// runs belongs to the runtime and survives a restart of the agent.
+	runs map[string]*simRun
+}
+
+// simPart is what the agent knows of an attempt.
+type simPart struct {
+	term         int64
+	heldBy       int
+	dropped, ran bool
+	done, failed bool
+	round        int
+	confirmedAt  map[int]int
+}
+
+// simRun is a part that runs.
+type simRun struct{ startedAt, leaseUntil, endAt int }
+
+type simPlanner struct {
+	term        int64
+	attempt     Attempt
+	active      bool
+	dead        bool
+	pausedUntil int
+	tries       int
+}
+
+func newWorld(s scenario) *world {
+	w := &world{s: s, r: rand.New(rand.NewPCG(s.seed, 1)), lastWhole: map[string]int{}, closed: map[string]bool{}, started: map[string]bool{}}
+	w.log.failedVMs = map[string]bool{}
+	for i := range s.members + 1 {
+		w.agents = append(w.agents, &simAgent{vm: fmt.Sprintf("v%d", i), up: true, attempts: map[string]*simPart{}, runs: map[string]*simRun{}})
+	}
+	w.takeOver()
+	if s.takeoverMs > 0 {
+		w.at(s.takeoverMs, func() {
+			if s.killFirst {
+				w.planners[0].dead = true
+			}
+			w.takeOver()
+		})
+	}
+	if s.cancelMs > 0 {
+		w.at(s.cancelMs, func() {
+			w.log.cancelled = true
+			for _, p := range w.planners {
+				w.later(func() { w.deliver(p, p.attempt.ID, Cancelled{}) })
+			}
+		})
+	}
+	for range s.restarts {
+		a := w.agents[w.r.IntN(len(w.agents))]
+		w.at(w.r.IntN(12_000), func() { w.restart(a) })
+	}
+	for range s.pauses {
+		w.at(w.r.IntN(12_000), func() {
+			p := w.planners[w.r.IntN(len(w.planners))]
+			p.pausedUntil = w.ms + w.r.IntN(8_000)
+		})
+	}
+	for range s.evictions {
+		a := w.agents[w.r.IntN(len(w.agents))]
+		w.at(w.r.IntN(8_000), func() { w.evict(a) })
+	}
+	return w
+}
+
+func (w *world) say(format string, args ...any) {
+	w.lines = append(w.lines, fmt.Sprintf("%6d ", w.ms)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) history() string {
+	text := ""
+	for _, l := range w.lines[max(0, len(w.lines)-200):] {
+		text += l + "\n"
+	}
+	return text
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf("at %d ms: ", w.ms) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) at(ms int, do func()) {
+	w.seq++
+	w.queue = append(w.queue, action{ms, w.seq, do})
+}
+
+// later is after a delay of the network.
+func (w *world) later(do func()) {
+	d := 1 + w.r.IntN(20)
+	if w.faulty() && w.r.IntN(4) == 0 {
+		d = 1 + w.r.IntN(w.s.delayMs)
+	}
+	w.at(w.ms+d, do)
+}
+
+func (w *world) faulty() bool { return w.ms < faultsEndMs }
+
+func (w *world) chance(percent int) bool { return w.faulty() && w.r.IntN(100) < percent }
+
+func (w *world) now() time.Time { return testStart.Add(time.Duration(w.ms) * time.Millisecond) }
+
+func (w *world) run() {
+	for w.ms = 0; w.ms < horizonMs && w.fault == ""; w.ms += stepMs {
+		var due []action
+		w.queue = slices.DeleteFunc(w.queue, func(a action) bool {
+			if a.ms <= w.ms {
+				due = append(due, a)
+			}
+			return a.ms <= w.ms
+		})
+		slices.SortFunc(due, func(a, b action) int {
+			if a.ms != b.ms {
+				return a.ms - b.ms
+			}
+			return a.seq - b.seq
+		})
+		for _, a := range due {
+			a.do()
+		}
+		for _, a := range w.agents {
+			w.stepAgent(a)
+		}
+		if w.ms%100 == 0 {
+			for _, p := range w.planners {
+				if w.ms >= p.pausedUntil && !p.dead {
+					w.tickPlanner(p)
+				}
+			}
+		}
+		w.check()
+	}
+	w.checkEnd()
+}
+
+// deliver hands an event to a planner once it is not paused.
+func (w *world) deliver(p *simPlanner, attempt string, e Event) {
+	switch {
+	case p.dead || p.attempt.ID != attempt:
+	case w.ms < p.pausedUntil:
+		w.at(p.pausedUntil, func() { w.deliver(p, attempt, e) })
+	default:
+		w.step(p, e)
+		if w.chance(w.s.dupPercent) {
+			w.later(func() { w.deliver(p, attempt, e) })
+		}
+	}
+}
+
+func (w *world) step(p *simPlanner, e Event) {
+	var orders []Order
+	if _, tick := e.(Tick); !tick {
+		w.say("planner %d %s %s: %T%+v", p.term, p.attempt.ID, p.attempt.Phase, e, e)
+	}
+	p.attempt, orders = Step(p.attempt, e, w.now(), testTiming)
+	for _, o := range orders {
+		w.say("planner %d %s orders %T%+v", p.term, p.attempt.ID, o, o)
+		w.carryOut(p, p.attempt, o)
+	}
+	if p.attempt.Phase == PhaseEnded && p.active {
+		p.active = false
+	}
+}
+
+// tickPlanner gives the attempt the time, or makes another attempt.
+func (w *world) tickPlanner(p *simPlanner) {
+	if p.active {
+		w.step(p, Tick{})
+		return
+	}
+	if p.term != int64(w.log.term) || w.log.outcome != nil || w.log.committed != "" || w.ms%500 != 0 {
+		return
+	}
+	if w.log.cancelled {
+		// The daemon ends a job that waits by itself.
+		w.log.outcome = outcome.Failed{Cancelled: true}
+		return
+	}
+	p.tries++
+	var members []Member
+	for i, a := range w.agents {
+		if len(members) < w.s.members && a.up && !w.log.failedVMs[a.vm] {
+			members = append(members, Member{VM: a.vm, Tasks: w.s.tasksPer, FirstRank: len(members) * w.s.tasksPer, Reclaim: i == 0 && w.s.seed%2 == 0})
+		}
+	}
+	if len(members) < w.s.members {
+		return
+	}
+	p.attempt = New("j", fmt.Sprintf("t%d-%d", p.term, p.tries), p.term, w.s.idempotent, members)
+	p.attempt.RanBefore = w.log.commits > 0
+	p.active = true
+	w.step(p, Proposed{})
+}
+
+func (w *world) takeOver() {
+	w.log.offset++
+	w.log.term = w.log.offset
+	p := &simPlanner{term: int64(w.log.term)}
+	w.planners = append(w.planners, p)
+	if w.log.committed != "" && w.log.outcome == nil {
+		p.attempt = Resume("j", w.log.committed, p.term, w.s.idempotent, w.log.members, int64(w.log.offset), w.now(), testTiming)
+		p.attempt.RanBefore = w.log.commits > 1
+		p.active = true
+		if w.log.cancelled {
+			w.step(p, Cancelled{})
+		}
+	}
+	w.say("planner %d takes over, attempt %q", p.term, p.attempt.ID)
+}
+
+// carryOut sends an order as the daemon does: each call gives one reply or
+// Unreachable, and a late reply may come after that.
+func (w *world) carryOut(p *simPlanner, a Attempt, o Order) {
+	switch o := o.(type) {
+	case Commit:
+		w.later(func() {
+			e := w.commit(p, a)
+			w.later(func() { w.later(func() { w.deliver(p, a.ID, e) }) })
+		})
+	case Abort:
+		w.close(p, a.ID)
+		w.later(func() { w.abort(p, a.ID, o) })
+	case End:
+		if _, whole := o.Outcome.(outcome.Answer); !whole {
+			w.close(p, a.ID)
+		}
+		w.later(func() { w.end(p, a, o) })
+	case Reserve:
+		w.call(p, a, o.VM, func(v *simAgent) Event { return w.reserve(v, a, o) })
+	case Start:
+		w.call(p, a, o.VM, func(v *simAgent) Event { return w.start(v, a) })
+	case Confirm:
+		w.call(p, a, o.VM, func(v *simAgent) Event { return w.confirm(v, a, o) })
+	case Renew:
+		w.call(p, a, o.VM, func(v *simAgent) Event { return w.renew(v, a, o) })
+	case Release:
+		w.call(p, a, o.VM, func(v *simAgent) Event { return w.release(v, a, p) })
+	}
+}
+
+func (w *world) call(p *simPlanner, a Attempt, vm string, handle func(*simAgent) Event) {
+	i := slices.IndexFunc(w.agents, func(v *simAgent) bool { return v.vm == vm })
+	v, boot, replied := w.agents[i], w.agents[i].boot, false
+	reply := func(e Event) {
+		replied = true
+		if e != nil {
+			w.deliver(p, a.ID, e)
+		}
+	}
+	w.at(w.ms+callMs, func() {
+		if !replied {
+			w.deliver(p, a.ID, Unreachable{VM: vm})
+		}
+	})
+	request := func() {
+		// A restart breaks the connection and what is on the way with it.
+		if !v.up || v.boot != boot {
+			return
+		}
+		e := handle(v)
+		if !w.chance(w.s.dropPercent) {
+			w.later(func() { reply(e) })
+		}
+	}
+	if !w.chance(w.s.dropPercent) {
+		w.later(request)
+	}
+	if w.chance(w.s.dupPercent) {
+		w.later(request)
+	}
+}
+
+func (w *world) commit(p *simPlanner, a Attempt) Event {
+	w.log.offset++
+	if p.term != int64(w.log.term) || w.log.committed != "" || w.log.outcome != nil || w.log.cancelled ||
+		!w.s.idempotent && w.log.commits > 0 {
+		return CommitVoid{Reason: "void"}
+	}
+	w.log.commits++
+	w.log.committed = a.ID
+	w.log.members = a.Members
+	w.say("commit %s", a.ID)
+	return Committed{Offset: int64(w.log.offset)}
+}
+
+func (w *world) abort(p *simPlanner, attempt string, o Abort) {
+	if p.term == int64(w.log.term) && w.log.committed == attempt && w.log.outcome == nil {
+		w.say("abort %s", attempt)
+		w.log.committed = ""
+		if o.FailedVM != "" {
+			w.log.failedVMs[o.FailedVM] = true
+			if len(w.log.failedVMs) == 3 || len(w.agents)-len(w.log.failedVMs) < w.s.members {
+				w.log.outcome = outcome.Failed{Reason: o.Reason}
+			}
+		}
+	}
+}
+
+func (w *world) end(p *simPlanner, a Attempt, o End) {
+	if p.term != int64(w.log.term) || w.log.committed != a.ID && w.log.committed != "" || w.log.outcome != nil {
+		return
+	}
+	w.say("end %T%+v", o.Outcome, o.Outcome)
+	w.log.outcome = o.Outcome
+	if answer, ok := o.Outcome.(outcome.Answer); ok {
+		if len(answer.Parts) != w.s.members*w.s.tasksPer {
+			w.fail("answer has %d parts", len(answer.Parts))
+		}
+		for i, p := range answer.Parts {
+			if p.Rank != i || p.Attempt != a.ID {
+				w.fail("part %d of the answer is %+v", i, p)
+			}
+		}
+	}
+}
+
+// close records that the planner of the newest term holds the attempt for
+// stopped, so that no member may run it from now on.
+func (w *world) close(p *simPlanner, attempt string) {
+	if p.term == int64(w.log.term) {
+		w.closed[attempt] = true
+	}
+}
+
+func (w *world) reserve(v *simAgent, a Attempt, o Reserve) Event {
+	part := v.attempts[a.ID]
+	switch {
+	case part == nil && a.Term >= v.maxTerm:
+		v.maxTerm = a.Term
+		v.attempts[a.ID] = &simPart{term: a.Term, heldBy: w.ms + int(o.Hold.Milliseconds()), confirmedAt: map[int]int{}}
+	case part == nil || part.dropped:
+		return Refused{VM: v.vm, Rule: "dropped"}
+	}
+	return Reserved{VM: v.vm, Boot: fmt.Sprint(v.boot)}
+}
+
+func (w *world) start(v *simAgent, a Attempt) Event {
+	part := v.attempts[a.ID]
+	switch {
+	case part == nil || part.dropped || part.term != a.Term:
+		return StartFailed{VM: v.vm, Rule: "noReservation"}
+	case !part.ran && w.ms >= part.heldBy:
+		part.dropped = true
+		return StartFailed{VM: v.vm, Rule: "expired"}
+	case !part.ran:
+		part.ran = true
+		w.say("%s starts %s", v.vm, a.ID)
+		v.runs[a.ID] = &simRun{startedAt: w.ms, leaseUntil: w.ms + int(testTiming.Lease.Milliseconds()), endAt: w.ms + w.s.taskMs + w.r.IntN(1000)}
+		w.started[a.ID] = true
+		if !w.s.idempotent && len(w.started) > 1 {
+			w.fail("a job that is not idempotent started twice: %v", w.started)
+		}
+		if w.closed[a.ID] {
+			w.fail("%s started %s after it was closed", v.vm, a.ID)
+		}
+	}
+	return Started{VM: v.vm}
+}
+
+func (w *world) confirm(v *simAgent, a Attempt, o Confirm) Event {
+	part := v.attempts[a.ID]
+	if part == nil || part.dropped || !part.ran || part.failed || !part.done && v.runs[a.ID] == nil {
+		return NotRunning{VM: v.vm, Reason: "not running"}
+	}
+	if part.done {
+		w.reportAnswers(v, a.ID)
+	}
+	part.round++
+	part.confirmedAt[part.round] = w.ms
+	return Confirmed{VM: v.vm, Round: part.round, Asked: o.Asked}
+}
+
+func (w *world) renew(v *simAgent, a Attempt, o Renew) Event {
+	if part, run := v.attempts[a.ID], v.runs[a.ID]; part != nil && run != nil {
+		run.leaseUntil = max(run.leaseUntil, part.confirmedAt[o.Round]+int(o.Lease.Milliseconds()))
+	}
+	return nil
+}
+
+func (w *world) release(v *simAgent, a Attempt, p *simPlanner) Event {
+	part := v.attempts[a.ID]
+	if part == nil {
+		part = &simPart{}
+		v.attempts[a.ID] = part
+	}
+	v.maxTerm = max(v.maxTerm, p.term)
+	part.dropped = true
+	delete(v.runs, a.ID)
+	return Released{VM: v.vm, Boot: fmt.Sprint(v.boot), Started: part.ran}
+}
+
+func (w *world) restart(v *simAgent) {
+	if !v.up {
+		return
+	}
+	w.say("%s restarts", v.vm)
+	v.up = false
+	v.boot++
+	v.attempts = map[string]*simPart{}
+	down := w.r.IntN(8_000)
+	lost := func() {
+		for _, p := range w.planners {
+			w.later(func() { w.deliver(p, p.attempt.ID, Lost{VM: v.vm}) })
+		}
+	}
+	if down > 4_000 {
+		w.at(w.ms+4_000, lost)
+	}
+	w.at(w.ms+down, func() {
+		v.up = true
+		clear(v.runs)
+		w.later(lost)
+	})
+}
+
+func (w *world) evict(v *simAgent) {
+	for id, run := range v.runs {
+		if part := v.attempts[id]; part != nil && v.up {
+			part.dropped = true
+			delete(v.runs, id)
+			w.report(v, id, func() Event {
+				return TaskStopped{VM: v.vm, Reason: "evicted", CheckpointMs: int64(w.ms - run.startedAt)}
+			})
+		}
+	}
+}
+
+// report sends an event to every planner until it arrives, as long as the
+// agent lives.
+func (w *world) report(v *simAgent, id string, event func() Event) {
+	boot := v.boot
+	for _, p := range w.planners {
+		var send func()
+		send = func() {
+			if v.boot != boot || !v.up {
+				return
+			}
+			if w.chance(w.s.dropPercent) {
+				w.at(w.ms+500, send)
+				return
+			}
+			w.later(func() { w.deliver(p, id, event()) })
+		}
+		send()
+	}
+}
+
+func (w *world) stepAgent(v *simAgent) {
+	for id, run := range v.runs {
+		part := v.attempts[id]
+		if w.ms >= run.leaseUntil {
+			delete(v.runs, id)
+			w.say("%s: lease of %s lapsed", v.vm, id)
+			if part != nil {
+				part.dropped = true
+			}
+			continue
+		}
+		if w.ms < run.endAt {
+			continue
+		}
+		delete(v.runs, id)
+		if part == nil {
+			continue
+		}
+		w.say("%s: %s ended", v.vm, id)
+		if w.s.ownError && v.vm != "v2" {
+			part.failed = true
+			w.report(v, id, func() Event { return TaskFailed{VM: v.vm, Reason: "own error"} })
+			continue
+		}
+		part.done = true
+		w.reportAnswers(v, id)
+	}
+	for id, part := range v.attempts {
+		if !part.ran && !part.dropped && w.ms >= part.heldBy {
+			part.dropped = true
+			w.say("%s: reservation of %s expired", v.vm, id)
+		}
+	}
+}
+
+func (w *world) reportAnswers(v *simAgent, id string) {
+	first := 0
+	for _, m := range w.log.members {
+		if m.VM == v.vm {
+			first = m.FirstRank
+		}
+	}
+	for rank := first; rank < first+w.s.tasksPer; rank++ {
+		w.report(v, id, func() Event {
+			return TaskEnded{outcome.Part{VM: v.vm, Attempt: id, Rank: rank, Length: 1}}
+		})
+	}
+}
+
+func (w *world) check() {
+	lease := int(testTiming.Lease.Milliseconds())
+	for id := range w.started {
+		whole := w.log.members != nil
+		for _, m := range w.log.members {
+			v := w.agents[slices.IndexFunc(w.agents, func(v *simAgent) bool { return v.vm == m.VM })]
+			part := v.attempts[id]
+			whole = whole && (v.runs[id] != nil || part != nil && part.done)
+		}
+		if whole {
+			w.lastWhole[id] = w.ms
+		}
+		for _, v := range w.agents {
+			run := v.runs[id]
+			if run == nil {
+				continue
+			}
+			if since := max(run.startedAt, w.lastWhole[id]); w.ms-since > lease+stepMs {
+				w.fail("%s runs %s for %d ms without the others", v.vm, id, w.ms-since)
+			}
+			if w.closed[id] {
+				w.fail("%s runs %s after it was closed", v.vm, id)
+			}
+		}
+	}
+}
+
+func (w *world) checkEnd() {
+	if w.fault != "" {
+		return
+	}
+	if w.log.outcome == nil {
+		w.fail("the job has not ended")
+	}
+	for _, v := range w.agents {
+		if len(v.runs) > 0 {
+			w.fail("%s still runs %v", v.vm, v.runs)
+		}
+		for id, part := range v.attempts {
+			if !part.dropped && !part.done && !part.failed {
+				w.fail("%s still holds %s", v.vm, id)
+			}
+		}
+	}
+	if o, ok := w.log.outcome.(outcome.NotRun); ok && len(w.started) > 0 {
+		w.fail("%+v, but %v started", o, w.started)
+	}
+}
--- a/gang/types.go
+++ b/gang/types.go
@@ -111,6 +111,9 @@
 	// Resumed says that another planner made the attempt and may still renew
 	// it.
 	Resumed bool
+	// RanBefore says that an earlier attempt of the job was committed, so that
+	// the job may have run. The caller of New and Resume sets it.
+	RanBefore bool
 	// Cancelled says that the caller cancelled the job.
 	Cancelled bool
 	// FailedVM is the VM whose task ended with the job's own error, empty for
@@ -221,6 +224,8 @@
 	// Start starts the member under a lease.
 	Start struct{ VM string }
 	// Confirm asks the member whether it runs. The reply carries Asked back.
+	// The agent also reports again the tasks that ended, because the planner
+	// that it reported them to may be gone.
 	Confirm struct {
 		VM    string
 		Asked int
