--- /dev/null
+++ b/faultproxy/faultproxy_test.go
@@ -0,0 +1,234 @@
+package faultproxy
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// echoServer answers each connection with what it gets and closes when the
+// client does.
+func echoServer(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newProxy(c *qt.C, target string, f Faults) *Proxy {
+	const seed = 7
+	p, err := New("127.0.0.1:0", target, seed)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(p.Close)
+	c.Assert(p.Set(f), qt.IsNil)
+	return p
+}
+
+func dial(c *qt.C, p *Proxy) net.Conn {
+	conn, err := net.Dial("tcp", p.Address())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	return conn
+}
+
+func payload(n int) []byte {
+	data := make([]byte, n)
+	r := rand.NewChaCha8([32]byte{1})
+	_, _ = r.Read(data)
+	return data
+}
+
+// TestBytesStayWhole guards against the proxy itself losing or reordering
+// bytes, which a test would take for a fault of the product.
+func TestBytesStayWhole(t *testing.T) {
+	for name, f := range map[string]Faults{
+		"no faults":        {},
+		"pieces":           {Up: Lane{PieceBytes: 1000}, Down: Lane{PieceBytes: 333}},
+		"delay and jitter": {Up: Lane{DelayMs: 20, JitterMs: 30}, Down: Lane{JitterMs: 30, PieceBytes: 50_000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newProxy(c, echoServer(c), f)
+			conn := dial(c, p)
+			want := payload(300_000)
+			go func() { _, _ = conn.Write(want) }()
+			got := make([]byte, len(want))
+			_, err := io.ReadFull(conn, got)
+			c.Assert(err, qt.IsNil)
+			c.Assert(bytes.Equal(got, want), qt.IsTrue)
+			n := p.Counters()
+			c.Assert([]int64{n.UpBytes, n.DownBytes, n.UpDiscarded, n.DownDiscarded}, qt.DeepEquals, []int64{300_000, 300_000, 0, 0})
+		})
+	}
+}
+
+// TestCloseDelivers guards against losing the end of a long answer whose
+// server closes at once while the client reads slowly.
+func TestCloseDelivers(t *testing.T) {
+	c := qt.New(t)
+	want := payload(20 << 20)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			_, _ = conn.Write(want)
+			_ = conn.Close()
+		}
+	}()
+	p := newProxy(c, l.Addr().String(), Faults{})
+	conn := dial(c, p)
+	time.Sleep(200 * time.Millisecond)
+	got, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(got), qt.Equals, len(want))
+	c.Assert(bytes.Equal(got, want), qt.IsTrue)
+	waitOpen(c, p, 0)
+}
+
+func waitOpen(c *qt.C, p *Proxy, want int) {
+	for range 100 {
+		if p.Counters().Open == want {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Fatalf("connections open = %d, want %d", p.Counters().Open, want)
+}
+
+// TestDelay guards against bytes that arrive before their delay.
+func TestDelay(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{Up: Lane{DelayMs: 100}, Down: Lane{DelayMs: 50, JitterMs: 20}})
+	conn := dial(c, p)
+	began := time.Now()
+	_, err := conn.Write([]byte("x"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(time.Since(began) >= 150*time.Millisecond, qt.IsTrue)
+}
+
+// TestHold guards against bytes that pass a block of one direction, and
+// against losing them when it ends.
+func TestHold(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{Down: Lane{Block: BlockHold}})
+	conn := dial(c, p)
+	_, err := conn.Write([]byte("held"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(150*time.Millisecond)), qt.IsNil)
+	_, err = conn.Read(make([]byte, 4))
+	c.Assert(err, qt.ErrorMatches, ".*timeout")
+	c.Assert(p.Counters().UpBytes, qt.Equals, int64(4))
+	c.Assert(p.Set(Faults{}), qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	got := make([]byte, 4)
+	_, err = io.ReadFull(conn, got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, "held")
+}
+
+// TestDiscard guards against a connection that goes on with a gap in its
+// bytes.
+func TestDiscard(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{})
+	conn := dial(c, p)
+	_, err := conn.Write([]byte("a"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Set(Faults{Down: Lane{Block: BlockDiscard}}), qt.IsNil)
+	_, err = conn.Write([]byte("bc"))
+	c.Assert(err, qt.IsNil)
+	for range 100 {
+		if p.Counters().DownDiscarded == 2 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Assert(p.Counters().DownDiscarded, qt.Equals, int64(2))
+	c.Assert(p.Counters().Open, qt.Equals, 1)
+	c.Assert(p.Set(Faults{}), qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+	waitOpen(c, p, 0)
+}
+
+// TestCut guards against connections that outlive a cut or open during one.
+func TestCut(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{})
+	conn := dial(c, p)
+	_, err := conn.Write([]byte("a"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Set(Faults{Cut: true}), qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+	_, err = dial(c, p).Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+	waitOpen(c, p, 0)
+	c.Assert(p.Set(Faults{}), qt.IsNil)
+	again := dial(c, p)
+	_, err = again.Write([]byte("b"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(again, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+}
+
+// TestTargetDown guards against a client that waits for a server that is gone.
+func TestTargetDown(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, "127.0.0.1:1", Faults{})
+	_, err := dial(c, p).Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+	waitOpen(c, p, 0)
+}
+
+// TestSetRefuses guards against wrong faults that change something.
+func TestSetRefuses(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, "127.0.0.1:1", Faults{Cut: true})
+	c.Assert(p.Set(Faults{Up: Lane{Block: "x"}}), qt.ErrorMatches, `up.block: found "x", allowed: empty, hold, discard`)
+	c.Assert(p.Set(Faults{Down: Lane{DelayMs: -1}}), qt.ErrorMatches, "down: found delayMs=-1 .*")
+	c.Assert(p.Faults(), qt.Equals, Faults{Cut: true})
+}
+
+// TestControl guards against a control port that accepts what it does not know.
+func TestControl(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, "127.0.0.1:1", Faults{})
+	post := func(body string) int {
+		w := httptest.NewRecorder()
+		p.Handler().ServeHTTP(w, httptest.NewRequest("POST", "/faults", strings.NewReader(body)))
+		return w.Code
+	}
+	c.Assert(post(`{"cut":true,"up":{"block":"hold"},"down":{"delayMs":5}}`), qt.Equals, 200)
+	c.Assert(p.Faults(), qt.Equals, Faults{Cut: true, Up: Lane{Block: BlockHold}, Down: Lane{DelayMs: 5}})
+	c.Assert(post(`{"cutt":false}`), qt.Equals, 400)
+	c.Assert(p.Faults().Cut, qt.IsTrue)
+}
