Confirmations carry the ends of tasks

Cause: an agent stops reporting the end of a task once one entry has confirmed it. When that planner dies before it appends the job's end, its successor never hears of the answer, aborts the attempt and runs the job again. Change: the reply to confirm lists the tasks that ended, and the planner takes them before the confirmation itself. Conclusion: a takeover needs no report that was already given.

--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -147,7 +147,7 @@
 	case wire.TaskResultFailed:
 		return gang.TaskFailed{VM: p.VM, Reason: p.Reason}, nil
 	case wire.TaskResultStopped, wire.TaskResultEvicted, wire.TaskResultLapsed:
-		return gang.TaskStopped{VM: p.VM, Reason: string(p.Result) + ": " + p.Reason, CheckpointMs: int64(p.CheckpointMs)}, nil
+		return gang.TaskStopped{VM: p.VM, Rank: p.Rank, Reason: string(p.Result) + ": " + p.Reason, CheckpointMs: int64(p.CheckpointMs)}, nil
 	default:
 		return nil, fmt.Errorf("result: found %q, allowed: answered, failed, stopped, evicted, lapsed", p.Result)
 	}
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -265,13 +265,25 @@
 			d.count("gangConfirmUnreachable")
 			d.step(a.ID, gang.Unreachable{VM: o.VM})
 		case r.Running:
+			d.endedBefore(a.ID, r.Ended)
 			d.step(a.ID, gang.Confirmed{VM: o.VM, Round: r.Round, Asked: o.Asked})
 		default:
+			d.endedBefore(a.ID, r.Ended)
 			d.step(a.ID, gang.NotRunning{VM: o.VM, Reason: "its agent says so"})
 		}
 	})
 }
 
+// endedBefore takes the ends of tasks that were reported to an earlier planner.
+// The steps ignore those that this one knows.
+func (d *Daemon) endedBefore(attemptID string, ended []wire.TaskEndedParams) {
+	for _, p := range ended {
+		if e, err := taskEvent(p); err == nil {
+			d.step(attemptID, e)
+		}
+	}
+}
+
 func (d *Daemon) release(a gang.Attempt, o gang.Release, now time.Time) {
 	conn := d.agentOf(o.VM)
 	if conn == nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -274,6 +274,10 @@
 
 // Whether every task of the attempt on this VM runs.
 type ConfirmResult struct {
+	// The tasks of the attempt that ended, for a planner that took over and missed
+	// their reports.
+	Ended []TaskEndedParams `json:"ended,omitempty,omitzero"`
+
 	// Round corresponds to the JSON schema field "round".
 	Round int `json:"round"`
 
