entryd: pass on earlier commits and advertise a set address

Cause: an attempt that is cancelled before its commit said not run of a job that an earlier attempt had run; and an entry told agents and peers the address it listens on, which no proxy and no wildcard address allows. Change: RanBefore is set from the fold's commits; Config.AdvertiseAddress. Conclusion: settings need a key for the address, advertiseAddress.

--- a/entryd/config.go
+++ b/entryd/config.go
@@ -20,6 +20,9 @@
 	// RPCAddress and HTTPAddress are TCP addresses to listen on.
 	RPCAddress  string
 	HTTPAddress string
+	// AdvertiseAddress is the RPC address that agents and peers are told. The
+	// default is the address that the entry listens on.
+	AdvertiseAddress string
 	// Seeds are RPC addresses of other entries. They may be empty: entries
 	// learn of one another from the agents.
 	Seeds  []string
--- a/entryd/peers.go
+++ b/entryd/peers.go
@@ -23,8 +23,16 @@
 // dialTimeout bounds one connection attempt to a peer.
 const dialTimeout = time.Second
 
+// address is where agents and peers reach this entry.
+func (d *Daemon) address() string {
+	if d.c.AdvertiseAddress != "" {
+		return d.c.AdvertiseAddress
+	}
+	return d.rpc.Address()
+}
+
 func (d *Daemon) self() wire.EntryInfo {
-	return wire.EntryInfo{ID: d.c.ID, Address: d.rpc.Address(), Zone: d.c.Zone, Region: d.c.Region}
+	return wire.EntryInfo{ID: d.c.ID, Address: d.address(), Zone: d.c.Zone, Region: d.c.Region}
 }
 
 // knownEntries is this entry and the live peers that take requests.
@@ -96,7 +104,7 @@
 	jobs := d.jobs.fold.Through
 	d.jobs.mu.Unlock()
 	return wire.PeerHello{
-		ID: d.c.ID, Address: d.rpc.Address(), Zone: d.c.Zone, Region: d.c.Region,
+		ID: d.c.ID, Address: d.address(), Zone: d.c.Zone, Region: d.c.Region,
 		ConfigOffset: int(offset), JobsOffset: int(jobs), Leaving: d.leaving.Load(), Ready: ready,
 		Entries: d.knownEntries(),
 	}
@@ -186,7 +194,7 @@
 		}
 	}
 	for address, dialing := range d.peers.seeds {
-		if !known[address] && !dialing && address != d.rpc.Address() {
+		if !known[address] && !dialing && address != d.address() && address != d.rpc.Address() {
 			d.peers.seeds[address] = true
 			dials = append(dials, dial{"", address})
 		}
--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -160,6 +160,7 @@
 			continue
 		}
 		a := gang.Resume(id, e.Attempt, d.jobs.term, e.Job.Idempotent, e.Members, e.CommitOffset, now, d.timing())
+		a.RanBefore = e.Commits > 1
 		d.jobs.attempts[e.Attempt] = &attempt{Attempt: a, job: e.Job}
 		d.jobs.holders[id] = e.Attempt
 		ids = append(ids, e.Attempt)
@@ -279,6 +280,7 @@
 		rank += m.Tasks
 	}
 	a := gang.New(p.JobID, id, d.jobs.term, e.Job.Idempotent, members)
+	a.RanBefore = e.Commits > 0
 	d.jobs.attempts[id] = &attempt{Attempt: a, job: e.Job}
 	d.jobs.holders[p.JobID] = id
 	for _, m := range p.Members {
