Keep new guarantee shares off work that cannot be evicted

Cause: a share under non-preemptible work of others could not be reclaimed until that work ends. Change: Assign puts new shares where no such work of others runs, as long as they fit there, and counts an organisation's own work as covered by its share.

--- a/guarantee/assign.go
+++ b/guarantee/assign.go
@@ -19,8 +19,9 @@
 // unless another shape fits only when it moves to a place that holds it, too.
 // A shape is n parts of k accelerators in one domain of its adjacency. Two
 // parts share a VM only when the domain has no further VM with room, or when
-// the adjacency is AdjacencyVM. The result does not depend on the order of the
-// arguments.
+// the adjacency is AdjacencyVM. New shares keep off accelerators that
+// non-preemptible work of others holds, as long as they fit elsewhere. The
+// result does not depend on the order of the arguments.
 func Assign(orgs []org.Org, vms []vm.View, previous Assignment) Assignment {
 	p := newPacking(orgs, vms)
 	for _, d := range p.demands {
@@ -50,6 +51,10 @@
 	index *vmindex.Index
 	// free is 0 for VMs that are lost or draining.
 	free []int
+	// firm is what non-preemptible work holds on each VM in service, and over
+	// sums what it holds beyond the shares of its organisations.
+	firm [][]firmUse
+	over []int
 	// wanted counts the selective organisations that each VM matches.
 	wanted  []int
 	demands []*demand
@@ -62,6 +67,8 @@
 	p := &packing{index: vmindex.New(vms)}
 	p.free = make([]int, len(p.index.VMs))
 	p.wanted = make([]int, len(p.index.VMs))
+	p.over = make([]int, len(p.index.VMs))
+	p.firm = make([][]firmUse, len(p.index.VMs))
 	for i := range p.index.VMs {
 		if v := &p.index.VMs[i]; !v.Lost && !v.Draining {
 			p.free[i] = v.Accelerators
@@ -89,6 +96,7 @@
 		p.demands = append(p.demands, d)
 	}
 	slices.SortFunc(p.demands, compareDemands)
+	p.loadFirm()
 	return p
 }
 
@@ -112,19 +120,19 @@
 }
 
 func (p *packing) put(d *demand, i, parts int) {
+	p.over[i] -= p.uncovered(d, i)
 	p.free[i] -= parts * d.size
 	d.count += parts
 	if d.placed[i] += parts; d.placed[i] == 0 {
 		delete(d.placed, i)
 	}
+	p.over[i] += p.uncovered(d, i)
 }
 
 func (p *packing) clear(d *demand) {
 	for i, n := range d.placed {
-		p.free[i] += n * d.size
+		p.put(d, i, -n)
 	}
-	clear(d.placed)
-	d.count = 0
 }
 
 func (p *packing) restore(d *demand, placed map[int]int) {
@@ -173,8 +181,11 @@
 			continue
 		}
 		kept := maps.Clone(d.placed)
-		if d.count > 0 && p.fill(d, d.adjacency, p.domainOf(d)) {
-			continue
+		if d.count > 0 {
+			domain := p.domainOf(d)
+			if p.fill(d, d.adjacency, domain, true) || p.fill(d, d.adjacency, domain, false) {
+				continue
+			}
 		}
 		p.clear(d)
 		if p.placeWhole(d) {
@@ -191,22 +202,25 @@
 	return -1
 }
 
-// placeWhole puts the shape into the nearest and tightest domain that holds it.
+// placeWhole puts the shape into the nearest and tightest domain that holds it,
+// if possible where it can be reclaimed at once.
 func (p *packing) placeWhole(d *demand) bool {
 	levels := vmindex.Levels(d.adjacency)
 	if len(levels) > 1 {
 		levels = levels[1:]
 	}
-	for _, level := range levels {
-		rooms := p.roomsOf(d, level)
-		best := -1
-		for n := range rooms {
-			if rooms[n].parts >= d.parts && (best < 0 || rooms[n].better(rooms[best], d.parts)) {
-				best = n
+	for _, reclaimable := range []bool{true, false} {
+		for _, level := range levels {
+			rooms := p.roomsOf(d, level, reclaimable)
+			best := -1
+			for n := range rooms {
+				if rooms[n].parts >= d.parts && (best < 0 || rooms[n].better(rooms[best], d.parts)) {
+					best = n
+				}
+			}
+			if best >= 0 {
+				return p.fill(d, level, best, reclaimable)
 			}
-		}
-		if best >= 0 {
-			return p.fill(d, level, best)
 		}
 	}
 	return false
@@ -228,7 +242,7 @@
 
 // roomsOf returns what each domain of the level has left. The result is valid
 // until the next call.
-func (p *packing) roomsOf(d *demand, level shape.Adjacency) []room {
+func (p *packing) roomsOf(d *demand, level shape.Adjacency, reclaimable bool) []room {
 	n := p.index.Counts[level]
 	if len(p.rooms) < n {
 		p.rooms = make([]room, n)
@@ -237,9 +251,9 @@
 	clear(rooms)
 	domains := p.index.Domains[level]
 	for _, i := range d.matching {
-		if p.free[i] >= d.size {
+		if n := p.room(d, i, reclaimable); n >= d.size {
 			r := &rooms[domains[i]]
-			r.parts += p.free[i] / d.size
+			r.parts += n / d.size
 			r.vms++
 			r.free += p.free[i]
 		}
@@ -250,11 +264,11 @@
 // fill puts parts into the domain until the shape is whole or the domain is
 // full, and reports whether it is whole. VMs that few selective organisations
 // match and that have little left come first.
-func (p *packing) fill(d *demand, level shape.Adjacency, domain int) bool {
+func (p *packing) fill(d *demand, level shape.Adjacency, domain int, reclaimable bool) bool {
 	var candidates []int
 	domains := p.index.Domains[level]
 	for _, i := range d.matching {
-		if domains[i] == domain && p.free[i] >= d.size {
+		if domains[i] == domain && p.room(d, i, reclaimable) >= d.size {
 			candidates = append(candidates, i)
 		}
 	}
@@ -265,7 +279,7 @@
 	for d.count < d.parts {
 		before := d.count
 		for _, i := range candidates {
-			if d.count < d.parts && p.free[i] >= d.size {
+			if d.count < d.parts && p.room(d, i, reclaimable) >= d.size {
 				p.put(d, i, 1)
 			}
 		}
@@ -283,7 +297,7 @@
 		if d.count == d.parts {
 			continue
 		}
-		rooms := p.roomsOf(d, d.adjacency)
+		rooms := p.roomsOf(d, d.adjacency, false)
 		best := p.domainOf(d)
 		if best >= 0 {
 			rooms[best].parts += d.count
@@ -300,7 +314,7 @@
 		if best != current {
 			p.clear(d)
 		}
-		p.fill(d, d.adjacency, best)
+		p.fill(d, d.adjacency, best, false)
 	}
 }
 
--- a/guarantee/assign_test.go
+++ b/guarantee/assign_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// TestAssignAvoidsFirmWork guards against a share under non-preemptible work of
+// others, which could not be reclaimed, while there is room elsewhere.
+func TestAssignAvoidsFirmWork(t *testing.T) {
+	vms := fleet(2, eight)
+	vms[0].Holdings = []vm.Holding{{Org: "b", Tasks: 1, Accelerators: 5}, {Org: "a", Tasks: 1, Accelerators: 3}}
+	vms[1].Holdings = []vm.Holding{{Org: "b", Tasks: 1, Accelerators: 4, Preemptible: true}}
+	tests := []struct {
+		org  org.Org
+		want map[string]int
+	}{
+		{shaped("c", 1, 2, "", ""), map[string]int{"vm00001": 2}},
+		{shaped("a", 1, 3, "", ""), map[string]int{"vm00000": 3}},
+		{shaped("a", 1, 4, "", ""), map[string]int{"vm00001": 4}},
+		{shaped("c", 1, 8, "", "parity=0"), map[string]int{"vm00000": 8}},
+	}
+	for _, tt := range tests {
+		got := Assign([]org.Org{tt.org}, vms, Assignment{})
+		qt.Check(t, got.Shares[tt.org.Name], qt.DeepEquals, tt.want, qt.Commentf("%+v", tt.org))
+	}
+}
+
 // TestAssignRepacks guards against kept shares leaving a shape unmet that a
 // new packing has room for.
 func TestAssignRepacks(t *testing.T) {
@@ -77,6 +98,9 @@
 func TestAssignProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := fleet(rapid.IntRange(0, 12).Draw(t, "vms"), func(int) int { return rapid.IntRange(0, 8).Draw(t, "accelerators") })
+		for i := range vms {
+			vms[i].Holdings = []vm.Holding{{Org: rapid.SampledFrom([]string{"0", "1", "x"}).Draw(t, "firm"), Tasks: 1, Accelerators: rapid.IntRange(0, vms[i].Accelerators).Draw(t, "held")}}
+		}
 		var orgs []org.Org
 		for i := range rapid.IntRange(0, 6).Draw(t, "orgs") {
 			orgs = append(orgs, shaped(fmt.Sprint(i), rapid.IntRange(1, 5).Draw(t, "n"), rapid.IntRange(1, 8).Draw(t, "k"),
--- a/guarantee/bench_test.go
+++ b/guarantee/bench_test.go
@@ -7,6 +7,7 @@
 
 	"celerypoint.example/celerypoint/org"
 	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
 )
 
 // BenchmarkAssign measures a first assignment and the one after a VM with
@@ -16,6 +17,11 @@
 	for _, s := range []struct{ vms, orgs int }{{11, 4}, {100, 16}, {1000, 165}, {4800, 790}} {
 		rd := rand.New(rand.NewPCG(1, 2))
 		vms := fleet(s.vms, func(i int) int { return 1 + min(1, i%5) })
+		for k := range 8 * len(vms) {
+			v := &vms[k%len(vms)]
+			h := vm.Holding{Org: fmt.Sprint(rd.IntN(s.orgs)), Tasks: 1, Accelerators: min(1, v.FreeAccelerators()), Preemptible: rd.IntN(4) > 0}
+			v.Holdings = append(v.Holdings, h)
+		}
 		var orgs []org.Org
 		for i := range s.orgs {
 			near := []shape.Adjacency{shape.AdjacencyRack, shape.AdjacencyZone, shape.AdjacencyRegion}[rd.IntN(3)]
--- a/guarantee/displace.go
+++ b/guarantee/displace.go
@@ -86,7 +86,7 @@
 		}
 		p.clear(v)
 	}
-	p.fill(d, d.adjacency, domain)
+	p.fill(d, d.adjacency, domain, false)
 	slices.SortFunc(moved, compareDemands)
 	for _, v := range moved {
 		if !p.placeWhole(v) {
@@ -97,7 +97,7 @@
 }
 
 func (p *packing) fits(d *demand, domain int) bool {
-	return p.roomsOf(d, d.adjacency)[domain].parts >= d.parts
+	return p.roomsOf(d, d.adjacency, false)[domain].parts >= d.parts
 }
 
 // blocks reports whether v holds VMs of the domain that d could use.
