Add the ledger, the agent daemon and the stand-in runtime

Cause: entries need an agent that reserves, starts, renews, releases and runs work on one VM, and a runtime to run it on. Change: ledger decides on accelerators, slots, shares, reclaim, loans and the queue of short tasks; agentd carries the decisions out over rpc and workerruntime; standinruntime serves the runtime protocol under leases. The schema gains RuntimeRecord for checkers. Result: the agentd tests of a reservation through to its answer, of a lease that lapses and of a loan pass. go test -race reports a race in package rpc between attach and feed, which rpc's own tests show too. Conclusion: the path from reserve to taskEnded works; property tests of the ledger, reclaim, drain and the graceful stop come next.

--- /dev/null
+++ b/agentd/agentd_test.go
@@ -0,0 +1,249 @@
+package agentd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"celerypoint.example/celerypoint/agent"
+	"celerypoint.example/celerypoint/entry"
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/standinruntime"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/wire"
+)
+
+const testTimeout = 15 * time.Second
+
+// fakeEntry takes announcements and reports, and gives orders.
+type fakeEntry struct {
+	engine *rpc.Engine
+	mu     sync.Mutex
+	cond   *sync.Cond
+	conn   *rpc.Conn
+	last   wire.AnnounceParams
+	ends   map[string]wire.TaskEndedParams
+	// foreign refuses reports, as an entry that does not know the job.
+	foreign bool
+	config  wire.VMConfig
+	others  []wire.EntryInfo
+}
+
+func newEntry(t *testing.T) *fakeEntry {
+	t.Helper()
+	e := &fakeEntry{ends: map[string]wire.TaskEndedParams{}}
+	e.cond = sync.NewCond(&e.mu)
+	engine, err := rpc.New(e.handle, rpc.WithListen("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	e.engine = engine
+	t.Cleanup(engine.Close)
+	return e
+}
+
+func (e *fakeEntry) handle(r *rpc.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch r.Method {
+	case entry.MethodAnnounce:
+		var p wire.AnnounceParams
+		if err := r.Decode(&p); err != nil {
+			r.Fail(err)
+			return
+		}
+		e.conn, e.last = r.Conn, p
+		r.Reply(wire.AnnounceResult{Config: e.config, Entries: e.others})
+	case entry.MethodTaskEnded:
+		var p wire.TaskEndedParams
+		if err := r.Decode(&p); err != nil || e.foreign {
+			r.Fail(fmt.Errorf("unknown job %s: %v", p.Job, err))
+			return
+		}
+		e.ends[taskID(p.Attempt, p.Rank)] = p
+		r.Reply(struct{}{})
+	}
+	e.cond.Broadcast()
+}
+
+// until waits for a state that an announcement or a report brings.
+func (e *fakeEntry) until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	late := time.AfterFunc(testTimeout, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.cond.Broadcast()
+	})
+	defer late.Stop()
+	deadline := time.Now().Add(testTimeout)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %s in time", what)
+		}
+		e.cond.Wait()
+	}
+}
+
+func (e *fakeEntry) end(t *testing.T, id string) wire.TaskEndedParams {
+	t.Helper()
+	e.until(t, "end of "+id, func() bool { _, ok := e.ends[id]; return ok })
+	return e.ends[id]
+}
+
+// bench is an agent with its runtime and one entry.
+type bench struct {
+	*testing.T
+	agent.Client
+	ctx     context.Context
+	runtime *standinruntime.Runtime
+	entry   *fakeEntry
+	daemon  *Daemon
+	boot    string
+}
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	runtime, err := standinruntime.New(standinruntime.Config{Listen: "127.0.0.1:0", VM: "vm1", Accelerators: 8, CheckpointTakes: 20 * time.Millisecond})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(runtime.Close)
+	b := &bench{T: t, ctx: ctx, runtime: runtime, entry: newEntry(t)}
+	b.boots()
+	return b
+}
+
+// boots starts an agent and waits for its first announcement.
+func (b *bench) boots() {
+	b.Helper()
+	d, err := New(Config{
+		VM:         vm.VM{ID: "vm1", Zone: "z1", Rack: "r1", Region: "g1", Accelerators: 8, Slots: 8},
+		AnnounceTo: []string{b.entry.engine.Address()}, RuntimeURL: "http://" + b.runtime.Address(), Seed: 1,
+	}, WithLogger(quiet()))
+	qt.Assert(b, err, qt.IsNil)
+	var once sync.Once
+	b.daemon = d
+	b.Cleanup(func() { once.Do(d.Kill) })
+	b.entry.until(b.T, "announcement", func() bool { return b.entry.conn != nil && b.entry.last.BootID != b.boot })
+	b.boot, b.Conn = b.entry.last.BootID, b.entry.conn
+}
+
+func (b *bench) job(id, payload string, preemptible bool) wire.Job {
+	return wire.Job{
+		ID: id, Org: "norte", Tasks: 1, AcceleratorsPerTask: 4, Urgency: "normal", Idempotent: true,
+		Preemptible: preemptible, Payload: wire.Text([]byte(payload)),
+	}
+}
+
+// reserves asks for tasks of 4 accelerators for the attempt "<job>-a".
+func (b *bench) reserves(j wire.Job, tasks int, reclaim bool) wire.GrantResult {
+	b.Helper()
+	result, err := b.Reserve(b.ctx, wire.ReserveParams{
+		Job: j.ID, Org: j.Org, Attempt: j.ID + "-a", Term: 1, Tasks: tasks, AcceleratorsPerTask: j.AcceleratorsPerTask,
+		Preemptible: j.Preemptible, Urgency: j.Urgency, HoldMs: 3000, Reclaim: reclaim, Config: b.entry.config,
+	})
+	qt.Assert(b, err, qt.IsNil)
+	return result
+}
+
+func (b *bench) starts(j wire.Job, leaseMs int) wire.GrantResult {
+	b.Helper()
+	result, err := b.Start(b.ctx, wire.StartParams{Job: j, Attempt: j.ID + "-a", Term: 1, CommitOffset: 1, LeaseMs: leaseMs, Config: b.entry.config})
+	qt.Assert(b, err, qt.IsNil)
+	return result
+}
+
+// runs starts an attempt that holds 4 accelerators for each task.
+func (b *bench) runs(j wire.Job, tasks, leaseMs int) {
+	b.Helper()
+	qt.Assert(b, b.reserves(j, tasks, false).Status, qt.Equals, wire.GrantStatusGranted)
+	qt.Assert(b, b.starts(j, leaseMs).Status, qt.Equals, wire.GrantStatusGranted)
+}
+
+// TestAttemptEndToEnd guards against a part of the way from a reservation to
+// the answer that does not work with the others.
+func TestAttemptEndToEnd(t *testing.T) {
+	b := newBench(t)
+	payload := `{"runMs":700,"answerBytes":300000,"seed":7}`
+	j := b.job("j1", payload, false)
+	b.runs(j, 2, 500)
+	for range 2 {
+		time.Sleep(200 * time.Millisecond)
+		confirmed, err := b.Confirm(b.ctx, wire.ConfirmParams{Attempt: "j1-a"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, confirmed.Running, qt.IsTrue)
+		renewed, err := b.Renew(b.ctx, wire.RenewParams{Attempt: "j1-a", Round: confirmed.Round, LeaseMs: 500})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, renewed.Renewed, qt.IsTrue)
+	}
+	for rank := range 2 {
+		want := standinruntime.Answer([]byte(payload), rank)
+		end := b.entry.end(t, taskID("j1-a", rank))
+		qt.Assert(t, end.Result, qt.Equals, wire.TaskResultAnswered)
+		var got []byte
+		for len(got) < end.Length {
+			part, err := b.Answer(b.ctx, wire.AnswerParams{Attempt: "j1-a", Rank: rank, Offset: len(got), Max: 256 << 10})
+			qt.Assert(t, err, qt.IsNil)
+			data, err := wire.Bytes("data", part.Data)
+			qt.Assert(t, err, qt.IsNil)
+			got = append(got, data...)
+		}
+		qt.Assert(t, string(got) == string(want), qt.IsTrue)
+	}
+	released, err := b.Release(b.ctx, wire.ReleaseParams{Job: "j1", Attempt: "j1-a", Term: 1})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, released.Started, qt.IsTrue)
+	qt.Assert(t, b.starts(j, 500).Status, qt.Equals, wire.GrantStatusGranted)
+	qt.Assert(t, b.daemon.Holdings(), qt.HasLen, 0)
+}
+
+// TestLeaseLapses guards against an attempt that runs on although no entry
+// renews its lease.
+func TestLeaseLapses(t *testing.T) {
+	b := newBench(t)
+	b.runs(b.job("j1", `{"runMs":60000}`, false), 2, 150)
+	qt.Assert(t, b.entry.end(t, "j1-a/0").Result, qt.Equals, wire.TaskResultLapsed)
+	confirmed, err := b.Confirm(b.ctx, wire.ConfirmParams{Attempt: "j1-a"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, confirmed.Running, qt.IsFalse)
+}
+
+func (b *bench) short(id, payload string, accelerators int) wire.RunResult {
+	b.Helper()
+	j := wire.Job{ID: id, Org: "sur", Tasks: 1, AcceleratorsPerTask: accelerators, Urgency: "urgent", Idempotent: true, Payload: wire.Text([]byte(payload))}
+	result, err := b.Client.Run(b.ctx, wire.RunParams{Job: j, Attempt: id + "-a", QueueMs: 300, Config: b.entry.config})
+	qt.Assert(b, err, qt.IsNil)
+	return result
+}
+
+// TestRunLends guards against an urgent task that waits behind long
+// preemptible work, and against lent accelerators that do not come back.
+func TestRunLends(t *testing.T) {
+	b := newBench(t)
+	b.runs(b.job("long", `{"runMs":400,"echo":"done"}`, true), 2, 5000)
+	result := b.short("quick", `{"runMs":20,"echo":"red"}`, 1)
+	qt.Assert(t, result.Status, qt.Equals, wire.RunStatusAnswered, qt.Commentf("%+v", result))
+	qt.Assert(t, result.Body, qt.Equals, wire.Text([]byte("red")))
+	for _, id := range []string{"long-a/0", "long-a/1"} {
+		qt.Assert(t, b.entry.end(t, id).Result, qt.Equals, wire.TaskResultAnswered)
+	}
+	kinds := map[wire.RuntimeRecordKind]int{}
+	for _, r := range b.runtime.Records() {
+		kinds[r.Kind]++
+	}
+	qt.Assert(t, kinds, qt.DeepEquals, map[wire.RuntimeRecordKind]int{
+		wire.RuntimeRecordKindStarted: 3, wire.RuntimeRecordKindThrottled: 2, wire.RuntimeRecordKindResumed: 2, wire.RuntimeRecordKindEnded: 3,
+	})
+}
--- /dev/null
+++ b/agentd/answers.go
@@ -0,0 +1,160 @@
+package agentd
+
+import (
+	"sync"
+	"time"
+
+	"celerypoint.example/celerypoint/wire"
+)
+
+// answerTable holds the ends of tasks. The bytes of answers stay at the
+// runtime, so that the agent's memory does not grow with them.
+type answerTable struct {
+	sync.Mutex
+	// answers by task identifier.
+	answers map[string]*answer
+	// complete holds the attempts whose tasks all ended with answers.
+	complete map[string]bool
+	// reports wait for an entry's confirmation, by task identifier.
+	reports map[string]*report
+	// kept lists what is dropped at its deadline, the earliest first; each has
+	// the same retention.
+	kept []kept
+	// changed is closed and replaced when an answer is read or a report is
+	// confirmed.
+	changed chan struct{}
+}
+
+type answer struct {
+	length   int
+	checksum string
+	read     bool
+}
+
+type report struct {
+	params wire.TaskEndedParams
+	until  time.Time
+}
+
+type kept struct {
+	id, attempt string
+	until       time.Time
+}
+
+func (t *answerTable) init() {
+	t.answers, t.complete, t.reports = map[string]*answer{}, map[string]bool{}, map[string]*report{}
+	t.changed = make(chan struct{})
+}
+
+func (t *answerTable) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// keep stores an answer until the time.
+func (t *answerTable) keep(id, attempt string, length int, checksum string, until time.Time) {
+	t.Lock()
+	defer t.Unlock()
+	t.answers[id] = &answer{length: length, checksum: checksum, read: length == 0}
+	t.kept = append(t.kept, kept{id, attempt, until})
+}
+
+func (t *answerTable) find(id string) (answer, bool) {
+	t.Lock()
+	defer t.Unlock()
+	a, ok := t.answers[id]
+	if !ok {
+		return answer{}, false
+	}
+	return *a, true
+}
+
+// markRead notes that the last byte of an answer was read.
+func (t *answerTable) markRead(id string) {
+	t.Lock()
+	defer t.Unlock()
+	if a, ok := t.answers[id]; ok && !a.read {
+		a.read = true
+		t.notify()
+	}
+}
+
+func (t *answerTable) markComplete(attempt string) {
+	t.Lock()
+	defer t.Unlock()
+	t.complete[attempt] = true
+}
+
+func (t *answerTable) isComplete(attempt string) bool {
+	t.Lock()
+	defer t.Unlock()
+	return t.complete[attempt]
+}
+
+func (t *answerTable) report(id string, r report) {
+	t.Lock()
+	defer t.Unlock()
+	t.reports[id] = &r
+}
+
+// unconfirmed lists the reports that no entry has confirmed.
+func (t *answerTable) unconfirmed() map[string]wire.TaskEndedParams {
+	t.Lock()
+	defer t.Unlock()
+	if len(t.reports) == 0 {
+		return nil
+	}
+	reports := make(map[string]wire.TaskEndedParams, len(t.reports))
+	for id, r := range t.reports {
+		reports[id] = r.params
+	}
+	return reports
+}
+
+func (t *answerTable) waits(id string) bool {
+	t.Lock()
+	defer t.Unlock()
+	return t.reports[id] != nil
+}
+
+func (t *answerTable) confirmed(id string) {
+	t.Lock()
+	defer t.Unlock()
+	if t.reports[id] != nil {
+		delete(t.reports, id)
+		t.notify()
+	}
+}
+
+// drop forgets what is past its retention, and returns the number of reports
+// that no entry has confirmed.
+func (t *answerTable) drop(now time.Time) int {
+	t.Lock()
+	defer t.Unlock()
+	for len(t.kept) > 0 && !now.Before(t.kept[0].until) {
+		delete(t.answers, t.kept[0].id)
+		delete(t.complete, t.kept[0].attempt)
+		t.kept = t.kept[1:]
+	}
+	lost := 0
+	for id, r := range t.reports {
+		if !now.Before(r.until) {
+			delete(t.reports, id)
+			lost++
+		}
+	}
+	return lost
+}
+
+// pending counts unread answers and unconfirmed reports.
+func (t *answerTable) pending() (int, <-chan struct{}) {
+	t.Lock()
+	defer t.Unlock()
+	n := len(t.reports)
+	for _, a := range t.answers {
+		if !a.read {
+			n++
+		}
+	}
+	return n, t.changed
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -950,6 +950,44 @@
 const RunStatusRefused RunStatus = "refused"
 const RunStatusStopped RunStatus = "stopped"
 
+// One change of a task that the stand-in runtime recorded for checkers.
+type RuntimeRecord struct {
+	// Accelerators corresponds to the JSON schema field "accelerators".
+	Accelerators int `json:"accelerators"`
+
+	// AtUnixUs corresponds to the JSON schema field "atUnixUs".
+	AtUnixUs int `json:"atUnixUs"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Job corresponds to the JSON schema field "job".
+	Job string `json:"job"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind RuntimeRecordKind `json:"kind"`
+
+	// Rank corresponds to the JSON schema field "rank".
+	Rank int `json:"rank"`
+}
+
+type RuntimeRecordKind string
+
+const RuntimeRecordKindEnded RuntimeRecordKind = "ended"
+const RuntimeRecordKindFailed RuntimeRecordKind = "failed"
+const RuntimeRecordKindLeaseLapsed RuntimeRecordKind = "leaseLapsed"
+const RuntimeRecordKindOverbooked RuntimeRecordKind = "overbooked"
+const RuntimeRecordKindResumed RuntimeRecordKind = "resumed"
+const RuntimeRecordKindStarted RuntimeRecordKind = "started"
+const RuntimeRecordKindStopped RuntimeRecordKind = "stopped"
+const RuntimeRecordKindThrottled RuntimeRecordKind = "throttled"
+
+// Every record of the stand-in runtime, oldest first.
+type RuntimeRecords struct {
+	// Records corresponds to the JSON schema field "records".
+	Records []RuntimeRecord `json:"records"`
+}
+
 // A number of VMs with accelerators on each.
 type Shape struct {
 	// AcceleratorsPerVM corresponds to the JSON schema field "acceleratorsPerVM".
