--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,215 @@
+// Package settings reads the settings of the daemons. A value comes from a
+// flag, an environment variable or the INI file, in that order, or is the
+// default. Everything is checked before anything starts: an error names the
+// file, section and key, what was found and what is allowed. The package owns
+// no state and takes no lock.
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"celerypoint.example/celerypoint/placement"
+)
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	ID, Zone, Region string
+	// RPCAddress is where agents and other entries connect. They learn it
+	// from this entry, so it names one IP address of the VM.
+	RPCAddress  string
+	HTTPAddress string
+	// Seeds are RPC addresses of other entries; they may be empty.
+	Seeds  []string
+	LogURL string
+
+	Placement                            placement.Policy
+	UrgentQueue, NormalQueue, BatchQueue int
+	Workers                              int
+
+	VMLost, PeerLost, Hello         time.Duration
+	Reservation, GangLease, Confirm time.Duration
+	Reclaim, Stop, BalancerNotice   time.Duration
+
+	// LogLevel is a level of logrus.
+	LogLevel string
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	VM, Zone, Rack, Region string
+	// AnnounceTo are RPC addresses of entries, at least one.
+	AnnounceTo []string
+	Labels     map[string]string
+
+	Accelerators, Slots, Connections, CPUs, MemoryMB int
+
+	RuntimeURL string
+
+	Announce, Reclaim, Checkpoint time.Duration
+	AnswerRetention, Stop         time.Duration
+
+	// LogLevel is a level of logrus.
+	LogLevel string
+}
+
+// Key describes one setting. It is the only description of it: parsing, flags,
+// environment variables and `check --defaults` all use it.
+type Key struct {
+	Section, Name string
+	// Default is the text that stands for a missing value. A key with an empty
+	// default that is not Optional has to be set.
+	Default  string
+	Optional bool
+	// Allowed says in words which values are valid.
+	Allowed string
+	Help    string
+}
+
+// Flag is the name of the key's flag, without the dashes.
+func (k Key) Flag() string { return k.Section + "." + k.Name }
+
+// Variable is the name of the key's environment variable.
+func (k Key) Variable() string {
+	return "CELERYPOINT_" + strings.ToUpper(k.Section+"_"+k.Name)
+}
+
+// binding ties a key to the field that it sets. set reports whether the value
+// is allowed.
+type binding[S any] struct {
+	Key
+	set func(*S, string) bool
+}
+
+// EntryKeys lists the keys of entry.ini in the order of the file.
+func EntryKeys() []Key { return keysOf(entryBindings) }
+
+// AgentKeys lists the keys of agent.ini in the order of the file.
+func AgentKeys() []Key { return keysOf(agentBindings) }
+
+func keysOf[S any](bindings []binding[S]) []Key {
+	keys := make([]Key, 0, len(bindings))
+	for _, b := range bindings {
+		keys = append(keys, b.Key)
+	}
+	return keys
+}
+
+// LoadEntry reads the settings of an entry. The path may be empty; overrides
+// maps a key's flag name to a value that goes before the file's.
+func LoadEntry(path string, overrides map[string]string) (Entry, error) {
+	e, err := load(path, overrides, entryBindings)
+	if err != nil {
+		return Entry{}, err
+	}
+	if e.PeerLost+e.Confirm >= e.GangLease {
+		return Entry{}, fmt.Errorf("%s: [timing] peerLostMs: found %d with confirmMs=%d, allowed: their sum below gangLeaseMs=%d, so that a gang survives its planner",
+			source(path), e.PeerLost.Milliseconds(), e.Confirm.Milliseconds(), e.GangLease.Milliseconds())
+	}
+	return e, nil
+}
+
+// LoadAgent reads the settings of an agent; see LoadEntry.
+func LoadAgent(path string, overrides map[string]string) (Agent, error) {
+	a, err := load(path, overrides, agentBindings)
+	if err != nil {
+		return Agent{}, err
+	}
+	if a.Checkpoint >= a.Reclaim {
+		return Agent{}, fmt.Errorf("%s: [timing] checkpointMs: found %d, allowed: below reclaimMs=%d, which includes it",
+			source(path), a.Checkpoint.Milliseconds(), a.Reclaim.Milliseconds())
+	}
+	return a, nil
+}
+
+func source(path string) string {
+	if path == "" {
+		return "settings"
+	}
+	return path
+}
+
+func load[S any](path string, overrides map[string]string, bindings []binding[S]) (S, error) {
+	var s S
+	values, err := readFile(path, keysOf(bindings))
+	if err != nil {
+		return s, err
+	}
+	for name := range overrides {
+		if !slices.ContainsFunc(bindings, func(b binding[S]) bool { return b.Flag() == name }) {
+			return s, fmt.Errorf("--%s: found an unknown setting, allowed: the keys of `celerypoint check --defaults`", name)
+		}
+	}
+	for _, b := range bindings {
+		origin := fmt.Sprintf("%s: [%s] %s", source(path), b.Section, b.Name)
+		value, found := values[b.Flag()]
+		if v, ok := overrides[b.Flag()]; ok {
+			value, found = v, true
+			origin = fmt.Sprintf("--%s or %s", b.Flag(), b.Variable())
+		}
+		if !found {
+			if value = b.Default; value == "" {
+				if b.Optional {
+					continue
+				}
+				return s, fmt.Errorf("%s: found none, allowed: %s", origin, b.Allowed)
+			}
+		}
+		if !b.set(&s, value) {
+			return s, fmt.Errorf("%s: found %q, allowed: %s", origin, value, b.Allowed)
+		}
+	}
+	return s, nil
+}
+
+// readFile returns the values of an INI file by flag name. Unknown sections
+// and keys, and keys that stand twice, are errors.
+func readFile(path string, keys []Key) (map[string]string, error) {
+	values := map[string]string{}
+	if path == "" {
+		return values, nil
+	}
+	// Shadows keep every value of a repeated key, so that it is noticed.
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, KeyValueDelimiters: "="}, path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, section := range file.Sections() {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		var allowed []string
+		for _, k := range keys {
+			if k.Section == section.Name() {
+				allowed = append(allowed, k.Name)
+			}
+		}
+		if len(allowed) == 0 {
+			return nil, fmt.Errorf("%s: [%s]: found an unknown section, allowed: %s", path, section.Name(), strings.Join(sections(keys), ", "))
+		}
+		for _, k := range section.Keys() {
+			if !slices.Contains(allowed, k.Name()) {
+				return nil, fmt.Errorf("%s: [%s] %s: found an unknown key, allowed: %s", path, section.Name(), k.Name(), strings.Join(allowed, ", "))
+			}
+			if n := len(k.ValueWithShadows()); n > 1 {
+				return nil, fmt.Errorf("%s: [%s] %s: found %d values, allowed: one", path, section.Name(), k.Name(), n)
+			}
+			values[section.Name()+"."+k.Name()] = k.String()
+		}
+	}
+	return values, nil
+}
+
+func sections(keys []Key) []string {
+	var names []string
+	for _, k := range keys {
+		if !slices.Contains(names, k.Section) {
+			names = append(names, k.Section)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestBadFiles guards against a daemon that starts with a setting that its
+// operator did not mean, and against errors that do not lead to the line.
+func TestBadFiles(t *testing.T) {
+	text, err := os.ReadFile("testdata/errors.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(text)) {
+		name, want, ok := strings.Cut(strings.TrimSpace(line), " | ")
+		qt.Assert(t, ok, qt.IsTrue)
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join("testdata", "bad", name)
+			if strings.HasPrefix(name, "entry") {
+				_, err = LoadEntry(path, nil)
+			} else {
+				_, err = LoadAgent(path, nil)
+			}
+			qt.Assert(t, err, qt.ErrorMatches, path+": "+want)
+		})
+	}
+}
+
+// TestExamples guards against examples that the program no longer accepts.
+func TestExamples(t *testing.T) {
+	entries, err := filepath.Glob("../examples/*/entry.ini")
+	qt.Assert(t, err, qt.IsNil)
+	agents, err := filepath.Glob("../examples/*/agent.ini")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(entries)+len(agents), qt.Equals, 4)
+	for _, path := range entries {
+		_, err := LoadEntry(path, nil)
+		qt.Check(t, err, qt.IsNil)
+	}
+	for _, path := range agents {
+		a, err := LoadAgent(path, nil)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, []int{a.Accelerators, a.Slots, a.Connections}, qt.DeepEquals, []int{8, 8, 64})
+	}
+}
+
+// TestOverrides guards against a flag that does not go before the file, and
+// against a bad or unknown one that is taken.
+func TestOverrides(t *testing.T) {
+	e, err := LoadEntry("testdata/good/entry.ini", map[string]string{"timing.vmLostMs": "2500", "entry.zone": "z9"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, e.VMLost, qt.Equals, 2500*time.Millisecond)
+	qt.Assert(t, e.Zone, qt.Equals, "z9")
+	qt.Assert(t, e.ID, qt.Equals, "e1")
+	_, err = LoadAgent("testdata/good/agent.ini", map[string]string{"agent.slots": "0"})
+	qt.Assert(t, err, qt.ErrorMatches, `--agent.slots or CELERYPOINT_AGENT_SLOTS: found "0", allowed: 1 to 4096`)
+	_, err = LoadAgent("testdata/good/agent.ini", map[string]string{"agent.slot": "1"})
+	qt.Assert(t, err, qt.ErrorMatches, `--agent.slot: found an unknown setting, .*`)
+}
