--- /dev/null
+++ b/entryhttp/entryhttp_test.go
@@ -0,0 +1,72 @@
+package entryhttp
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/httpserver"
+	"celerypoint.example/celerypoint/wire"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// TestNextEntry guards against a command that fails while another entry could
+// serve it, and against a refused request that is sent again elsewhere.
+func TestNextEntry(t *testing.T) {
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	leaving := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		httpserver.JSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "not run", Rule: "entryLeaving"})
+	})
+	full := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		httpserver.JSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "not run", Rule: "queueFull"})
+	})
+	good := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		httpserver.JSON(w, http.StatusOK, wire.JobView{ID: "j", Phase: wire.JobPhaseEnded})
+	})
+	unreachable := strings.TrimPrefix(gone.URL, "http://")
+	for _, tt := range []struct {
+		name      string
+		addresses []string
+		want      string
+	}{
+		{"unreachable", []string{unreachable, good}, ""},
+		{"leaving", []string{leaving, good}, ""},
+		{"refused", []string{full, good}, `.*rule queueFull.*`},
+		{"none left", []string{leaving, unreachable}, `.*connection refused`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := New(tt.addresses...).Submit(context.Background(), wire.SubmitRequest{}, 0)
+			if tt.want == "" {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
+
+// TestAnswerIsChecked guards against a changed answer that is taken as whole.
+func TestAnswerIsChecked(t *testing.T) {
+	sum := wire.Checksum(xxhash.Sum64String("tin"))
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Celerypoint-Length", "3")
+		w.Header().Set("Celerypoint-Checksum", sum)
+		httpserver.Reply(w, http.StatusOK, "application/octet-stream", []byte(strings.Split(r.URL.Path, "/")[3]))
+	})
+	body, err := New(address).Answer(context.Background(), "tin")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "tin")
+	_, err = New(address).Answer(context.Background(), "tan")
+	qt.Assert(t, err, qt.ErrorMatches, `answer of job tan: found 3 bytes .*`)
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -38,6 +38,9 @@
 	Events(ctx context.Context) ([]timeline.Event, error)
 }
 
+// ErrLeaving says that the entry is stopping and did not append the change.
+var ErrLeaving = errors.New("the entry is stopping and takes no change")
+
 // Handler serves /v1/config, /v1/status, /v1/timeline and /v1/drain.
 type Handler struct {
 	service Service
@@ -96,6 +99,11 @@
 		return
 	}
 	result, err := h.service.Change(r.Context(), record)
+	if errors.Is(err, ErrLeaving) {
+		w.Header().Set("Retry-After", "1")
+		httpserver.JSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "not changed: " + err.Error(), Rule: "entryLeaving"})
+		return
+	}
 	if err != nil {
 		fail(w, http.StatusServiceUnavailable, fmt.Errorf("%s: it is not known whether the change is accepted: %w", c.Object, err))
 		return
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -23,6 +23,8 @@
 		address(func(e *Entry) *string { return &e.RPCAddress }, false)},
 	{Key{Section: "entry", Name: "httpAddress", Allowed: httpAllowed, Help: "where callers, operators and the load balancer connect"},
 		address(func(e *Entry) *string { return &e.HTTPAddress }, true)},
+	{Key{Section: "entry", Name: "advertiseAddress", Optional: true, Allowed: "IP:PORT", Help: "RPC address that others are told, when it is not rpcAddress"},
+		target(func(e *Entry) *string { return &e.AdvertiseAddress })},
 	{Key{Section: "entry", Name: "seeds", Optional: true, Allowed: listAllowed, Help: "RPC addresses of other entries"},
 		addresses(func(e *Entry) *[]string { return &e.Seeds })},
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,8 @@
 	// from this entry, so it names one IP address of the VM.
 	RPCAddress  string
 	HTTPAddress string
+	// AdvertiseAddress stands for RPCAddress towards others unless it is empty.
+	AdvertiseAddress string
 	// Seeds are RPC addresses of other entries; they may be empty.
 	Seeds  []string
 	LogURL string
--- a/settings/values.go
+++ b/settings/values.go
@@ -42,12 +42,24 @@
 	}
 }
 
+// target accepts an address to connect to.
+func target[S any](field func(*S) *string) func(*S, string) bool {
+	return func(s *S, value string) bool {
+		*field(s) = value
+		return connectable(value)
+	}
+}
+
+func connectable(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified()
+}
+
 func addresses[S any](field func(*S) *[]string) func(*S, string) bool {
 	return func(s *S, value string) bool {
 		for part := range strings.SplitSeq(value, ",") {
 			part = strings.TrimSpace(part)
-			a, err := netip.ParseAddrPort(part)
-			if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+			if !connectable(part) {
 				return false
 			}
 			*field(s) = append(*field(s), part)
