--- /dev/null
+++ b/cli/daemons.go
@@ -0,0 +1,128 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
+
+	"celerypoint.example/celerypoint/entryd"
+	"celerypoint.example/celerypoint/frontend"
+	"celerypoint.example/celerypoint/settings"
+)
+
+// settingFlags adds a flag for each key. The result gives the ones that a flag
+// or an environment variable has set.
+func settingFlags(fs *flag.FlagSet, keys []settings.Key) func() map[string]string {
+	for _, k := range keys {
+		usage := k.Help + "; allowed: " + k.Allowed
+		if k.Default != "" {
+			usage += "; default: " + k.Default
+		}
+		fs.String(k.Flag(), "", usage)
+	}
+	return func() map[string]string {
+		overrides := map[string]string{}
+		fs.Visit(func(f *flag.Flag) {
+			if f.Name != "settings" {
+				overrides[f.Name] = f.Value.String()
+			}
+		})
+		return overrides
+	}
+}
+
+func (p *program) entryCommand() *ffcli.Command {
+	fs := p.flags("entry")
+	path := fs.String("settings", "", "INI `FILE` with the settings")
+	overrides := settingFlags(fs, settings.EntryKeys())
+	return command(fs, "", "run an entry until SIGTERM, which stops it gracefully", "celerypoint entry --settings /etc/celerypoint/entry.ini --entry.id entry-a1",
+		func(ctx context.Context, args []string) error {
+			if err := arguments(args); err != nil {
+				return err
+			}
+			s, err := settings.LoadEntry(*path, overrides())
+			if err != nil {
+				return usageError{err}
+			}
+			return p.runEntry(ctx, s)
+		})
+}
+
+func (p *program) agentCommand() *ffcli.Command {
+	fs := p.flags("agent")
+	path := fs.String("settings", "", "INI `FILE` with the settings")
+	overrides := settingFlags(fs, settings.AgentKeys())
+	return command(fs, "", "run the agent of a worker VM until SIGTERM, which stops it gracefully", "celerypoint agent --settings /etc/celerypoint/agent.ini --agent.vm worker-01",
+		func(ctx context.Context, args []string) error {
+			if err := arguments(args); err != nil {
+				return err
+			}
+			s, err := settings.LoadAgent(*path, overrides())
+			if err != nil {
+				return usageError{err}
+			}
+			return p.runAgent(ctx, s)
+		})
+}
+
+// entryConfig translates the settings of an entry.
+func entryConfig(s settings.Entry) entryd.Config {
+	return entryd.Config{
+		ID: s.ID, Zone: s.Zone, Region: s.Region,
+		RPCAddress: s.RPCAddress, HTTPAddress: s.HTTPAddress, AdvertiseAddress: s.AdvertiseAddress, Seeds: s.Seeds, LogURL: s.LogURL,
+		Placement: s.Placement, UrgentQueue: s.UrgentQueue, NormalQueue: s.NormalQueue, BatchQueue: s.BatchQueue, Workers: s.Workers,
+		VMLost: s.VMLost, PeerLost: s.PeerLost, Hello: s.Hello, Reservation: s.Reservation, GangLease: s.GangLease,
+		ConfirmEvery: s.Confirm, Reclaim: s.Reclaim, BalancerDelay: s.BalancerNotice,
+	}
+}
+
+func (p *program) runEntry(ctx context.Context, s settings.Entry) error {
+	logger, err := p.logger(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	d, err := entryd.New(entryConfig(s), entryd.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	f, err := frontend.New(s.HTTPAddress, d)
+	if err != nil {
+		d.Kill()
+		return err
+	}
+	logger.WithFields(logrus.Fields{"entry": s.ID, "rpc": d.RPCAddress(), "http": f.Address()}).Info("entry listens")
+	<-ctx.Done()
+	return stop(ctx, s.Stop, f.Stop)
+}
+
+// stop runs a graceful stop after the signal that ended ctx.
+func stop(ctx context.Context, longest time.Duration, f func(context.Context) error) error {
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
+	defer cancel()
+	if err := f(stopping); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+func (p *program) runAgent(context.Context, settings.Agent) error {
+	return errors.New("agent: not part of this build yet")
+}
+
+// logger writes log lines to standard error.
+func (p *program) logger(level string) (*logrus.Logger, error) {
+	l := logrus.New()
+	l.SetOutput(p.stderr)
+	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("logging level: %w", err)
+	}
+	l.SetLevel(parsed)
+	return l, nil
+}
--- a/cmd/celerypoint/main.go
+++ b/cmd/celerypoint/main.go
@@ -2,6 +2,19 @@
 // guarantees.
 package main
 
-import "os"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { os.Exit(2) }
+	"celerypoint.example/celerypoint/cli"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
