--- a/cli/daemons.go
+++ b/cli/daemons.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"time"
@@ -10,9 +9,12 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
+	"celerypoint.example/celerypoint/agentd"
 	"celerypoint.example/celerypoint/entryd"
 	"celerypoint.example/celerypoint/frontend"
+	"celerypoint.example/celerypoint/ledger"
 	"celerypoint.example/celerypoint/settings"
+	"celerypoint.example/celerypoint/vm"
 )
 
 // settingFlags adds a flag for each key. The result gives the ones that a flag
@@ -110,8 +112,34 @@
 	return nil
 }
 
-func (p *program) runAgent(context.Context, settings.Agent) error {
-	return errors.New("agent: not part of this build yet")
+// agentConfig translates the settings of an agent.
+func agentConfig(s settings.Agent) agentd.Config {
+	timing := ledger.DefaultTiming
+	timing.Reclaim, timing.Checkpoint = s.Reclaim, s.Checkpoint
+	// The ledger wants the spare time of a nearly finished borrower to be
+	// shorter than its checkpoint.
+	timing.Spare = min(timing.Spare, s.Checkpoint/2)
+	return agentd.Config{
+		VM: vm.VM{
+			ID: s.VM, Zone: s.Zone, Rack: s.Rack, Region: s.Region, Labels: s.Labels,
+			Accelerators: s.Accelerators, Slots: s.Slots, Connections: s.Connections, CPUs: s.CPUs, MemoryMB: s.MemoryMB,
+		},
+		AnnounceTo: s.AnnounceTo, RuntimeURL: s.RuntimeURL, AnnounceEvery: s.Announce,
+		Ledger: timing, AnswerRetention: s.AnswerRetention,
+	}
+}
+
+func (p *program) runAgent(ctx context.Context, s settings.Agent) error {
+	logger, err := p.logger(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	d, err := agentd.New(agentConfig(s), agentd.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return stop(ctx, s.Stop, d.Stop)
 }
 
 // logger writes log lines to standard error.
