entryd: end the hold-off once the term's holder was seen

Change: the hold-off ends as soon as the holder is live. Conclusion: the hold-off is left for partitions only.

--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -56,6 +56,7 @@
 // cannot run, and place what waits.
 func (d *Daemon) plan(now time.Time) {
 	d.configFromPeers(now)
+	d.endHoldOff(now)
 	if d.planner(now) != d.c.ID || !d.haveTerm(now) {
 		return
 	}
@@ -80,15 +81,25 @@
 	}
 }
 
+// endHoldOff lets this entry take the term at once when it sees the holder:
+// then the term was not lost to a partition.
+func (d *Daemon) endHoldOff(now time.Time) {
+	live := d.liveEntries(now)
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	holder, _, _ := strings.Cut(d.jobs.fold.Terms[d.c.Region].Entry, "/")
+	if slices.Contains(live, holder) {
+		d.jobs.retakeAt = time.Time{}
+	}
+}
+
 // haveTerm reports whether this process holds the region's newest term, and
 // takes it when it does not.
 func (d *Daemon) haveTerm(now time.Time) bool {
-	live := d.liveEntries(now)
 	d.jobs.mu.Lock()
 	newest := d.jobs.fold.Terms[d.c.Region]
 	mine := newest.Number != 0 && newest.Number == d.jobs.term
-	holder, _, _ := strings.Cut(newest.Entry, "/")
-	held := now.Before(d.jobs.retakeAt) && !slices.Contains(live, holder)
+	held := now.Before(d.jobs.retakeAt)
 	take := !mine && d.jobs.caughtUp && !d.jobs.taking && !held
 	if take {
 		d.jobs.taking = true
