--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/jobfold"
 	"celerypoint.example/celerypoint/standinlog"
 	"celerypoint.example/celerypoint/wire"
 )
@@ -130,3 +132,66 @@
 	err = c.Tail(ctx, StreamConfig, 1, func(Page) error { return nil })
 	qt.Assert(t, err, qt.ErrorIs, ErrExpired{Stream: StreamConfig, Oldest: 3})
 }
+
+// TestTailJoinsSnapshot guards against a process that starts from a part of a
+// snapshot, and against one that stops at an outage.
+func TestTailJoinsSnapshot(t *testing.T) {
+	l, c, ctx := serveLog(t)
+	records, live := jobRecords()
+	split, err := splitSnapshot("snapshot", JobsSnapshotTo(live), 1)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(split) > 2, qt.IsTrue)
+	for i, r := range records[:len(records)-1] {
+		split = slices.Insert(split, i, Record{fmt.Sprint(i), JobBody(r)})
+	}
+	cancel := Record{"cancel", JobBody(jobfold.CancelAsked{JobID: "j1"})}
+	last := len(split) - 1
+	// Another record comes between the parts.
+	_, err = c.Append(ctx, StreamJobs, slices.Insert(split[:last:last], last-1, cancel)...)
+	qt.Assert(t, err, qt.IsNil)
+	l.SetFaults(wire.LogFaults{ExpireBelow: int(live.Through) + 1})
+	err = c.Tail(ctx, StreamJobs, 1, func(Page) error { return nil })
+	qt.Assert(t, err, qt.ErrorIs, ErrExpired{Stream: StreamJobs, Oldest: live.Through + 1})
+
+	_, err = c.Append(ctx, StreamJobs, split[last])
+	qt.Assert(t, err, qt.IsNil)
+	l.SetFaults(wire.LogFaults{Down: true})
+	time.AfterFunc(100*time.Millisecond, func() { l.SetFaults(wire.LogFaults{}) })
+	got := jobfold.New()
+	err = c.Tail(ctx, StreamJobs, 1, func(p Page) error {
+		for _, w := range p.Records {
+			r, err := ParseJob(w)
+			qt.Assert(t, err, qt.IsNil)
+			got.Apply(int64(w.Offset), r)
+		}
+		return context.Canceled
+	})
+	qt.Assert(t, err, qt.Equals, context.Canceled)
+	qt.Assert(t, c.Down(), qt.IsFalse)
+	live.Apply(int64(len(split)+1), jobfold.CancelAsked{JobID: "j1"})
+	qt.Assert(t, got, qt.DeepEquals, live)
+}
+
+// TestSnapshotDue guards against the expiry of records that no snapshot
+// replaces.
+func TestSnapshotDue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		view SnapshotView
+		want bool
+	}{
+		{"nothing folded", SnapshotView{Oldest: 1, Next: 1, RenewBy: now}, false},
+		{"few records, none expired", SnapshotView{Through: 900, Oldest: 1, Next: 901}, false},
+		{"many records", SnapshotView{Through: SnapshotEvery, Oldest: 1, Next: SnapshotEvery + 1}, true},
+		{"covered", SnapshotView{Through: 900, Covered: 800, Oldest: 600, Next: 901}, false},
+		{"next to expire in the older half", SnapshotView{Through: 900, Covered: 700, Oldest: 600, Next: 901}, true},
+		{"before its time", SnapshotView{Through: 900, Covered: 900, Oldest: 1, Next: 901, RenewBy: now.Add(1)}, false},
+		{"its time", SnapshotView{Through: 900, Covered: 900, Oldest: 1, Next: 901, RenewBy: now}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.Assert(t, SnapshotDue(tt.view, now), qt.Equals, tt.want)
+		})
+	}
+}
