--- a/cmd/standinruntime/main.go
+++ b/cmd/standinruntime/main.go
@@ -38,16 +38,20 @@
 		Name: "standinruntime", ShortUsage: "standinruntime --vm NAME [flags]", LongHelp: help, FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error { return serve(ctx, c, args) },
 	}
-	err := command.ParseAndRun(context.Background(), os.Args[1:])
+	if err := command.Parse(os.Args[1:]); errors.Is(err, flag.ErrHelp) {
+		return 0
+	} else if err != nil {
+		fmt.Fprintln(os.Stderr, "standinruntime:", err)
+		return 2
+	}
+	err := command.Run(context.Background())
 	var usage usageError
 	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
+	case err == nil:
 		return 0
 	case errors.As(err, &usage):
 		fmt.Fprintln(os.Stderr, "standinruntime:", err)
 		return 2
-	case !flags.Parsed():
-		return 2
 	default:
 		fmt.Fprintln(os.Stderr, "standinruntime:", err)
 		return 1
--- a/ledger/advance.go
+++ b/ledger/advance.go
@@ -195,7 +195,7 @@
 		h.StopAt = now
 	case h.Doom == "" && due(now, h.LoanUntil):
 		l.condemn(now, h, WhyLoanEnded, false)
-	case h.Short && due(now, h.RenewAt):
+	case h.Short && due(now, h.RenewAt) && !due(now, h.StopAt):
 		h.Until, h.RenewAt = now.Add(l.Timing.ShortLease), now.Add(l.Timing.RenewEvery)
 		l.outbox = append(l.outbox, Extend{h.Attempt, h.Until})
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -217,6 +217,10 @@
 		l.bury(h, RuleReservationExpired)
 		return Refused{RuleReservationExpired, "the reservation has expired"}
 	}
+	if newest := l.terms[h.JobID].newest; s.Term < newest {
+		l.bury(h, RuleStaleTerm)
+		return Refused{RuleStaleTerm, fmt.Sprintf("term %d, the newest is %d", s.Term, newest)}
+	}
 	if d, refused := l.closed(s.ConfigOffset); refused {
 		l.bury(h, d.Rule)
 		return d
@@ -226,8 +230,12 @@
 }
 
 // startUnknown answers a start of an attempt that holds no place. A refusal
-// has to stay true, so the attempt gets a tombstone.
+// has to stay true, so the attempt gets a tombstone and waits no longer.
 func (l *Ledger) startUnknown(s StartRequest) Decision {
+	if h := l.find(s.Attempt); h != nil {
+		l.unqueue(h)
+		l.refuse(h, RuleReservationExpired, "it was started before it was granted")
+	}
 	t, ok := l.dead[s.Attempt]
 	switch {
 	case ok && t.started:
