Reclaim slots for guaranteed shares and judge queues by their own work

Cause: tasks without accelerators could fill every slot of a VM, so that a share on it could not be reclaimed; a long job behind short ones was refused as if the queue were as long as it; jobs with VMs to avoid were searched one by one. Change: placement marks Reclaim when only slots are missing, as the ledger allows, evicts nothing on VMs reserved for the head, and remembers failed classes for jobs with AvoidVMs. admission.Input has QueuedRun, estimate.Model has LaneRun. rules has noFreePlace, reclaimDeadline and committedNotStarted.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -73,15 +74,16 @@
 }
 
 // soonestAnswer estimates how long the answer takes: the append of a recorded
-// job, the queue ahead of it, and its own run. Without an expected run only
-// the append counts, because a refusal has to be founded.
+// job, the queue ahead of it, and its own run. What is unknown counts as 0,
+// because a refusal has to be founded; for the requests ahead, the own run time
+// stands in when only theirs is unknown.
 func soonestAnswer(in Input) time.Duration {
 	need := in.ExpectedRun
 	if in.Job.Recorded() {
 		need += in.LogDelay
 	}
 	if in.Servers > 0 {
-		need += time.Duration(in.Queued/in.Servers) * in.ExpectedRun
+		need += time.Duration(in.Queued/in.Servers) * cmp.Or(in.QueuedRun, in.ExpectedRun)
 	}
 	return need
 }
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -33,6 +33,12 @@
 		{"deadline now", func(in *Input) { in.Job.Deadline = now }, RuleDeadlinePassed},
 		{"queue too long for the deadline", func(in *Input) { in.Queued, in.ExpectedRun = 40, 300*time.Millisecond }, RuleDeadlineUnreachable},
 		{"queue short enough", func(in *Input) { in.Queued, in.ExpectedRun = 15, 300*time.Millisecond }, ""},
+		{"long run behind short ones", func(in *Input) {
+			in.Queued, in.ExpectedRun, in.QueuedRun = 40, 800*time.Millisecond, 30*time.Millisecond
+		}, ""},
+		{"short run behind long ones", func(in *Input) {
+			in.Queued, in.ExpectedRun, in.QueuedRun = 40, 30*time.Millisecond, 300*time.Millisecond
+		}, RuleDeadlineUnreachable},
 		{"own run too long", func(in *Input) { in.ExpectedRun = 2 * time.Second }, RuleDeadlineUnreachable},
 		{"slow log, recorded job", func(in *Input) { in.LogDelay, in.Job.Tasks = 2*time.Second, 2 }, RuleDeadlineUnreachable},
 		{"slow log, short job", func(in *Input) { in.LogDelay = 2 * time.Second }, ""},
--- a/admission/types.go
+++ b/admission/types.go
@@ -23,9 +23,11 @@
 	// bounds them.
 	Queued, QueueLimit int
 	// Servers is how many requests of the lane run at once where the
-	// selector allows, and ExpectedRun how long one takes, 0 when unknown.
-	Servers     int
-	ExpectedRun time.Duration
+	// selector allows.
+	Servers int
+	// ExpectedRun is how long this request takes, and QueuedRun how long those
+	// ahead of it take on average; each is 0 when unknown.
+	ExpectedRun, QueuedRun time.Duration
 	// MatchingVMs and MatchingAccelerators count what the selector allows,
 	// whether free or not. LargestVM is the most accelerators of one of them.
 	MatchingVMs, MatchingAccelerators, LargestVM int
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -41,7 +41,8 @@
 	label   string
 	urgency job.Urgency
 	// tasks is the number of binary digits of the number of tasks, 0 for the
-	// class of all jobs of the organisation in the lane.
+	// class of all jobs of the organisation in the lane. The class of all jobs
+	// of a lane has no organisation.
 	tasks int
 }
 
@@ -69,7 +70,8 @@
 // New returns a model without observations.
 func New() *Model { return &Model{samples: map[class]*sample{}} }
 
-// classes lists the job's classes, the narrowest first.
+// classes lists the job's classes that predict its run time, the narrowest
+// first.
 func classes(j job.Job) []class {
 	wide := class{org: j.Org, urgency: cmp.Or(j.Urgency, job.UrgencyNormal)}
 	narrow := wide
@@ -84,7 +86,8 @@
 	if j.DeclaredRun > 0 {
 		o.ratio = float64(o.run) / float64(j.DeclaredRun)
 	}
-	for _, c := range classes(j) {
+	lane := class{urgency: cmp.Or(j.Urgency, job.UrgencyNormal)}
+	for _, c := range append(classes(j), lane) {
 		s, ok := m.samples[c]
 		if !ok {
 			s = &sample{}
@@ -129,6 +132,20 @@
 	return j.DeclaredRun
 }
 
+// LaneRun is the mean run time of the newest jobs in a lane, 0 when nothing was
+// observed. Unlike the median it tells how long a queue of them takes.
+func (m *Model) LaneRun(u job.Urgency) time.Duration {
+	s, ok := m.samples[class{urgency: cmp.Or(u, job.UrgencyNormal)}]
+	if !ok {
+		return 0
+	}
+	var sum time.Duration
+	for _, o := range s.ring {
+		sum += o.run
+	}
+	return sum / time.Duration(len(s.ring))
+}
+
 // ExpectedEnd is when a job that started at the time is expected to end; zero
 // when nothing is known.
 func (m *Model) ExpectedEnd(j job.Job, startedAt time.Time) time.Time {
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"celerypoint.example/celerypoint/shape"
@@ -91,9 +92,9 @@
 func (p *pass) explain(r *request) {
 	key := whyKey{p.class(r), r.Job.Tasks}
 	w, ok := p.why[key]
-	if !ok || len(r.AvoidVMs) > 0 {
+	if !ok || len(r.avoid) > 0 {
 		w = p.reason(r)
-		if len(r.AvoidVMs) == 0 {
+		if len(r.avoid) == 0 {
 			p.why[key] = w
 		}
 	}
@@ -103,15 +104,17 @@
 
 func (p *pass) reason(r *request) Wait {
 	usable, ok := p.usable[r.Job.Selector]
-	if !ok || len(r.AvoidVMs) > 0 {
-		usable = 0
+	if !ok {
 		for _, i := range r.matching {
-			if p.machines[i].usable && !r.AvoidVMs[p.index.VMs[i].ID] {
+			if p.machines[i].usable {
 				usable++
 			}
 		}
-		if len(r.AvoidVMs) == 0 {
-			p.usable[r.Job.Selector] = usable
+		p.usable[r.Job.Selector] = usable
+	}
+	for _, i := range r.avoid {
+		if p.matchingSet(r)[i] && p.machines[i].usable {
+			usable--
 		}
 	}
 	if usable == 0 {
@@ -119,7 +122,7 @@
 			"all %d matching VMs are draining, lost, quarantined or avoided by this job", len(r.matching))}
 	}
 	free := func(i int) int {
-		if r.AvoidVMs[p.index.VMs[i].ID] {
+		if slices.Contains(r.avoid, i) {
 			return 0
 		}
 		return p.machines[i].tasks(r, p.machines[i].free)
@@ -135,7 +138,7 @@
 	switch {
 	case bestOwn >= r.Job.Tasks || best >= r.Job.Tasks && !r.firm && p.in.Policy != PolicyBaseline:
 		return Wait{Rule: RuleReservedForGang, Reason: fmt.Sprintf(
-			"%s fit, but on VMs reserved until %s for the gang %s", needs, p.heldUntil.UTC().Format(time.RFC3339), p.headID())}
+			"%s fit now, but would delay the gang %s, which is expected to start by %s", needs, p.headID(), p.heldUntil.UTC().Format(time.RFC3339))}
 	case best >= r.Job.Tasks:
 		return Wait{Rule: RuleOwnShareOnly, Reason: fmt.Sprintf(
 			"%s: %d fit on free accelerators, but only %d on those owed to organisation %s or to nobody", needs, best, bestOwn, r.Job.Org)}
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -25,18 +25,29 @@
 	if n, ok := p.failed[key]; ok && r.Job.Tasks >= n {
 		return nil
 	}
-	if found := p.fitFree(r); found != nil {
-		return found
-	}
-	if found := p.fitReclaim(r); found != nil {
+	if found := p.fitAnyhow(r); found != nil {
 		return found
 	}
-	if len(r.AvoidVMs) == 0 {
-		p.failed[key] = r.Job.Tasks
+	if len(r.avoid) > 0 {
+		// When the VMs to avoid make no difference, the others of the class
+		// need not be tried.
+		free := *r
+		free.avoid = nil
+		if p.fitAnyhow(&free) != nil {
+			return nil
+		}
 	}
+	p.failed[key] = r.Job.Tasks
 	return nil
 }
 
+func (p *pass) fitAnyhow(r *request) []member {
+	if found := p.fitFree(r); found != nil {
+		return found
+	}
+	return p.fitReclaim(r)
+}
+
 // fitFree uses free accelerators only.
 func (p *pass) fitFree(r *request) []member {
 	if at := p.fitOneVM(r); at >= 0 {
@@ -141,7 +152,8 @@
 }
 
 // fitReclaim lets an organisation that is within its guarantee use its own
-// shares although others borrow them.
+// shares although others borrow them. It evicts nothing on VMs that are
+// reserved for the head, because that changes what ends there and when.
 func (p *pass) fitReclaim(r *request) []member {
 	use := p.used[r.org]
 	if r.firm {
@@ -162,7 +174,10 @@
 		m := &p.machines[i]
 		if p.allowed(r, i) {
 			own, _ := m.ownRoom(r)
-			p.all[i] = m.tasks(r, max(own, m.reclaimRoom(r)))
+			p.all[i] = m.tasks(r, own)
+			if !p.held[i] {
+				p.all[i] = max(p.all[i], m.reclaimTasks(r))
+			}
 			p.offering = append(p.offering, i)
 		}
 	}
--- a/placement/head.go
+++ b/placement/head.go
@@ -22,7 +22,9 @@
 	at, org             int
 	tasks, accelerators int
 	firm                bool
-	end                 int64
+	// placed says that the pass has placed it.
+	placed bool
+	end    int64
 }
 
 // passesHead reports whether the request is expected to end before the head
@@ -71,6 +73,7 @@
 		return
 	}
 	p.heldUntil = time.Unix(0, times[k])
+	p.headReclaims = p.later(attempts, times[k]).fitFree(p.head) == nil
 	for _, m := range found {
 		p.held[m.at] = true
 	}
@@ -151,19 +154,28 @@
 // release ends an attempt's part. What the pass has reclaimed is gone already.
 func (p *pass) release(a running) {
 	m := &p.machines[a.at]
-	n, firm := a.accelerators, 0
-	if a.firm {
-		firm = n
-	} else {
-		gone := min(n, m.evicted)
+	n, slots := a.accelerators, a.tasks
+	if !a.firm && !a.placed {
+		gone, won := min(n, m.evicted), min(slots, m.slotsWon)
 		m.evicted -= gone
+		m.slotsWon -= won
 		n -= gone
+		slots -= won
 	}
 	if m.usable {
 		m.free += n
-		m.slots += a.tasks
+		m.slots += slots
 	}
-	m.charge(a.org, account{used: -n, firm: -firm})
+	by := account{used: -n}
+	switch {
+	case a.firm:
+		by.firm = -n
+	case a.placed:
+		by.fresh = -n
+	case a.accelerators == 0:
+		by.loose = -a.tasks
+	}
+	m.charge(a.org, by)
 	p.used[a.org] -= n
-	p.firm[a.org] -= firm
+	p.firm[a.org] += by.firm
 }
--- a/placement/machine.go
+++ b/placement/machine.go
@@ -10,6 +10,8 @@
 	// fresh is the preemptible work that this pass has placed. The pass does
 	// not reclaim it again.
 	fresh int
+	// loose counts preemptible tasks without accelerators.
+	loose int
 }
 
 // over is the use beyond the share.
@@ -33,10 +35,17 @@
 	over, firmOver int
 	// borrowed sums what may be reclaimed.
 	borrowed int
+	// loose sums the preemptible tasks without accelerators, and looseGone
+	// those of them that the pass may have evicted.
+	loose, looseGone int
 	// widest is the most accelerators that one preemptible task holds.
 	widest int
-	// evicted is the number of accelerators that the pass reclaims.
-	evicted  int
+	// evicted is the number of accelerators that the pass reclaims, slotsWon
+	// the number of slots.
+	evicted, slotsWon int
+	// unsure bounds the borrowed accelerators that the agent may evict for the
+	// sake of slots. They can still be had, but win no more slots.
+	unsure   int
 	accounts []account
 }
 
@@ -69,6 +78,8 @@
 	a.used += by.used
 	a.firm += by.firm
 	a.fresh += by.fresh
+	a.loose += by.loose
+	m.loose += by.loose
 	m.over += a.over()
 	m.firmOver += max(0, a.firm-a.share)
 	m.borrowed += a.borrowed()
@@ -101,27 +112,29 @@
 	return n
 }
 
-// tasks turns accelerators into tasks. Evicting borrowers frees at least one
-// slot for every widest accelerators.
+// tasks turns accelerators into tasks.
 func (m *machine) tasks(r *request, accelerators int) int {
 	if r.size == 0 {
 		return m.slots
 	}
-	n := accelerators / r.size
-	for n > m.slots {
-		most := m.slots + m.slotsFreed(max(0, n*r.size-m.free))
-		if n <= most {
-			break
-		}
-		n = most
+	return min(accelerators/r.size, m.slots)
+}
+
+// reclaimTasks is the number of tasks when borrowers on the organisation's own
+// share are evicted, and tasks without accelerators for the sake of their slots.
+func (m *machine) reclaimTasks(r *request) int {
+	if r.size == 0 {
+		return m.slots
 	}
-	return n
+	loose := max(0, m.loose-m.looseGone-m.account(r.org).loose)
+	slots := m.slots + loose + m.slotsFreed(m.borrowed-m.unsure)
+	return max(0, min(m.reclaimRoom(r)/r.size, slots))
 }
 
 // slotsFreed is the least number of slots that come free when the pass
 // reclaims more accelerators on top of those it has reclaimed already.
 func (m *machine) slotsFreed(accelerators int) int {
-	if accelerators == 0 || m.widest == 0 {
+	if accelerators <= 0 || m.widest == 0 {
 		return 0
 	}
 	return (m.evicted+accelerators+m.widest-1)/m.widest - (m.evicted+m.widest-1)/m.widest
@@ -130,10 +143,19 @@
 // take places tasks and reports whether borrowers have to be evicted.
 func (m *machine) take(r *request, tasks int) bool {
 	n := tasks * r.size
-	beyond := max(0, n-m.free)
-	if beyond > 0 {
-		m.evict(beyond)
+	beyond, missing := max(0, n-m.free), max(0, tasks-m.slots)
+	slots := m.slots
+	m.slots += m.slotsFreed(beyond - m.unsure)
+	m.evict(beyond)
+	m.free += beyond
+	if missing > 0 {
+		// Whether borrowers or tasks without accelerators make room is the
+		// agent's choice, so neither win more slots.
+		m.looseGone += missing
+		m.unsure += missing * m.widest
+		m.slots = max(m.slots, tasks)
 	}
+	m.slotsWon += m.slots - slots
 	m.free -= n
 	m.slots -= tasks
 	by := account{used: n, fresh: n}
@@ -144,16 +166,14 @@
 	if m.probed {
 		m.free, m.slots = 0, 0
 	}
-	return beyond > 0
+	return beyond > 0 || missing > 0
 }
 
 func (m *machine) evict(accelerators int) {
-	m.slots += m.slotsFreed(accelerators)
 	m.evicted += accelerators
 	for i := 0; i < len(m.accounts) && accelerators > 0; i++ {
 		if n := min(accelerators, m.accounts[i].borrowed()); n > 0 {
 			m.charge(m.accounts[i].org, account{used: -n})
-			m.free += n
 			accelerators -= n
 		}
 	}
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -21,7 +21,9 @@
 	// firm says that the job is not preemptible.
 	firm     bool
 	matching []int
-	levels   []shape.Adjacency
+	// avoid holds the positions of AvoidVMs.
+	avoid  []int
+	levels []shape.Adjacency
 	// below says that the organisation is below its guarantee without the job.
 	below bool
 	// placed says that the pass has placed the job.
@@ -65,6 +67,9 @@
 	ran, placed []running
 	held        []bool
 	heldUntil   time.Time
+	// headReclaims says that the head depends on its organisation staying
+	// within its guarantee.
+	headReclaims bool
 
 	// failed maps a class to the fewest tasks that did not fit. Capacity only
 	// shrinks during a pass, so neither do larger jobs of the class.
@@ -153,11 +158,15 @@
 			firm = 0
 			m.widest = max(m.widest, (h.Accelerators+h.Tasks-1)/max(1, h.Tasks))
 		}
-		m.charge(o, account{used: h.Accelerators, firm: firm})
+		by := account{used: h.Accelerators, firm: firm}
+		if h.Preemptible && h.Accelerators == 0 {
+			by.loose = h.Tasks
+		}
+		m.charge(o, by)
 		p.used[o] += h.Accelerators
 		p.firm[o] += firm
 	}
-	// Lent accelerators are held twice, so the difference can be negative.
+	// Urgent tasks may exceed the slots, so the difference can be negative.
 	if m.usable = v.Usable(p.in.Now); m.usable {
 		m.probed = !v.QuarantinedUntil.IsZero()
 		m.free, m.slots = max(0, free), max(0, slots)
@@ -178,7 +187,7 @@
 }
 
 func (p *pass) request(w *Waiting) *request {
-	return &request{
+	r := &request{
 		Waiting:  w,
 		org:      p.org(w.Job.Org),
 		size:     w.Job.AcceleratorsPerTask,
@@ -186,6 +195,12 @@
 		matching: p.index.Matching(w.Job.Selector),
 		levels:   vmindex.Levels(w.Job.Adjacency),
 	}
+	for id, avoid := range w.AvoidVMs {
+		if i, ok := p.index.Find(id); ok && avoid {
+			r.avoid = append(r.avoid, i)
+		}
+	}
+	return r
 }
 
 func (p *pass) class(r *request) class {
@@ -213,13 +228,13 @@
 
 // allowed reports whether the request may be placed on the VM at all.
 func (p *pass) allowed(r *request, i int) bool {
-	if p.held[i] && r != p.head && !p.passesHead(r) {
+	if (p.held[i] || p.headReclaims && r.org == p.head.org) && r != p.head && !p.passesHead(r) {
 		return false
 	}
 	if p.machines[i].probed && !r.probes() {
 		return false
 	}
-	return len(r.AvoidVMs) == 0 || !r.AvoidVMs[p.index.VMs[i].ID]
+	return !slices.Contains(r.avoid, i)
 }
 
 func (p *pass) take(r *request, m member) (reclaim bool) {
@@ -242,7 +257,7 @@
 		reclaim := p.take(r, m)
 		pl.Members = append(pl.Members, Member{VM: p.index.VMs[m.at].ID, Tasks: m.tasks, Reclaim: reclaim})
 		p.placed = append(p.placed, running{
-			at: m.at, org: r.org, tasks: m.tasks, accelerators: m.tasks * r.size, firm: r.firm, end: end,
+			at: m.at, org: r.org, tasks: m.tasks, accelerators: m.tasks * r.size, firm: r.firm, placed: true, end: end,
 		})
 	}
 	n := r.Job.Accelerators()
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -137,7 +137,7 @@
 		}
 		need := m.Tasks * w.Job.AcceleratorsPerTask
 		if m.Reclaim {
-			evictBorrowers(t, in, v, need-v.FreeAccelerators())
+			evictBorrowers(t, in, v, w.Job.Org, need, m.Tasks)
 		}
 		v.Holdings = append(v.Holdings, vm.Holding{Attempt: w.Job.ID, Org: w.Job.Org, Tasks: m.Tasks, Accelerators: need, Preemptible: w.Job.Preemptible})
 		if v.FreeAccelerators() < 0 || v.FreeSlots() < 0 {
@@ -185,19 +185,23 @@
 }
 
 // evictBorrowers removes whole holdings of other organisations that use more
-// than their share, until the accelerators are free. Work that the plan itself
-// has placed stays.
-func evictBorrowers(t *rapid.T, in Input, v *vm.View, accelerators int) {
+// than their share or only slots, until the VM has room. Work that the plan
+// itself has placed stays.
+func evictBorrowers(t *rapid.T, in Input, v *vm.View, org string, accelerators, slots int) {
 	shares := in.Shares.OnVM(v.ID)
-	for i := 0; i < len(v.Holdings) && accelerators > 0; i++ {
+	fits := func() bool { return v.FreeAccelerators() >= accelerators && v.FreeSlots() >= slots }
+	for i := 0; i < len(v.Holdings) && !fits(); i++ {
 		h := v.Holdings[i]
-		if h.Running && h.Preemptible && h.Accelerators > 0 && usedBy(v, h.Org) > shares[h.Org] {
-			accelerators -= h.Accelerators
+		evictable := usedBy(v, h.Org) > shares[h.Org]
+		if h.Accelerators == 0 {
+			evictable = v.FreeSlots() < slots
+		}
+		if h.Running && h.Preemptible && h.Org != org && evictable {
 			v.Holdings = append(v.Holdings[:i:i], v.Holdings[i+1:]...)
 			i--
 		}
 	}
-	if accelerators > 0 {
-		t.Fatalf("nothing to reclaim for %d accelerators on %+v", accelerators, *v)
+	if !fits() {
+		t.Fatalf("nothing to reclaim for %d accelerators and %d slots on %+v", accelerators, slots, *v)
 	}
 }
--- a/placement/shelf.go
+++ b/placement/shelf.go
@@ -85,7 +85,7 @@
 		if at >= 0 {
 			return at
 		}
-		if len(r.AvoidVMs) == 0 {
+		if len(r.avoid) == 0 {
 			p.failedOwn[key] = r.Job.Tasks
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -43,7 +43,7 @@
 		placement.RuleSelectorMatchesNothing, placement.RuleExceedsMatchingCapacity, placement.RuleDeadlinePassed,
 		placement.RuleNoVMReachable, placement.RuleMatchingVMsUnavailable, placement.RuleBehindQueueHead,
 		placement.RuleReservedForGang, placement.RuleOwnShareOnly, placement.RuleTooFragmented, placement.RuleNoFreeCapacity,
-		"staleTerm", "reservationExpired", "attemptReleased", "staleConfiguration", "vmDraining",
+		"staleTerm", "reservationExpired", "attemptReleased", "staleConfiguration", "vmDraining", "noFreePlace", "reclaimDeadline", "committedNotStarted",
 		"cancelledBeforeStart", "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
 	}
 	for _, n := range names {
