Measure planning with a gang that fits in one region

Cause: the benchmark's regions of 108 VMs could not hold the gang of 512, so it measured a refusal. Change: make the fleet of the benchmark in the proportions of the design size, with work on half of the accelerators, and round the candidate times of a reservation.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -70,13 +70,21 @@
 	return vms
 }
 
-// loaded makes a fleet with guarantees and running work: about tasks tasks on
-// fewer accelerators than exist.
+// loaded makes a fleet in the proportions of the design size, 24 zones in 7
+// regions, with guarantees and running work on half of the accelerators.
 func loaded(vms, orgs, tasks int) Input {
 	rd := rand.New(rand.NewPCG(1, uint64(vms)))
 	in := Input{Now: now, Policy: PolicyAdjacent, ExpectedEnds: map[string]time.Time{}}
 	// Four VMs of five have 2 accelerators and the fifth 1: 8,640 on 4,800.
 	in.VMs = fleet(vms, func(i int) int { return 2 - btoi(i%5 == 4) })
+	free := 0
+	for i := range in.VMs {
+		v := &in.VMs[i]
+		v.Zone = fmt.Sprintf("z%d", i*max(3, 24*vms/4800)/vms)
+		v.Region = fmt.Sprintf("r%d", i*max(1, 7*vms/4800)/vms)
+		free += v.Accelerators
+	}
+	half := free / 2
 	var all []org.Org
 	for i := range orgs {
 		s := shape.Shape{VMs: 1 + rd.IntN(8), AcceleratorsPerVM: 1 + rd.IntN(2), Adjacency: shape.AdjacencyZone}
@@ -89,10 +97,11 @@
 			JobID: fmt.Sprintf("j%d", i), Attempt: fmt.Sprintf("a%d", i), Org: fmt.Sprintf("o%d", rd.IntN(orgs)),
 			Tasks: 1, Running: true, Preemptible: rd.IntN(2) == 0,
 		}
-		if v.FreeAccelerators() > 0 && rd.IntN(3) > 0 {
+		if v.FreeAccelerators() > 0 && free > half {
 			h.Accelerators = 1
 		}
 		if v.FreeSlots() > 1 {
+			free -= h.Accelerators
 			v.Holdings = append(v.Holdings, h)
 			in.ExpectedEnds[h.Attempt] = now.Add(time.Duration(1+rd.IntN(4*3600)) * time.Second)
 		}
--- a/placement/head.go
+++ b/placement/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -55,9 +56,10 @@
 // attempts end as expected, and holds the VMs that it would use then.
 func (p *pass) reserveForHead() {
 	attempts := p.attempts()
+	now := p.in.Now.UnixNano()
 	times := make([]int64, 0, len(attempts))
 	for _, a := range attempts {
-		times = append(times, a.end)
+		times = append(times, now+coarse(a.end-now))
 	}
 	slices.Sort(times)
 	times = slices.Compact(times)
@@ -79,6 +81,13 @@
 	}
 }
 
+// coarse rounds a span up by at most a thirty-second. Expected ends are less
+// exact than that, and fewer of them take fewer copies of the pass.
+func coarse(span int64) int64 {
+	shift := max(0, bits.Len64(uint64(span))-6)
+	return (span + 1<<shift - 1) >> shift << shift
+}
+
 // attempts lists what ran before the pass and what the pass has placed.
 func (p *pass) attempts() []running {
 	if p.ran == nil {
