Run the tests of entryd in parallel

Cause: nine tests that wait for leases took 39 s in a row. Change: each test has its own ports and processes and runs in parallel. Conclusion: the tests share nothing.

--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -35,6 +35,7 @@
 
 func start(t *testing.T, entries, agents int) *system {
 	t.Helper()
+	t.Parallel()
 	l, err := standinlog.New("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(l.Close)
