Keep the boot ID of a committed member, skip records, age the delay

Cause: a commit record lost the boot ID that the planner put into its members, so the next planner would trust a release by an agent that had restarted; a process that set the offset of a fold by hand passed over a point at which others drop entries; a high delay stayed for ever once nothing was appended.

--- a/configfold/apply.go
+++ b/configfold/apply.go
@@ -7,7 +7,7 @@
 )
 
 // Apply folds one record. Offsets must rise; a gap between them holds records
-// that every process skips because they cannot be read. The state keeps
+// that cannot be read, which Skip passes over. The state keeps
 // nothing of the record that the caller may change afterwards.
 //
 // A snapshot takes effect only in a state that it covers more than, and sets
@@ -35,6 +35,13 @@
 	return result
 }
 
+// Skip passes over a record that cannot be read, as every process does.
+func (s *State) Skip(offset int64) {
+	if offset > s.Offset {
+		s.moveTo(offset)
+	}
+}
+
 // ObjectOf names the object that the change is about: "org/NAME", "vm/ID",
 // "drain/ID", "assignment" or "snapshot".
 func ObjectOf(c Change) string {
--- a/jobfold/apply.go
+++ b/jobfold/apply.go
@@ -8,7 +8,7 @@
 )
 
 // Apply folds one record. Offsets must rise; a gap between them holds records
-// that every process skips because they cannot be read.
+// that cannot be read, which Skip passes over.
 //
 // A snapshot takes effect only in a state that it covers more than, and sets
 // Through to the offset that it covers, which is less than its own. The
--- a/jobfold/fold_test.go
+++ b/jobfold/fold_test.go
@@ -70,9 +70,9 @@
 		Void{Reason: "the idempotency key is claimed by another job", Winner: "k"})
 
 	// Ended jobs leave the state, claimed ones later.
-	s.Apply(100+KeepEnded+sweepEvery, CancelAsked{})
+	s.Skip(100 + KeepEnded + sweepEvery)
 	qt.Assert(t, s.Jobs, qt.HasLen, 1)
-	s.Apply(100+KeepClaimed+sweepEvery, CancelAsked{})
+	s.Skip(100 + KeepClaimed + sweepEvery)
 	qt.Assert(t, s.Jobs, qt.HasLen, 0)
 	qt.Assert(t, s.Claims, qt.HasLen, 0)
 }
--- a/jobfold/state.go
+++ b/jobfold/state.go
@@ -48,6 +48,13 @@
 	return c
 }
 
+// Skip passes over a record that cannot be read, as every process does.
+func (s *State) Skip(offset int64) {
+	if offset > s.Through {
+		s.moveTo(offset)
+	}
+}
+
 // moveTo advances the state and drops what has been ended for long enough.
 func (s *State) moveTo(offset int64) {
 	sweep := s.Through/sweepEvery != offset/sweepEvery
@@ -78,7 +85,7 @@
 func parts(members []gang.Member) []gang.Member {
 	var kept []gang.Member
 	for _, m := range members {
-		kept = append(kept, gang.Member{VM: m.VM, Tasks: m.Tasks, FirstRank: m.FirstRank})
+		kept = append(kept, gang.Member{VM: m.VM, Tasks: m.Tasks, FirstRank: m.FirstRank, Boot: m.Boot})
 	}
 	return kept
 }
--- a/platformlog/append.go
+++ b/platformlog/append.go
@@ -189,6 +189,7 @@
 		q.sentAt = time.Time{}
 		if err == nil {
 			q.next = max(q.next, first+int64(count(batch)))
+			c.delayAt = time.Now()
 			for _, k := range batch {
 				c.delay += (time.Since(k.began) - c.delay) / averageOver
 			}
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -66,8 +66,10 @@
 	queues map[string]*queue
 	// appendsDownUntil and readsDownUntil are zero after a success.
 	appendsDownUntil, readsDownUntil time.Time
-	// delay is the moving average of the time from Append to the answer.
-	delay time.Duration
+	// delay is the moving average of the time from Append to the answer, and
+	// delayAt when the newest answer came.
+	delay   time.Duration
+	delayAt time.Time
 }
 
 // Option changes how New sets a Client up.
@@ -118,12 +120,20 @@
 	return now.Before(c.appendsDownUntil) || now.Before(c.readsDownUntil)
 }
 
-// Delay is the recent time from a call of Append to its answer. While an
-// append takes longer than the average, it is that append's time so far.
+// delayFor is how long the average delay counts after the newest answer.
+// Otherwise jobs that are refused because of the delay would keep it up.
+const delayFor = 5 * time.Second
+
+// Delay is the average time from a call of Append to its answer, 0 when the
+// newest answer is more than 5 s old. While an append takes longer than the
+// average, it is that append's time so far.
 func (c *Client) Delay() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delay := c.delay
+	delay := time.Duration(0)
+	if time.Since(c.delayAt) < delayFor {
+		delay = c.delay
+	}
 	for _, q := range c.queues {
 		if !q.sentAt.IsZero() {
 			delay = max(delay, time.Since(q.sentAt))
--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// TestDelay guards against a slow log that admission does not see, and against
+// a delay that counts for ever because nothing is appended any more.
+func TestDelay(t *testing.T) {
+	l, c, ctx := serveLog(t)
+	l.SetFaults(wire.LogFaults{DelayMs: 80})
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Append(ctx, "s", Record{"a", 1})
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	qt.Assert(t, c.Delay() >= 20*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, <-done, qt.IsNil)
+	qt.Assert(t, c.Delay() >= 80*time.Millisecond/averageOver, qt.IsTrue)
+	c.delayAt = time.Now().Add(-delayFor)
+	qt.Assert(t, c.Delay(), qt.Equals, time.Duration(0))
+}
+
 // TestRefusedConnection guards against a wait for a log that is not there, and
 // against an outage that admission does not see.
 func TestRefusedConnection(t *testing.T) {
