Test the agent daemon against a fake entry, and the stand-in's protocol

Cause: reclaim, release, drain, the graceful stop, restart and reports had run in no test. Change: tests of each with the stand-in runtime in process. A link to a learned entry keeps what was said of it; killing an agent twice does nothing; a stop of a task that the runtime does not know is told apart from a stop that acted. Conclusion: the orders work end to end; memory and processor time of an idle agent are not measured yet.

--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -13,6 +13,7 @@
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/entry"
+	"celerypoint.example/celerypoint/ledger"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/standinruntime"
 	"celerypoint.example/celerypoint/vm"
@@ -92,8 +93,9 @@
 
 func (e *fakeEntry) end(t *testing.T, id string) wire.TaskEndedParams {
 	t.Helper()
-	e.until(t, "end of "+id, func() bool { _, ok := e.ends[id]; return ok })
-	return e.ends[id]
+	var end wire.TaskEndedParams
+	e.until(t, "end of "+id, func() (ok bool) { end, ok = e.ends[id]; return ok })
+	return end
 }
 
 // bench is an agent with its runtime and one entry.
@@ -115,6 +117,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
+	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
 	runtime, err := standinruntime.New(standinruntime.Config{Listen: "127.0.0.1:0", VM: "vm1", Accelerators: 8, CheckpointTakes: 20 * time.Millisecond})
@@ -128,16 +131,20 @@
 // boots starts an agent and waits for its first announcement.
 func (b *bench) boots() {
 	b.Helper()
+	timing := ledger.DefaultTiming
+	timing.Reclaim, timing.Checkpoint, timing.Spare = time.Second, 600*time.Millisecond, 300*time.Millisecond
 	d, err := New(Config{
 		VM:         vm.VM{ID: "vm1", Zone: "z1", Rack: "r1", Region: "g1", Accelerators: 8, Slots: 8},
-		AnnounceTo: []string{b.entry.engine.Address()}, RuntimeURL: "http://" + b.runtime.Address(), Seed: 1,
+		AnnounceTo: []string{b.entry.engine.Address()}, RuntimeURL: "http://" + b.runtime.Address(), Ledger: timing, Seed: 1,
 	}, WithLogger(quiet()))
 	qt.Assert(b, err, qt.IsNil)
-	var once sync.Once
 	b.daemon = d
-	b.Cleanup(func() { once.Do(d.Kill) })
-	b.entry.until(b.T, "announcement", func() bool { return b.entry.conn != nil && b.entry.last.BootID != b.boot })
-	b.boot, b.Conn = b.entry.last.BootID, b.entry.conn
+	b.Cleanup(d.Kill)
+	boot := b.boot
+	b.entry.until(b.T, "announcement", func() bool {
+		b.boot, b.Conn = b.entry.last.BootID, b.entry.conn
+		return b.Conn != nil && b.boot != boot
+	})
 }
 
 func (b *bench) job(id, payload string, preemptible bool) wire.Job {
@@ -247,3 +254,108 @@
 		wire.RuntimeRecordKindStarted: 3, wire.RuntimeRecordKindThrottled: 2, wire.RuntimeRecordKindResumed: 2, wire.RuntimeRecordKindEnded: 3,
 	})
 }
+
+// TestReclaimHardStop guards against a borrower that ignores its checkpoint
+// holding up its lender, and against an eviction that is not reported.
+func TestReclaimHardStop(t *testing.T) {
+	b := newBench(t)
+	b.entry.config = wire.VMConfig{Offset: 1, Shares: map[string]int{"sur": 8}}
+	b.runs(b.job("stubborn", `{"runMs":60000,"ignoreCheckpoint":true}`, true), 1, 10000)
+	b.runs(b.job("polite", `{"runMs":60000}`, true), 1, 10000)
+	j := b.job("owner", `{"runMs":10}`, false)
+	j.Org = "sur"
+	began := time.Now()
+	qt.Assert(t, b.reserves(j, 2, true).Status, qt.Equals, wire.GrantStatusGranted)
+	took := time.Since(began)
+	qt.Assert(t, took > b.daemon.config.Ledger.Checkpoint && took < b.daemon.config.Ledger.Reclaim, qt.IsTrue, qt.Commentf("took %v", took))
+	qt.Assert(t, b.entry.end(t, "stubborn-a/0").CheckpointMs, qt.Equals, 0)
+	polite := b.entry.end(t, "polite-a/0")
+	qt.Assert(t, polite.Result, qt.Equals, wire.TaskResultEvicted)
+	qt.Assert(t, polite.CheckpointMs > 0, qt.IsTrue)
+	qt.Assert(t, b.starts(j, 1000).Status, qt.Equals, wire.GrantStatusGranted)
+	qt.Assert(t, b.entry.end(t, "owner-a/1").Result, qt.Equals, wire.TaskResultAnswered)
+}
+
+// TestReleaseStops guards against a release that is answered before the tasks
+// have stopped, and against an attempt that starts after its release.
+func TestReleaseStops(t *testing.T) {
+	b := newBench(t)
+	j := b.job("j1", `{"runMs":60000}`, true)
+	b.runs(j, 2, 10000)
+	released, err := b.Release(b.ctx, wire.ReleaseParams{Job: "j1", Attempt: "j1-a", Term: 1, Checkpoint: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, released.Started && released.CheckpointMs > 0, qt.IsTrue)
+	stopped := 0
+	for _, r := range b.runtime.Records() {
+		if r.Kind == wire.RuntimeRecordKindStopped {
+			stopped++
+		}
+	}
+	qt.Assert(t, stopped, qt.Equals, 2)
+	never := b.job("j2", `{}`, false)
+	released, err = b.Release(b.ctx, wire.ReleaseParams{Job: "j2", Attempt: "j2-a", Term: 1})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, released.Started, qt.IsFalse)
+	qt.Assert(t, b.reserves(never, 1, false).Rule, qt.Equals, "attemptReleased")
+	qt.Assert(t, b.starts(never, 1000).Rule, qt.Equals, "attemptReleased")
+}
+
+// TestDrainAndStop guards against new work on a VM that drains or leaves, and
+// against a graceful stop that cuts off running work or loses an answer.
+func TestDrainAndStop(t *testing.T) {
+	b := newBench(t)
+	fixed, long := b.job("fixed", `{"runMs":300,"echo":"done"}`, false), b.job("long", `{"runMs":60000}`, true)
+	b.runs(fixed, 1, 10000)
+	b.runs(long, 1, 60000)
+	drained, err := b.Drain(b.ctx, wire.DrainParams{Draining: true, ConfigOffset: 0})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, drained, qt.Equals, wire.DrainResult{Draining: true, Holdings: 2})
+	qt.Assert(t, b.short("s1", `{}`, 0).Rule, qt.Equals, "vmDraining")
+	_, err = b.Drain(b.ctx, wire.DrainParams{ConfigOffset: 0})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(b.ctx, b.daemon.config.Ledger.Checkpoint+evictMargin+100*time.Millisecond)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.daemon.Stop(ctx) }()
+	b.entry.until(t, "leaving announcement", func() bool { return b.entry.last.Leaving })
+	qt.Assert(t, b.reserves(b.job("j3", `{}`, false), 1, false).Rule, qt.Equals, "vmDraining")
+	qt.Assert(t, b.entry.end(t, "fixed-a/0").Result, qt.Equals, wire.TaskResultAnswered)
+	part, err := b.Answer(b.ctx, wire.AnswerParams{Attempt: "fixed-a", Max: 100})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, part.Data, qt.Equals, wire.Text([]byte("done")))
+	qt.Assert(t, <-stopped, qt.IsNil)
+	evicted := b.entry.end(t, "long-a/0")
+	qt.Assert(t, evicted.Result, qt.Equals, wire.TaskResultEvicted)
+	qt.Assert(t, evicted.CheckpointMs > 0, qt.IsTrue)
+}
+
+// TestRestart guards against tasks of an earlier boot that run on, and against
+// reservations that survive one.
+func TestRestart(t *testing.T) {
+	b := newBench(t)
+	j := b.job("j1", `{"runMs":60000}`, false)
+	b.runs(j, 2, 60000)
+	b.daemon.Kill()
+	b.boots()
+	records := b.runtime.Records()
+	qt.Assert(t, records[len(records)-1].Kind, qt.Equals, wire.RuntimeRecordKindStopped)
+	qt.Assert(t, b.daemon.Holdings(), qt.HasLen, 0)
+	qt.Assert(t, b.starts(j, 1000).Rule, qt.Equals, "reservationExpired")
+}
+
+// TestReportsReachTheRightEntry guards against a report that is lost because
+// the first entry does not know the job, and against learned entries that are
+// not dialled.
+func TestReportsReachTheRightEntry(t *testing.T) {
+	b := newBench(t)
+	second := newEntry(t)
+	b.entry.mu.Lock()
+	b.entry.foreign = true
+	b.entry.others = []wire.EntryInfo{{ID: "e2", Address: second.engine.Address(), Zone: "z1", Region: "g1"}}
+	b.entry.mu.Unlock()
+	b.runs(b.job("j1", `{"fail":"no such needle"}`, false), 1, 5000)
+	end := second.end(t, "j1-a/0")
+	qt.Assert(t, []any{end.Result, end.Reason}, qt.DeepEquals, []any{wire.TaskResultFailed, "no such needle"})
+	second.until(t, "announcement of known entries", func() bool { return len(second.last.Entries) == 1 })
+	b.entry.until(t, "refused report", func() bool { return len(b.entry.ends) == 0 })
+}
--- a/agentd/daemon.go
+++ b/agentd/daemon.go
@@ -15,6 +15,7 @@
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/timeline"
 	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/wire"
 	"celerypoint.example/celerypoint/workerruntime"
 	"celerypoint.example/celerypoint/workpool"
 )
@@ -36,6 +37,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	ended  sync.Once
 	// wake tells the clock that the next deadline has moved.
 	wake chan struct{}
 
@@ -97,7 +99,7 @@
 	d.done.Go(func() { d.watch(from) })
 	d.done.Go(d.clock)
 	for _, address := range c.AnnounceTo {
-		d.link(address, true)
+		d.link(wire.EntryInfo{Address: address}, true)
 	}
 	return d, nil
 }
@@ -200,14 +202,16 @@
 }
 
 // Kill ends the agent at once, as if its process died: nothing is reported,
-// and tasks go on until their leases end.
+// and tasks go on until their leases end. Killing it again does nothing.
 func (d *Daemon) Kill() {
-	d.cancel()
-	d.engine.Close()
-	d.done.Wait()
-	d.workers.Close()
-	d.pauses.Close()
-	d.runtime.Close()
+	d.ended.Do(func() {
+		d.cancel()
+		d.engine.Close()
+		d.done.Wait()
+		d.workers.Close()
+		d.pauses.Close()
+		d.runtime.Close()
+	})
 }
 
 // Stop ends the agent gracefully: it refuses new work at once, announces that
--- a/agentd/links.go
+++ b/agentd/links.go
@@ -41,7 +41,7 @@
 	address string
 	// fixed says that the settings name the address; it is never dropped.
 	fixed bool
-	// info is what an entry said of this one, empty until then.
+	// info is what an entry said of this one; its ID is empty until then.
 	info wire.EntryInfo
 	// namedAt is when a live entry last named it. It is guarded by entryTable.
 	namedAt time.Time
@@ -88,15 +88,16 @@
 	return true
 }
 
-// link starts a link unless there is one to the address.
-func (d *Daemon) link(address string, fixed bool) {
+// link starts a link unless there is one to the address. The settings name no
+// more of an entry than its address; other entries tell the rest.
+func (d *Daemon) link(info wire.EntryInfo, fixed bool) {
 	d.entries.Lock()
 	defer d.entries.Unlock()
-	if d.entries.links[address] != nil || d.ctx.Err() != nil {
+	if d.entries.links[info.Address] != nil || d.ctx.Err() != nil {
 		return
 	}
-	k := &link{address: address, fixed: fixed, namedAt: time.Now(), changed: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
-	d.entries.links[address] = k
+	k := &link{address: info.Address, info: info, fixed: fixed, namedAt: time.Now(), changed: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
+	d.entries.links[k.address] = k
 	d.done.Go(func() { d.serve(k) })
 }
 
@@ -240,17 +241,17 @@
 	now := time.Now()
 	d.entries.Lock()
 	k.namedAt = now
-	var unknown []string
+	var unknown []wire.EntryInfo
 	for _, i := range infos {
 		if o := d.entries.links[i.Address]; o != nil {
 			o.info, o.namedAt = i, now
 		} else {
-			unknown = append(unknown, i.Address)
+			unknown = append(unknown, i)
 		}
 	}
 	d.entries.Unlock()
-	for _, address := range unknown {
-		d.link(address, false)
+	for _, i := range unknown {
+		d.link(i, false)
 	}
 }
 
--- a/workerruntime/workerruntime.go
+++ b/workerruntime/workerruntime.go
@@ -79,13 +79,9 @@
 	return c.post(ctx, taskPath(id, "resume"), nil)
 }
 
-// Stop ends the task at once. It returns nil also for a task that has ended.
+// Stop ends the task at once. ErrNoTask says that it has ended before.
 func (c *Client) Stop(ctx context.Context, id string) error {
-	err := c.post(ctx, taskPath(id, "stop"), nil)
-	if errors.Is(err, ErrNoTask) {
-		return nil
-	}
-	return err
+	return c.post(ctx, taskPath(id, "stop"), nil)
 }
 
 // Answer reads at most limit bytes of a task's answer from the offset on.
