--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/lesismal/nbio"
 )
@@ -16,9 +17,13 @@
 // goroutine that reads the connection.
 type stream struct {
 	raw *nbio.Conn
+	// sent counts the bytes written, for the whole engine.
+	sent *atomic.Int64
 	// partial holds bytes of an unfinished frame. Only the poller's goroutine
 	// uses it.
 	partial []byte
+	// onClose is called once, when the connection has closed.
+	onClose func()
 
 	mu    sync.Mutex
 	ready *sync.Cond
@@ -28,8 +33,8 @@
 	closed bool
 }
 
-func newStream(c *nbio.Conn) *stream {
-	s := &stream{raw: c}
+func newStream(c *nbio.Conn, sent *atomic.Int64) *stream {
+	s := &stream{raw: c, sent: sent}
 	s.ready = sync.NewCond(&s.mu)
 	return s
 }
@@ -75,9 +80,13 @@
 
 func (s *stream) closeQueue() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	first := !s.closed
 	s.closed = true
 	s.ready.Broadcast()
+	s.mu.Unlock()
+	if first && s.onClose != nil {
+		s.onClose()
+	}
 }
 
 // ReadObject waits for the next frame; it implements jsonrpc2.ObjectStream.
@@ -113,6 +122,7 @@
 	frame := make([]byte, headerBytes+len(body))
 	binary.BigEndian.PutUint32(frame, uint32(len(body)))
 	copy(frame[headerBytes:], body)
+	s.sent.Add(int64(len(frame)))
 	if _, err := s.raw.Write(frame); err != nil {
 		return fmt.Errorf("rpc: write: %w", err)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -274,6 +274,10 @@
 
 // Whether every task of the attempt on this VM runs.
 type ConfirmResult struct {
+	// The tasks of the attempt that ended, for a planner that took over and missed
+	// their reports.
+	Ended []TaskEndedParams `json:"ended,omitempty,omitzero"`
+
 	// Round corresponds to the JSON schema field "round".
 	Round int `json:"round"`
 
@@ -374,6 +378,12 @@
 	Next int `json:"next"`
 }
 
+// The offset read from is no longer kept.
+type ExpiredResponse struct {
+	// Oldest corresponds to the JSON schema field "oldest".
+	Oldest int `json:"oldest"`
+}
+
 // Answer to reserve and start.
 type GrantResult struct {
 	// ConfigOffset corresponds to the JSON schema field "configOffset".
@@ -560,6 +570,9 @@
 	// Region corresponds to the JSON schema field "region".
 	Region string `json:"region"`
 
+	// Other attempts that had a commit record, the newest last.
+	Tried []string `json:"tried,omitempty,omitzero"`
+
 	// Tries corresponds to the JSON schema field "tries".
 	Tries int `json:"tries,omitempty,omitzero"`
 }
@@ -602,6 +615,12 @@
 	// Jobs corresponds to the JSON schema field "jobs".
 	Jobs []JobState `json:"jobs"`
 
+	// From 1 on, when the snapshot has several records.
+	Part int `json:"part,omitempty,omitzero"`
+
+	// The number of records of the snapshot, 0 for one.
+	Parts int `json:"parts,omitempty,omitzero"`
+
 	// Terms corresponds to the JSON schema field "terms".
 	Terms []RegionTerm `json:"terms"`
 
@@ -609,6 +628,25 @@
 	Through int `json:"through"`
 }
 
+// Faults of the stand-in of the platform's log.
+type LogFaults struct {
+	// Every append is answered with 503.
+	AppendDown bool `json:"appendDown,omitempty,omitzero"`
+
+	// Each request takes effect this much later.
+	DelayMs int `json:"delayMs,omitempty,omitzero"`
+
+	// Every request is answered with 503.
+	Down bool `json:"down,omitempty,omitzero"`
+
+	// Records below this offset are expired in every stream.
+	ExpireBelow int `json:"expireBelow,omitempty,omitzero"`
+
+	// So many next appends take effect, and their connection is cut without an
+	// answer.
+	LoseAnswers int `json:"loseAnswers,omitempty,omitzero"`
+}
+
 // One record of a stream.
 type LogRecord struct {
 	// Body corresponds to the JSON schema field "body".
@@ -804,8 +842,11 @@
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id"`
 
-	// Offset corresponds to the JSON schema field "offset".
-	Offset int `json:"offset"`
+	// Object corresponds to the JSON schema field "object".
+	Object string `json:"object"`
+
+	// The accepted change's offset, or the version of the winner of a conflict.
+	Version int `json:"version"`
 }
 
 // The newest planner term of a region.
