Send every owed reply before a graceful stop closes connections

Cause: a graceful stop waited for holdings and answers, and could close the connections between the end of a short task and its reply. Change: ended attempts whose orders are not answered are counted, the workers finish, and a last announcement on each connection proves that earlier frames arrived. The eviction at a stop spares nearly finished work, and the stand-in clamps a sequence from before its restart.

--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -315,6 +315,17 @@
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(b.ctx, b.daemon.config.Ledger.Checkpoint+evictMargin+100*time.Millisecond)
 	defer cancel()
+	var shorts sync.WaitGroup
+	for i := range 3 {
+		shorts.Go(func() {
+			result := b.short(fmt.Sprint("s2-", i), `{"runMs":250,"echo":"blue"}`, 0)
+			qt.Check(t, result.Body, qt.Equals, wire.Text([]byte("blue")))
+		})
+	}
+	for len(b.daemon.Holdings()) < 5 {
+		qt.Assert(t, b.ctx.Err(), qt.IsNil)
+		time.Sleep(2 * time.Millisecond)
+	}
 	stopped := make(chan error, 1)
 	go func() { stopped <- b.daemon.Stop(ctx) }()
 	b.entry.until(t, "leaving announcement", func() bool { return b.entry.last.Leaving })
@@ -323,6 +334,7 @@
 	part, err := b.Answer(b.ctx, wire.AnswerParams{Attempt: "fixed-a", Max: 100})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, part.Data, qt.Equals, wire.Text([]byte("done")))
+	shorts.Wait()
 	qt.Assert(t, <-stopped, qt.IsNil)
 	evicted := b.entry.end(t, "long-a/0")
 	qt.Assert(t, evicted.Result, qt.Equals, wire.TaskResultEvicted)
--- a/agentd/answers.go
+++ b/agentd/answers.go
@@ -24,8 +24,10 @@
 	// kept lists what is dropped at its deadline, the earliest first; each has
 	// the same retention.
 	kept []kept
-	// changed is closed and replaced when an answer is read or a report is
-	// confirmed.
+	// owed counts orders whose attempt has ended and whose reply is not sent.
+	owed int
+	// changed is closed and replaced when an answer is read, a report is
+	// confirmed or a reply is sent.
 	changed chan struct{}
 }
 
@@ -161,11 +163,19 @@
 	return lost
 }
 
-// pending counts unread answers and unconfirmed reports.
+// owe notes n replies that are to be sent, or with a negative n were sent.
+func (t *answerTable) owe(n int) {
+	t.Lock()
+	defer t.Unlock()
+	t.owed += n
+	t.notify()
+}
+
+// pending counts unread answers, unconfirmed reports and unsent replies.
 func (t *answerTable) pending() (int, <-chan struct{}) {
 	t.Lock()
 	defer t.Unlock()
-	n := len(t.reports)
+	n := len(t.reports) + t.owed
 	for _, a := range t.answers {
 		if !a.read {
 			n++
--- a/agentd/attempt.go
+++ b/agentd/attempt.go
@@ -272,15 +272,17 @@
 		d.answers.markComplete(a.id)
 	}
 	releases, result := a.releases, wire.ReleaseResult{Started: true, CheckpointMs: a.savedMs()}
-	work := []func(){func() {
+	d.answers.owe(1)
+	return []func(){func() {
 		for _, r := range releases {
 			r.Reply(result)
 		}
+		if a.run == nil {
+			d.answers.owe(-1)
+			return
+		}
+		d.answerRun(a)
 	}}
-	if a.run != nil {
-		work = append(work, func() { d.answerRun(a) })
-	}
-	return work
 }
 
 // savedMs is the least progress that every task has saved, 0 when one has not.
--- a/agentd/daemon.go
+++ b/agentd/daemon.go
@@ -230,6 +230,8 @@
 	if err == nil {
 		d.drainAnswers(ctx)
 	}
+	d.workers.Close()
+	d.sayFarewell(ctx)
 	d.Kill()
 	return err
 }
--- a/agentd/links.go
+++ b/agentd/links.go
@@ -45,6 +45,8 @@
 	info wire.EntryInfo
 	// namedAt is when a live entry last named it. It is guarded by entryTable.
 	namedAt time.Time
+	// conn is nil while the link is down. It is guarded by entryTable.
+	conn *rpc.Conn
 	// changed asks for an announcement, ended for reports, at once.
 	changed, ended chan struct{}
 }
@@ -77,6 +79,24 @@
 	return infos
 }
 
+func (t *entryTable) use(k *link, conn *rpc.Conn) {
+	t.Lock()
+	defer t.Unlock()
+	k.conn = conn
+}
+
+func (t *entryTable) conns() []*rpc.Conn {
+	t.Lock()
+	defer t.Unlock()
+	var conns []*rpc.Conn
+	for _, k := range t.links {
+		if k.conn != nil {
+			conns = append(conns, k.conn)
+		}
+	}
+	return conns
+}
+
 // forget removes the link when no live entry has named it for so long.
 func (t *entryTable) forget(k *link, now time.Time, after time.Duration) bool {
 	t.Lock()
@@ -130,9 +150,11 @@
 		conn, err := d.engine.Dial(ctx, k.address)
 		cancel()
 		if err == nil {
+			d.entries.use(k, conn)
 			if d.converse(k, conn) {
 				span = minBackoff
 			}
+			d.entries.use(k, nil)
 			conn.Close()
 		}
 		d.dropOld()
@@ -220,6 +242,25 @@
 	return nil
 }
 
+// farewellTimeout bounds the last announcement of an agent.
+const farewellTimeout = time.Second
+
+// sayFarewell announces once more on every connection. A connection carries
+// frames in order, so the answer proves that the replies sent before arrived.
+func (d *Daemon) sayFarewell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), farewellTimeout)
+	defer cancel()
+	p := d.announcement()
+	var all sync.WaitGroup
+	for _, conn := range d.entries.conns() {
+		all.Go(func() {
+			// An entry that does not answer is not waited for.
+			_, _ = entry.Client{Conn: conn}.Announce(ctx, p)
+		})
+	}
+	all.Wait()
+}
+
 func (d *Daemon) announcement() wire.AnnounceParams {
 	v := d.config.VM
 	p := wire.AnnounceParams{
--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"time"
 
@@ -171,10 +172,8 @@
 		return func() { d.submitLaunch(a) }
 	case ledger.Lending:
 		d.count("runLending")
-		d.ring.Add(a.event("acceleratorsLent", d.config.VM.ID, ""))
-		return func() {
-			d.pauseOrAbort(a, decision.Pause)
-		}
+		d.ring.Add(a.event("acceleratorsLent", d.config.VM.ID, fmt.Sprintf("by %v", decision.Pause)))
+		return func() { d.pauseOrAbort(a, decision.Pause) }
 	case ledger.Refused:
 		d.countRefusal(decision.Rule)
 		delete(d.ledger.attempts, a.id)
@@ -268,14 +267,19 @@
 }
 
 // answerRun reads a short answer, so that it goes out with the reply, and
-// answers the order.
+// answers the order that tryGone has noted as owed.
 func (d *Daemon) answerRun(a *attempt) {
+	reply := func() {
+		d.replyRun(a)
+		d.answers.owe(-1)
+	}
 	result := &a.run.result
 	if result.Status != wire.RunStatusAnswered || result.Length == 0 || result.Length > outcome.MaxInlineBytes {
-		d.replyRun(a)
+		reply()
 		return
 	}
 	read := func() {
+		defer reply()
 		id := taskID(a.id, a.firstRank)
 		err := d.runtimeCall(func(ctx context.Context) error {
 			body, err := d.runtime.Answer(ctx, id, 0, result.Length)
@@ -289,10 +293,9 @@
 			// The entry reads the answer with the answer order.
 			d.count("runtimeRequestFailed")
 		}
-		d.replyRun(a)
 	}
 	if err := d.workers.Submit(read); err != nil {
-		d.replyRun(a)
+		reply()
 	}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -362,11 +362,12 @@
 }
 
 // Evict has Advance checkpoint and then stop every preemptible attempt, for an
-// agent that leaves before they end.
+// agent that leaves before they end. What is nearly finished is spared as in a
+// reclaim.
 func (l *Ledger) Evict(now time.Time) {
 	for _, h := range l.Holdings {
-		if h.Preemptible && h.Doom == "" {
-			l.condemn(now, h, WhyEvicted, true)
+		if h.Preemptible && h.Doom == "" && h.State != StateReserved {
+			l.evict(now, h)
 		}
 	}
 }
--- a/standinruntime/http.go
+++ b/standinruntime/http.go
@@ -121,7 +121,7 @@
 	if len(events.Events) == 0 {
 		select {
 		case <-changed:
-			events, _ = r.eventsSince(from)
+			events, _ = r.eventsSince(events.Next)
 		case <-timer.C:
 		}
 	}
--- a/standinruntime/standinruntime.go
+++ b/standinruntime/standinruntime.go
@@ -333,8 +333,9 @@
 	return list
 }
 
-// since returns the events from a sequence number on, and the channel that is
-// closed at the next one.
+// eventsSince returns the events from a sequence number on, and the channel
+// that is closed at the next one. A number beyond the next event, such as one
+// from before the runtime restarted, means the next event.
 func (r *Runtime) eventsSince(from int) (wire.TaskEvents, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
