Bound what an agent keeps of short tasks, and say why a task was stopped

Cause: every answered short task stayed in the agent's tables for the answer retention; at hundreds a second that outgrows 32 MB. A stopped short task did not say whether it was reclaimed, released or lapsed. Change: an answer that goes out with the reply is not kept. Reasons of stops are one function for reports and replies. The stand-in may be closed twice.

--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -371,3 +371,21 @@
 	second.until(t, "announcement of known entries", func() bool { return len(second.last.Entries) == 1 })
 	b.entry.until(t, "refused report", func() bool { return len(b.entry.ends) == 0 })
 }
+
+// TestRuntimeRestart guards against accelerators that stay held, and an end
+// that is never reported, when the runtime forgets its tasks.
+func TestRuntimeRestart(t *testing.T) {
+	b := newBench(t)
+	b.runs(b.job("j1", `{"runMs":60000}`, false), 2, 200)
+	b.runtime.Close()
+	runtime, err := standinruntime.New(standinruntime.Config{Listen: b.runtime.Address(), VM: "vm1", Accelerators: 8})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(runtime.Close)
+	qt.Assert(t, b.entry.end(t, "j1-a/1").Result, qt.Equals, wire.TaskResultLapsed)
+	qt.Assert(t, b.daemon.Holdings(), qt.HasLen, 0)
+	long := b.short("long", `{"answerBytes":100000}`, 1)
+	qt.Assert(t, []any{long.Status, long.Body, long.Length}, qt.DeepEquals, []any{wire.RunStatusAnswered, "", 100000})
+	part, err := b.Answer(b.ctx, wire.AnswerParams{Attempt: "long-a", Max: 1 << 20})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, []any{part.Checksum, len(part.Data)}, qt.DeepEquals, []any{long.Checksum, 133336})
+}
--- a/agentd/attempt.go
+++ b/agentd/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/ledger"
+	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/timeline"
 	"celerypoint.example/celerypoint/wire"
@@ -214,12 +215,14 @@
 		r.answered = e.Kind == wire.TaskEventKindEnded
 		r.failed = e.Kind == wire.TaskEventKindFailed
 		until := now.Add(d.config.AnswerRetention)
-		if r.answered {
+		// A short answer to a run goes out with the reply and is not kept, since
+		// hundreds a second would outgrow the agent's memory.
+		if r.answered && (a.run == nil || e.Length > outcome.MaxInlineBytes) {
 			d.answers.keep(e.ID, a.id, e.Length, e.Checksum, until)
 		}
 		d.ring.Add(a.event("taskEnded", d.config.VM.ID, fmt.Sprintf("%s %s %s", e.ID, e.Kind, e.Reason)))
 		if a.run != nil {
-			a.run.result = runResult(e)
+			a.run.result = runResult(a, e)
 		} else if p, ok := d.endReport(a, number, *r, e); ok {
 			d.answers.report(e.ID, report{params: p, until: until})
 		}
@@ -246,14 +249,14 @@
 	case a.why == ledger.WhyReleased:
 		return p, false
 	case a.why == ledger.WhyEvicted:
-		p.Result, p.Reason = wire.TaskResultEvicted, "its accelerators were reclaimed or its VM leaves"
+		p.Result = wire.TaskResultEvicted
 	case a.why == ledger.WhyLapsed || e.Kind == wire.TaskEventKindLeaseLapsed:
-		p.Result, p.Reason = wire.TaskResultLapsed, "its lease expired"
+		p.Result = wire.TaskResultLapsed
 	default:
 		p.Result = wire.TaskResultStopped
 	}
-	if a.reason != "" {
-		p.Reason = a.reason
+	if !r.answered && !r.failed {
+		p.Reason = stopReason(a, e)
 	}
 	d.count("taskEnded" + strings.ToUpper(string(p.Result[:1])) + string(p.Result[1:]))
 	return p, true
--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -7,8 +7,6 @@
 	"math"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"celerypoint.example/celerypoint/ledger"
 	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/wire"
@@ -68,7 +66,7 @@
 			Payload: a.payload, LeaseUntilUnixMs: int(until.UnixMilli()), ResumeFromMs: a.resumeFromMs,
 		}
 		if err := d.runtimeCall(func(ctx context.Context) error { return d.runtime.Start(ctx, t) }); err != nil {
-			d.log.WithFields(logrus.Fields{"vm": d.config.VM.ID, "job": a.job, "task": t.ID}).WithError(err).Warn("task did not start")
+			d.count("taskStartFailed")
 			return i, err
 		}
 	}
@@ -253,7 +251,7 @@
 }
 
 // runResult is how a short task ended.
-func runResult(e wire.TaskEvent) wire.RunResult {
+func runResult(a *attempt, e wire.TaskEvent) wire.RunResult {
 	result := wire.RunResult{Reason: e.Reason, RanMs: e.RanMs}
 	switch e.Kind {
 	case wire.TaskEventKindEnded:
@@ -262,10 +260,29 @@
 		result.Status = wire.RunStatusFailed
 	default:
 		result.Status = wire.RunStatusStopped
+		result.Reason = stopReason(a, e)
 	}
 	return result
 }
 
+// stopReason says why a task was stopped.
+func stopReason(a *attempt, e wire.TaskEvent) string {
+	switch {
+	case a.reason != "":
+		return a.reason
+	case a.why == ledger.WhyEvicted:
+		return "its accelerators were reclaimed or its VM leaves"
+	case a.why == ledger.WhyLoanEnded:
+		return "the accelerators that were lent to it were returned"
+	case a.why == ledger.WhyReleased:
+		return "it was released"
+	case a.why == ledger.WhyLapsed || e.Kind == wire.TaskEventKindLeaseLapsed:
+		return "its lease expired"
+	default:
+		return e.Reason
+	}
+}
+
 // answerRun reads a short answer, so that it goes out with the reply, and
 // answers the order that tryGone has noted as owed.
 func (d *Daemon) answerRun(a *attempt) {
@@ -278,23 +295,30 @@
 		reply()
 		return
 	}
+	id := taskID(a.id, a.firstRank)
+	// A reply without the body makes the entry read it with the answer order.
+	keep := func() {
+		d.answers.keep(id, a.id, result.Length, result.Checksum, time.Now().Add(d.config.AnswerRetention))
+	}
 	read := func() {
 		defer reply()
-		id := taskID(a.id, a.firstRank)
 		err := d.runtimeCall(func(ctx context.Context) error {
 			body, err := d.runtime.Answer(ctx, id, 0, result.Length)
-			if err == nil && len(body) == result.Length {
+			if err == nil && len(body) != result.Length {
+				err = fmt.Errorf("the runtime gave %d bytes of an answer of %d", len(body), result.Length)
+			}
+			if err == nil {
 				result.Body = wire.Text(body)
-				d.answers.markRead(id)
 			}
 			return err
 		})
 		if err != nil {
-			// The entry reads the answer with the answer order.
 			d.count("runtimeRequestFailed")
+			keep()
 		}
 	}
 	if err := d.workers.Submit(read); err != nil {
+		keep()
 		reply()
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,8 +12,8 @@
 const (
 	// maxTombstones bounds the attempts that are remembered as over. An order
 	// can only be late by as long as its connection holds it, which is seconds;
-	// at 100 attempts a second 16,384 cover more than two minutes in about
-	// 2 MB.
+	// at 100 attempts a second 16,384 cover more than two minutes. With names
+	// of 30 bytes they took 5 MB of an agent's 32 MB.
 	maxTombstones = 16384
 	// maxRounds covers confirmations whose renewals are still on their way.
 	maxRounds = 4
--- a/standinruntime/standinruntime.go
+++ b/standinruntime/standinruntime.go
@@ -103,9 +103,14 @@
 // Address is the address that the runtime listens on.
 func (r *Runtime) Address() string { return r.server.Address() }
 
-// Close stops every task without an event and stops listening.
+// Close stops every task without an event and stops listening. Closing it
+// again does nothing.
 func (r *Runtime) Close() {
 	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		return
+	}
 	r.closed = true
 	for _, t := range r.tasks {
 		t.stopTimers()
