--- a/agentd/attempt.go
+++ b/agentd/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/ledger"
+	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/timeline"
 	"celerypoint.example/celerypoint/wire"
@@ -214,12 +215,14 @@
 		r.answered = e.Kind == wire.TaskEventKindEnded
 		r.failed = e.Kind == wire.TaskEventKindFailed
 		until := now.Add(d.config.AnswerRetention)
-		if r.answered {
+		// A short answer to a run goes out with the reply and is not kept, since
+		// hundreds a second would outgrow the agent's memory.
+		if r.answered && (a.run == nil || e.Length > outcome.MaxInlineBytes) {
 			d.answers.keep(e.ID, a.id, e.Length, e.Checksum, until)
 		}
 		d.ring.Add(a.event("taskEnded", d.config.VM.ID, fmt.Sprintf("%s %s %s", e.ID, e.Kind, e.Reason)))
 		if a.run != nil {
-			a.run.result = runResult(e)
+			a.run.result = runResult(a, e)
 		} else if p, ok := d.endReport(a, number, *r, e); ok {
 			d.answers.report(e.ID, report{params: p, until: until})
 		}
@@ -246,14 +249,14 @@
 	case a.why == ledger.WhyReleased:
 		return p, false
 	case a.why == ledger.WhyEvicted:
-		p.Result, p.Reason = wire.TaskResultEvicted, "its accelerators were reclaimed or its VM leaves"
+		p.Result = wire.TaskResultEvicted
 	case a.why == ledger.WhyLapsed || e.Kind == wire.TaskEventKindLeaseLapsed:
-		p.Result, p.Reason = wire.TaskResultLapsed, "its lease expired"
+		p.Result = wire.TaskResultLapsed
 	default:
 		p.Result = wire.TaskResultStopped
 	}
-	if a.reason != "" {
-		p.Reason = a.reason
+	if !r.answered && !r.failed {
+		p.Reason = stopReason(a, e)
 	}
 	d.count("taskEnded" + strings.ToUpper(string(p.Result[:1])) + string(p.Result[1:]))
 	return p, true
@@ -272,15 +275,17 @@
 		d.answers.markComplete(a.id)
 	}
 	releases, result := a.releases, wire.ReleaseResult{Started: true, CheckpointMs: a.savedMs()}
-	work := []func(){func() {
+	d.answers.owe(1)
+	return []func(){func() {
 		for _, r := range releases {
 			r.Reply(result)
 		}
+		if a.run == nil {
+			d.answers.owe(-1)
+			return
+		}
+		d.answerRun(a)
 	}}
-	if a.run != nil {
-		work = append(work, func() { d.answerRun(a) })
-	}
-	return work
 }
 
 // savedMs is the least progress that every task has saved, 0 when one has not.
