Add the demonstration

Cause: nobody can see the parts work together in one command. Change: demo runs a stand-in log, two entries and three agents in one process and checks a gang, an urgent request, a refusal and the graceful stop of an entry with a caller waiting at it; frontend closes its server once.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -90,7 +90,7 @@
 		p.entryCommand(), p.agentCommand(), p.checkCommand(),
 		p.submitCommand(), p.statusCommand(), p.cancelCommand(),
 		p.orgCommand(), p.labelCommand(), p.configCommand(), p.drainCommand(), p.timelineCommand(),
-		p.explainCommand(),
+		p.explainCommand(), p.demoCommand(),
 	)
 }
 
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	if answerFile != "" && v.Outcome != nil && v.Outcome.Kind == wire.OutcomeKindAnswer {
-		body, err := c.Answer(ctx, v.ID)
+		body, err := c.Answer(ctx, v)
 		if err != nil {
 			return err
 		}
--- a/entryhttp/entryhttp.go
+++ b/entryhttp/entryhttp.go
@@ -104,15 +104,24 @@
 	return get[wire.JobView](ctx, c, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil)
 }
 
-// Answer reads a whole answer and checks its length and checksum.
-func (c *Client) Answer(ctx context.Context, id string) ([]byte, error) {
-	body, header, err := c.send(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/answer", nil)
+// Answer returns the whole answer of a job that ended with one, and checks its
+// length and checksum. It reads it from an entry only when the view does not
+// hold it.
+func (c *Client) Answer(ctx context.Context, v wire.JobView) ([]byte, error) {
+	if v.Outcome == nil || v.Outcome.Kind != wire.OutcomeKindAnswer {
+		return nil, fmt.Errorf("job %s: found no answer, allowed: a job that ended with one", v.ID)
+	}
+	body, err := wire.Bytes("outcome.body", v.Outcome.Body)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("job %s: %w", v.ID, err)
 	}
-	length, sum := header.Get("Celerypoint-Length"), header.Get("Celerypoint-Checksum")
-	if found := wire.Checksum(xxhash.Sum64(body)); strconv.Itoa(len(body)) != length || found != sum {
-		return nil, fmt.Errorf("answer of job %s: found %d bytes with checksum %s, announced: %s bytes with checksum %s", id, len(body), found, length, sum)
+	if len(body) == 0 && v.Outcome.Length > 0 {
+		if body, err = c.send(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(v.ID)+"/answer", nil); err != nil {
+			return nil, err
+		}
+	}
+	if sum := wire.Checksum(xxhash.Sum64(body)); len(body) != v.Outcome.Length || sum != v.Outcome.Checksum {
+		return nil, fmt.Errorf("answer of job %s: found %d bytes with checksum %s, recorded: %d bytes with checksum %s", v.ID, len(body), sum, v.Outcome.Length, v.Outcome.Checksum)
 	}
 	return body, nil
 }
@@ -153,7 +162,7 @@
 
 // Drain sets whether a VM takes new work.
 func (c *Client) Drain(ctx context.Context, vmID string, draining bool) error {
-	_, _, err := c.send(ctx, http.MethodPost, "/v1/drain/"+url.PathEscape(vmID)+"?draining="+strconv.FormatBool(draining), nil)
+	_, err := c.send(ctx, http.MethodPost, "/v1/drain/"+url.PathEscape(vmID)+"?draining="+strconv.FormatBool(draining), nil)
 	return err
 }
 
@@ -161,7 +170,7 @@
 
 func get[R any](ctx context.Context, c *Client, method, path string, body any) (R, error) {
 	var r R
-	data, _, err := c.send(ctx, method, path, body)
+	data, err := c.send(ctx, method, path, body)
 	if err != nil {
 		return r, err
 	}
@@ -172,19 +181,19 @@
 }
 
 // send tries the addresses in order until an entry takes the request.
-func (c *Client) send(ctx context.Context, method, path string, body any) ([]byte, http.Header, error) {
+func (c *Client) send(ctx context.Context, method, path string, body any) ([]byte, error) {
 	var data []byte
 	if body != nil {
 		var err error
 		if data, err = json.Marshal(body); err != nil {
-			return nil, nil, fmt.Errorf("%s %s: %w", method, path, err)
+			return nil, fmt.Errorf("%s %s: %w", method, path, err)
 		}
 	}
 	last := errors.New("no entry address is given")
 	for _, a := range c.addresses {
-		reply, header, err := c.sendTo(ctx, a, method, path, data)
+		reply, err := c.sendTo(ctx, a, method, path, data)
 		if err == nil {
-			return reply, header, nil
+			return reply, nil
 		}
 		last = err
 		var refused *Error
@@ -192,31 +201,31 @@
 			break
 		}
 	}
-	return nil, nil, last
+	return nil, last
 }
 
-func (c *Client) sendTo(ctx context.Context, address, method, path string, data []byte) ([]byte, http.Header, error) {
+func (c *Client) sendTo(ctx context.Context, address, method, path string, data []byte) ([]byte, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
 	if err != nil {
-		return nil, nil, fmt.Errorf("entry %s: %w", address, err)
+		return nil, fmt.Errorf("entry %s: %w", address, err)
 	}
 	res, err := c.http.Do(r)
 	if err != nil {
-		return nil, nil, fmt.Errorf("entry %s: %w", address, withoutURL(err))
+		return nil, fmt.Errorf("entry %s: %w", address, withoutURL(err))
 	}
 	defer res.Body.Close()
 	reply, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes))
 	if err != nil {
-		return nil, nil, fmt.Errorf("entry %s: %s %s: cut reply: %w", address, method, path, err)
+		return nil, fmt.Errorf("entry %s: %s %s: cut reply: %w", address, method, path, err)
 	}
 	if res.StatusCode < 300 {
-		return reply, res.Header, nil
+		return reply, nil
 	}
 	var e wire.ErrorResponse
 	if err := httpbody.Decode(reply, &e); err != nil {
-		return nil, nil, &Error{Status: res.StatusCode, Message: fmt.Sprintf("entry %s: %s %s: status %s", address, method, path, res.Status)}
+		return nil, &Error{Status: res.StatusCode, Message: fmt.Sprintf("entry %s: %s %s: status %s", address, method, path, res.Status)}
 	}
-	return nil, nil, &Error{Status: res.StatusCode, Rule: e.Rule, Message: e.Error, Version: e.Version}
+	return nil, &Error{Status: res.StatusCode, Rule: e.Rule, Message: e.Error, Version: e.Version}
 }
 
 // withoutURL keeps the cause of a failed request, which names the address.
--- a/entryhttp/entryhttp_test.go
+++ b/entryhttp/entryhttp_test.go
@@ -56,17 +56,29 @@
 	}
 }
 
-// TestAnswerIsChecked guards against a changed answer that is taken as whole.
+// TestAnswerIsChecked guards against a changed answer that is taken as whole,
+// whether it came with the job or was read later.
 func TestAnswerIsChecked(t *testing.T) {
-	sum := wire.Checksum(xxhash.Sum64String("tin"))
 	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Celerypoint-Length", "3")
-		w.Header().Set("Celerypoint-Checksum", sum)
 		httpserver.Reply(w, http.StatusOK, "application/octet-stream", []byte(strings.Split(r.URL.Path, "/")[3]))
 	})
-	body, err := New(address).Answer(context.Background(), "tin")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, string(body), qt.Equals, "tin")
-	_, err = New(address).Answer(context.Background(), "tan")
-	qt.Assert(t, err, qt.ErrorMatches, `answer of job tan: found 3 bytes .*`)
+	for _, tt := range []struct{ name, id, inline, want string }{
+		{"read", "tin", "", ""},
+		{"read and changed", "tan", "", `answer of job tan: found 3 bytes .*`},
+		{"inline", "none", "tin", ""},
+		{"inline and cut", "none", "ti", `answer of job none: found 2 bytes .*`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v := wire.JobView{ID: tt.id, Outcome: &wire.Outcome{
+				Kind: wire.OutcomeKindAnswer, Length: 3, Checksum: wire.Checksum(xxhash.Sum64String("tin")), Body: wire.Text([]byte(tt.inline)),
+			}}
+			body, err := New(address).Answer(context.Background(), v)
+			if tt.want != "" {
+				qt.Assert(t, err, qt.ErrorMatches, tt.want)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(body), qt.Equals, "tin")
+		})
+	}
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -42,6 +42,8 @@
 	active int
 	// idle is closed and replaced when active falls to 0.
 	idle chan struct{}
+	// closeOnce guards the end: a second Shutdown of an nbio engine panics.
+	closeOnce sync.Once
 }
 
 // New serves the daemon on the TCP address.
@@ -88,10 +90,12 @@
 // until they have ended, and closes the server. The error says what was left.
 func (f *Frontend) Stop(ctx context.Context) error {
 	err := errors.Join(f.daemon.Stop(ctx), f.waitIdle(ctx))
-	f.server.Close(closeTimeout)
-	if err == nil {
-		f.callers.Close()
-	}
+	f.closeOnce.Do(func() {
+		f.server.Close(closeTimeout)
+		if err == nil {
+			f.callers.Close()
+		}
+	})
 	return err
 }
 
