--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/entryd"
+	"celerypoint.example/celerypoint/httpbody"
+	"celerypoint.example/celerypoint/httpserver"
+	"celerypoint.example/celerypoint/operator"
+	"celerypoint.example/celerypoint/settings"
+	"celerypoint.example/celerypoint/timeline"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// fake is an entry that folds changes and gives prepared answers.
+type fake struct{ state configfold.State }
+
+func (f *fake) Config(context.Context) (configfold.State, error) { return f.state.Clone(), nil }
+
+func (f *fake) History(context.Context, int64) ([]wire.ConfigHistory, error) {
+	var h []wire.ConfigHistory
+	for object, version := range f.state.Versions {
+		h = append(h, wire.ConfigHistory{Offset: int(version), Object: object, Accepted: true})
+	}
+	return h, nil
+}
+
+func (f *fake) Change(_ context.Context, r configfold.Record) (configfold.Result, error) {
+	return f.state.Apply(f.state.Offset+1, r), nil
+}
+
+func (f *fake) Status(context.Context) (wire.StatusView, error) {
+	return wire.StatusView{Entry: "entry-a", Zone: "z", Region: "r"}, nil
+}
+
+func (f *fake) Drain(context.Context, string, bool) error { return nil }
+
+func (f *fake) Events(context.Context) ([]timeline.Event, error) {
+	return []timeline.Event{{At: time.UnixMilli(0), Process: "entry-a", Kind: "jobAccepted", Job: "j1", Sequence: 1}}, nil
+}
+
+func serveFake(t *testing.T) string {
+	mux := http.NewServeMux()
+	mux.Handle("/", operator.New(&fake{state: configfold.New()}))
+	mux.HandleFunc("/v1/jobs/j1", func(w http.ResponseWriter, _ *http.Request) {
+		httpserver.JSON(w, http.StatusOK, wire.JobView{ID: "j1", Org: "cairn", Phase: wire.JobPhaseWaiting, WaitsFor: "noFreeCapacity: 2 of 16"})
+	})
+	mux.HandleFunc("POST /v1/jobs", func(w http.ResponseWriter, r *http.Request) {
+		v := wire.JobView{ID: "j1", Org: "cairn", Phase: wire.JobPhaseEnded, Outcome: &wire.Outcome{Kind: wire.OutcomeKindFailed, Reason: "paint is dry"}}
+		if r.URL.Query().Get("waitMs") == "0" {
+			httpserver.JSON(w, http.StatusConflict, wire.ErrorResponse{Error: "not run: unknown", Rule: "orgUnknown"})
+			return
+		}
+		httpserver.JSON(w, http.StatusOK, v)
+	})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// TestCommands guards against wrong exit codes and output that scripts rely
+// on. The commands of testdata/commands.txt run in order against one entry.
+func TestCommands(t *testing.T) {
+	t.Setenv("CELERYPOINT_ENTRY", serveFake(t))
+	text, err := os.ReadFile("testdata/commands.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(text)) {
+		p := strings.Split(strings.TrimSpace(line), " | ")
+		qt.Assert(t, p, qt.HasLen, 3, qt.Commentf("%s", line))
+		t.Run(p[0], func(t *testing.T) {
+			var stdout, stderr strings.Builder
+			code := Run(t.Context(), strings.Fields(p[0]), &stdout, &stderr)
+			qt.Check(t, fmt.Sprint(code), qt.Equals, p[1], qt.Commentf("%s", stderr.String()))
+			output := stdout.String()
+			if code != exitOK {
+				output = stderr.String()
+			}
+			qt.Check(t, output, qt.Matches, "(?s).*"+p[2]+".*")
+		})
+	}
+}
+
+// TestHelp guards against a command whose --help has no example or fails.
+func TestHelp(t *testing.T) {
+	p := &program{}
+	for _, c := range p.root().Subcommands {
+		names := [][]string{{c.Name}}
+		for _, sub := range c.Subcommands {
+			names = append(names, []string{c.Name, sub.Name})
+		}
+		if len(names) > 1 {
+			names = names[1:]
+		}
+		for _, name := range names {
+			var stdout strings.Builder
+			qt.Check(t, Run(t.Context(), append(name, "--help"), &stdout, &stdout), qt.Equals, exitOK)
+			qt.Check(t, stdout.String(), qt.Contains, "EXAMPLE\n  celerypoint "+strings.Join(name, " "))
+		}
+	}
+}
+
+// TestStatusScreen guards against columns that operators need and do not see.
+func TestStatusScreen(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("testdata", "status.json"))
+	qt.Assert(t, err, qt.IsNil)
+	want, err := os.ReadFile(filepath.Join("testdata", "status.txt"))
+	qt.Assert(t, err, qt.IsNil)
+	var s wire.StatusView
+	qt.Assert(t, httpbody.Decode(data, &s), qt.IsNil)
+	var out strings.Builder
+	writeStatus(&out, s, time.UnixMilli(1_000_000))
+	qt.Assert(t, out.String(), qt.Equals, string(want))
+}
+
+// TestDefaults guards against settings whose defaults differ from the daemon's.
+func TestDefaults(t *testing.T) {
+	s, err := settings.LoadEntry("../settings/testdata/good/entry.ini", nil)
+	qt.Assert(t, err, qt.IsNil)
+	got, want := entryConfig(s), entryd.DefaultConfig()
+	want.ID, want.Zone, want.Region, want.LogURL = got.ID, got.Zone, got.Region, got.LogURL
+	want.RPCAddress, want.HTTPAddress = got.RPCAddress, got.HTTPAddress
+	qt.Assert(t, got, qt.DeepEquals, want)
+}
