--- a/placement/head.go
+++ b/placement/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -22,7 +23,9 @@
 	at, org             int
 	tasks, accelerators int
 	firm                bool
-	end                 int64
+	// placed says that the pass has placed it.
+	placed bool
+	end    int64
 }
 
 // passesHead reports whether the request is expected to end before the head
@@ -53,9 +56,10 @@
 // attempts end as expected, and holds the VMs that it would use then.
 func (p *pass) reserveForHead() {
 	attempts := p.attempts()
+	now := p.in.Now.UnixNano()
 	times := make([]int64, 0, len(attempts))
 	for _, a := range attempts {
-		times = append(times, a.end)
+		times = append(times, now+coarse(a.end-now))
 	}
 	slices.Sort(times)
 	times = slices.Compact(times)
@@ -71,11 +75,19 @@
 		return
 	}
 	p.heldUntil = time.Unix(0, times[k])
+	p.headReclaims = p.later(attempts, times[k]).fitFree(p.head) == nil
 	for _, m := range found {
 		p.held[m.at] = true
 	}
 }
 
+// coarse rounds a span up by at most a thirty-second. Expected ends are less
+// exact than that, and fewer of them take fewer copies of the pass.
+func coarse(span int64) int64 {
+	shift := max(0, bits.Len64(uint64(span))-6)
+	return (span + 1<<shift - 1) >> shift << shift
+}
+
 // attempts lists what ran before the pass and what the pass has placed.
 func (p *pass) attempts() []running {
 	if p.ran == nil {
@@ -151,19 +163,28 @@
 // release ends an attempt's part. What the pass has reclaimed is gone already.
 func (p *pass) release(a running) {
 	m := &p.machines[a.at]
-	n, firm := a.accelerators, 0
-	if a.firm {
-		firm = n
-	} else {
-		gone := min(n, m.evicted)
+	n, slots := a.accelerators, a.tasks
+	if !a.firm && !a.placed {
+		gone, won := min(n, m.evicted), min(slots, m.slotsWon)
 		m.evicted -= gone
+		m.slotsWon -= won
 		n -= gone
+		slots -= won
 	}
 	if m.usable {
 		m.free += n
-		m.slots += a.tasks
+		m.slots += slots
+	}
+	by := account{used: -n}
+	switch {
+	case a.firm:
+		by.firm = -n
+	case a.placed:
+		by.fresh = -n
+	case a.accelerators == 0:
+		by.loose = -a.tasks
 	}
-	m.charge(a.org, account{used: -n, firm: -firm})
+	m.charge(a.org, by)
 	p.used[a.org] -= n
-	p.firm[a.org] -= firm
+	p.firm[a.org] += by.firm
 }
