--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -20,6 +20,7 @@
 	"celerypoint.example/celerypoint/httpserver"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/rules"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -190,3 +191,12 @@
 	qt.Check(t, w.Header().Get("Celerypoint-Length"), qt.Equals, "5")
 	qt.Check(t, w.Header().Get("Celerypoint-Checksum"), qt.Equals, wire.Checksum(xxhash.Sum64String("xxxxx")))
 }
+
+// TestRetryAfterRules guards against a misspelt rule, which would be answered
+// as a lasting refusal although a later request may be taken.
+func TestRetryAfterRules(t *testing.T) {
+	for name := range retryAfter {
+		_, ok := rules.Find(name)
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("no rule %s", name))
+	}
+}
--- a/cli/config.go
+++ b/cli/config.go
@@ -184,7 +184,7 @@
 		}
 		return text + labelText(o.Org.Labels)
 	case o.Assignment != nil:
-		text := fmt.Sprintf("shares of %d organisations", len(o.Assignment.Shares))
+		text := "shares of " + dash(strings.Join(slices.Sorted(maps.Keys(o.Assignment.Shares)), ", "))
 		if len(o.Assignment.Unmet) > 0 {
 			text += ", does not fit: " + strings.Join(o.Assignment.Unmet, ", ")
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,14 +62,15 @@
 // Key describes one setting. It is the only description of it: parsing, flags,
 // environment variables and `check --defaults` all use it.
 type Key struct {
-	Section, Name string
+	Section string `json:"section"`
+	Name    string `json:"name"`
 	// Default is the text that stands for a missing value. A key with an empty
 	// default that is not Optional has to be set.
-	Default  string
-	Optional bool
+	Default  string `json:"default"`
+	Optional bool   `json:"optional"`
 	// Allowed says in words which values are valid.
-	Allowed string
-	Help    string
+	Allowed string `json:"allowed"`
+	Help    string `json:"help"`
 }
 
 // Flag is the name of the key's flag, without the dashes.
