Test that the stop of an entry cuts off no caller

Cause: a planned stop must lose no answer that a caller waits for. Change: eight callers and one batch sender run against one entry until it refuses them because it leaves; each answer of 100,000 bytes is checked. Conclusion: an answer whose reading outlasts all other requests is not covered; entryd.Answer does not count as a request in progress.

--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -3,17 +3,26 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
+	"celerypoint.example/celerypoint/agentd"
 	"celerypoint.example/celerypoint/entryd"
+	"celerypoint.example/celerypoint/entryhttp"
 	"celerypoint.example/celerypoint/standinlog"
+	"celerypoint.example/celerypoint/standinruntime"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/wire"
 )
 
 // TestPaths guards against a path that reaches the wrong handler, and against
@@ -77,3 +86,82 @@
 	time.AfterFunc(10*time.Millisecond, func() { close(release) })
 	qt.Assert(t, f.waitIdle(t.Context()), qt.IsNil)
 }
+
+// TestStopCutsOffNothing guards against a stop that loses the answer of a
+// caller: each caller keeps a connection and sends urgent requests and batches
+// until it is refused because the entry leaves.
+func TestStopCutsOffNothing(t *testing.T) {
+	log, err := standinlog.New("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer log.Close()
+	c := entryd.DefaultConfig()
+	c.ID, c.Zone, c.Region, c.RPCAddress, c.LogURL = "e1", "z1", "r1", "127.0.0.1:0", log.URL()
+	c.BalancerDelay = 300 * time.Millisecond
+	d, err := entryd.New(c)
+	qt.Assert(t, err, qt.IsNil)
+	f, err := New("127.0.0.1:0", d)
+	qt.Assert(t, err, qt.IsNil)
+	runtime, err := standinruntime.New(standinruntime.Config{Listen: "127.0.0.1:0", VM: "v1", Accelerators: 8})
+	qt.Assert(t, err, qt.IsNil)
+	defer runtime.Close()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	a, err := agentd.New(agentd.Config{
+		VM:         vm.VM{ID: "v1", Zone: "z1", Rack: "k1", Region: "r1", Accelerators: 8, Slots: 64, Connections: 64},
+		AnnounceTo: []string{d.RPCAddress()}, RuntimeURL: "http://" + runtime.Address(), Seed: 1,
+	}, agentd.WithLogger(quiet))
+	qt.Assert(t, err, qt.IsNil)
+	defer a.Kill()
+	client := entryhttp.New(f.Address())
+	defer client.Close()
+	for {
+		if s, err := client.Status(t.Context()); err == nil && len(s.VMs) == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	_, err = client.Change(t.Context(), wire.ConfigChange{Kind: wire.ConfigKindPutOrg, Object: "org/cairn", Org: &wire.Org{Name: "cairn"}})
+	qt.Assert(t, err, qt.IsNil)
+
+	var answers atomic.Int64
+	var callers sync.WaitGroup
+	request := wire.SubmitRequest{Org: "cairn", Urgency: "urgent", Idempotent: true, Payload: `{"runMs":20,"answerBytes":100000}`}
+	line, err := json.Marshal(request)
+	qt.Assert(t, err, qt.IsNil)
+	for range 8 {
+		callers.Go(func() {
+			for {
+				v, err := client.Submit(t.Context(), request, 10*time.Second)
+				if err != nil {
+					qt.Check(t, err, qt.ErrorMatches, `.*rule entryLeaving.*`)
+					return
+				}
+				if _, err = client.Answer(t.Context(), v); !qt.Check(t, err, qt.IsNil) {
+					return
+				}
+				answers.Add(1)
+			}
+		})
+	}
+	callers.Go(func() {
+		body := bytes.Repeat(append(line, '\n'), 4)
+		for {
+			res, err := http.Post("http://"+f.Address()+"/v1/batch", "application/x-ndjson", bytes.NewReader(body))
+			if !qt.Check(t, err, qt.IsNil) {
+				return
+			}
+			got, err := io.ReadAll(res.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, res.Body.Close(), qt.IsNil)
+			qt.Check(t, bytes.Count(got, []byte{'\n'}), qt.Equals, 4)
+			if bytes.Contains(got, []byte("entryLeaving")) {
+				return
+			}
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
+	qt.Check(t, f.Stop(t.Context()), qt.IsNil)
+	callers.Wait()
+	qt.Check(t, answers.Load() > 8, qt.IsTrue)
+	t.Logf("%d answers before the stop", answers.Load())
+}
