Add the load command over HTTP

Cause: package load had no command, and a bound of 256 waiting requests refused callers long before a lane of 4,096 was full. Change: load adapts the HTTP client to load.Target and puts the profile's organisations; the bound on waiting requests is 4,096. Result: go test ./cli ./caller ./frontend ./demo passes.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -65,9 +65,10 @@
 const (
 	// maxWait bounds ?waitMs=, below the idle timeouts of usual balancers.
 	maxWait = 50 * time.Second
-	// defaultWaiting bounds the requests that wait for a job at once; each
-	// holds a handler of the HTTP server.
-	defaultWaiting = 256
+	// DefaultWaiting bounds the requests that wait for a job at once; each
+	// holds a handler of the HTTP server. It is the default bound of a lane, so
+	// that a full lane refuses first and says so.
+	DefaultWaiting = 4096
 	// defaultWorkers and defaultQueue size the pool of the batches.
 	defaultWorkers = 128
 	defaultQueue   = 4096
@@ -104,7 +105,7 @@
 // New makes the handler. Close ends its workers.
 func New(s Service, options ...Option) *Handler {
 	h := &Handler{
-		service: s, mux: http.NewServeMux(), maxWaiting: defaultWaiting,
+		service: s, mux: http.NewServeMux(), maxWaiting: DefaultWaiting,
 		workers: defaultWorkers, queue: defaultQueue, leaving: func() bool { return false },
 	}
 	for _, o := range options {
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -90,7 +90,7 @@
 		p.entryCommand(), p.agentCommand(), p.checkCommand(),
 		p.submitCommand(), p.statusCommand(), p.cancelCommand(),
 		p.orgCommand(), p.labelCommand(), p.configCommand(), p.drainCommand(), p.timelineCommand(),
-		p.explainCommand(), p.demoCommand(),
+		p.explainCommand(), p.demoCommand(), p.loadCommand(),
 	)
 }
 
@@ -145,14 +145,16 @@
 	return r
 }
 
-func (r *remote) client() *entryhttp.Client {
+func (r *remote) client() *entryhttp.Client { return entryhttp.New(r.addresses()...) }
+
+func (r *remote) addresses() []string {
 	var addresses []string
 	for a := range strings.SplitSeq(r.entries, ",") {
 		if a = strings.TrimSpace(a); a != "" {
 			addresses = append(addresses, a)
 		}
 	}
-	return entryhttp.New(addresses...)
+	return addresses
 }
 
 // print writes v as JSON when asked for, and otherwise calls text.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -26,8 +26,8 @@
 const (
 	// handlers bounds the HTTP requests in progress. It is above the bound of
 	// package caller on requests that wait, so that waits never hold up the
-	// others.
-	handlers = 512
+	// others. nbhttp starts a goroutine for each only when it is needed.
+	handlers = caller.DefaultWaiting + 512
 	// closeTimeout bounds the closing of idle connections.
 	closeTimeout = 2 * time.Second
 )
