--- /dev/null
+++ b/frontend/frontend_test.go
@@ -0,0 +1,167 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"celerypoint.example/celerypoint/agentd"
+	"celerypoint.example/celerypoint/entryd"
+	"celerypoint.example/celerypoint/entryhttp"
+	"celerypoint.example/celerypoint/standinlog"
+	"celerypoint.example/celerypoint/standinruntime"
+	"celerypoint.example/celerypoint/vm"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// TestPaths guards against a path that reaches the wrong handler, and against
+// an entry that refuses without a rule.
+func TestPaths(t *testing.T) {
+	log, err := standinlog.New("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer log.Close()
+	c := entryd.DefaultConfig()
+	c.ID, c.Zone, c.Region, c.RPCAddress, c.LogURL = "e1", "z1", "r1", "127.0.0.1:0", log.URL()
+	c.BalancerDelay = time.Millisecond
+	d, err := entryd.New(c)
+	qt.Assert(t, err, qt.IsNil)
+	f, err := New("127.0.0.1:0", d)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { qt.Check(t, f.Stop(t.Context()), qt.IsNil) }()
+	for ready, _ := d.Ready(); !ready; ready, _ = d.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	for _, tt := range []struct {
+		method, path, body string
+		status             int
+		want               string
+	}{
+		{"GET", "/readyz", "", 200, "ready"},
+		{"GET", "/healthz", "", 200, "ok"},
+		{"GET", "/metrics", "", 200, "callersWaiting 0"},
+		{"GET", "/v1/status", "", 200, `"entry":"e1"`},
+		{"GET", "/v1/config", "", 200, `"objects":[]`},
+		{"POST", "/v1/jobs", `{"org":"nobody","idempotent":true}`, 409, `"rule":"orgUnknown"`},
+		{"POST", "/v1/batch", `{"org":"nobody","idempotent":true,"requestId":"q"}`, 200, `"requestId":"q"`},
+		{"GET", "/v1/jobs/none/answer", "", 404, "has no answer"},
+		{"GET", "/v1/other", "", 404, ""},
+	} {
+		r, err := http.NewRequest(tt.method, "http://"+f.Address()+tt.path, strings.NewReader(tt.body))
+		qt.Assert(t, err, qt.IsNil)
+		res, err := http.DefaultClient.Do(r)
+		qt.Assert(t, err, qt.IsNil)
+		body, err := io.ReadAll(res.Body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, res.Body.Close(), qt.IsNil)
+		qt.Check(t, res.StatusCode, qt.Equals, tt.status, qt.Commentf("%s %s: %s", tt.method, tt.path, body))
+		qt.Check(t, bytes.Contains(body, []byte(tt.want)), qt.IsTrue, qt.Commentf("%s %s: %s", tt.method, tt.path, body))
+	}
+}
+
+// TestWaitIdle guards against a stop that cuts off a request in progress, and
+// against one that never ends because a request does not.
+func TestWaitIdle(t *testing.T) {
+	f := &Frontend{idle: make(chan struct{})}
+	entered, release := make(chan struct{}), make(chan struct{})
+	h := f.counted(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-release
+	}))
+	go h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/", nil))
+	<-entered
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	qt.Assert(t, f.waitIdle(ctx), qt.ErrorMatches, ".*stopped with 1 requests in progress.*")
+	time.AfterFunc(10*time.Millisecond, func() { close(release) })
+	qt.Assert(t, f.waitIdle(t.Context()), qt.IsNil)
+}
+
+// TestStopCutsOffNothing guards against a stop that loses the answer of a
+// caller: each caller keeps a connection and sends urgent requests and batches
+// until it is refused because the entry leaves.
+func TestStopCutsOffNothing(t *testing.T) {
+	log, err := standinlog.New("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer log.Close()
+	c := entryd.DefaultConfig()
+	c.ID, c.Zone, c.Region, c.RPCAddress, c.LogURL = "e1", "z1", "r1", "127.0.0.1:0", log.URL()
+	c.BalancerDelay = 300 * time.Millisecond
+	d, err := entryd.New(c)
+	qt.Assert(t, err, qt.IsNil)
+	f, err := New("127.0.0.1:0", d)
+	qt.Assert(t, err, qt.IsNil)
+	runtime, err := standinruntime.New(standinruntime.Config{Listen: "127.0.0.1:0", VM: "v1", Accelerators: 8})
+	qt.Assert(t, err, qt.IsNil)
+	defer runtime.Close()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	a, err := agentd.New(agentd.Config{
+		VM:         vm.VM{ID: "v1", Zone: "z1", Rack: "k1", Region: "r1", Accelerators: 8, Slots: 64, Connections: 64},
+		AnnounceTo: []string{d.RPCAddress()}, RuntimeURL: "http://" + runtime.Address(), Seed: 1,
+	}, agentd.WithLogger(quiet))
+	qt.Assert(t, err, qt.IsNil)
+	defer a.Kill()
+	client := entryhttp.New(f.Address())
+	defer client.Close()
+	for {
+		if s, err := client.Status(t.Context()); err == nil && len(s.VMs) == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	_, err = client.Change(t.Context(), wire.ConfigChange{Kind: wire.ConfigKindPutOrg, Object: "org/cairn", Org: &wire.Org{Name: "cairn"}})
+	qt.Assert(t, err, qt.IsNil)
+
+	var answers atomic.Int64
+	var callers sync.WaitGroup
+	request := wire.SubmitRequest{Org: "cairn", Urgency: "urgent", Idempotent: true, Payload: `{"runMs":20,"answerBytes":100000}`}
+	line, err := json.Marshal(request)
+	qt.Assert(t, err, qt.IsNil)
+	for range 8 {
+		callers.Go(func() {
+			for {
+				v, err := client.Submit(t.Context(), request, 10*time.Second)
+				if err != nil {
+					qt.Check(t, err, qt.ErrorMatches, `.*rule entryLeaving.*`)
+					return
+				}
+				if _, err = client.Answer(t.Context(), v); !qt.Check(t, err, qt.IsNil) {
+					return
+				}
+				answers.Add(1)
+			}
+		})
+	}
+	callers.Go(func() {
+		body := bytes.Repeat(append(line, '\n'), 4)
+		for {
+			res, err := http.Post("http://"+f.Address()+"/v1/batch", "application/x-ndjson", bytes.NewReader(body))
+			if !qt.Check(t, err, qt.IsNil) {
+				return
+			}
+			got, err := io.ReadAll(res.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, res.Body.Close(), qt.IsNil)
+			qt.Check(t, bytes.Count(got, []byte{'\n'}), qt.Equals, 4)
+			if bytes.Contains(got, []byte("entryLeaving")) {
+				return
+			}
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
+	qt.Check(t, f.Stop(t.Context()), qt.IsNil)
+	callers.Wait()
+	qt.Check(t, answers.Load() > 8, qt.IsTrue)
+	t.Logf("%d answers before the stop", answers.Load())
+}
