entryd: end a job that waits again under its newest attempt

Cause: the fold takes an end record only under the job's newest committed attempt, but a job that waits again after an abort was ended under none, so that its cancellation or deadline never ended it. Change: endWaiting and ended name the newest committed attempt of the fold. Conclusion: none open.

--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -347,7 +347,9 @@
 		}
 		attemptID := a.ID
 		if a.CommitOffset == 0 {
-			attemptID = ""
+			d.jobs.mu.Lock()
+			attemptID = d.newestAttempt(a.JobID)
+			d.jobs.mu.Unlock()
 		}
 		d.appendEnd(a.JobID, attemptID, result)
 		d.jobs.mu.Lock()
--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -236,6 +236,16 @@
 	return outcome.Failed{Reason: "stopped and not started again: " + o.Reason, Cancelled: o.Rule == "cancelledBeforeStart"}
 }
 
+// newestAttempt is the newest attempt that was committed for a job, empty for
+// none. An end record names it, also when the attempt was aborted and the job
+// waits again. The jobs lock is held.
+func (d *Daemon) newestAttempt(id string) string {
+	if e := d.jobs.fold.Jobs[id]; e != nil {
+		return e.Attempt
+	}
+	return ""
+}
+
 // endWaiting ends a job that has no attempt.
 func (d *Daemon) endWaiting(id string, o outcome.Outcome) {
 	d.jobs.mu.Lock()
@@ -245,8 +255,9 @@
 		return
 	}
 	r.ending = true
+	attemptID := d.newestAttempt(id)
 	d.jobs.mu.Unlock()
-	d.submitLog(func() { d.appendEnd(id, "", o) })
+	d.submitLog(func() { d.appendEnd(id, attemptID, o) })
 }
 
 func (d *Daemon) keepWaiting(w placement.Wait, now time.Time) {
--- /dev/null
+++ b/proof/guarantee_test.go
@@ -0,0 +1,140 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/wire"
+)
+
+// reclaimBound is the reclaim deadline of the design page, vmLostBound the time
+// after which a silent VM is lost.
+const (
+	reclaimBound = 5 * time.Second
+	vmLostBound  = 4 * time.Second
+)
+
+// borrow fills the cluster with preemptible work of another organisation that
+// ignores requests for checkpoints.
+func borrow(c *cluster, jobs int) []*call {
+	c.Helper()
+	text, err := json.Marshal(wire.StandinPayload{RunMs: 60_000, IgnoreCheckpoint: true})
+	c.Assert(err, qt.IsNil)
+	var calls []*call
+	for range jobs {
+		calls = append(calls, c.submit(c.entries[0], wire.SubmitRequest{
+			Org: "borrower", Tasks: 4, AcceleratorsPerTask: 1, Adjacency: "vm", Urgency: "batch", Idempotent: true, Preemptible: true, Payload: string(text),
+		}, 0))
+	}
+	for _, k := range calls {
+		c.awaitPhase(k, wire.JobPhaseRunning, 10*time.Second)
+	}
+	return calls
+}
+
+func cancel(c *cluster, calls []*call) {
+	c.Helper()
+	for _, k := range calls {
+		_, _, err := httpDo("DELETE", "http://"+c.entries[0].http+"/v1/jobs/"+k.view.ID, nil)
+		c.Check(err, qt.IsNil)
+	}
+	for _, k := range calls {
+		c.await(k, 20*time.Second)
+	}
+}
+
+// TestGuaranteeReclaimed guards against a guaranteed shape that cannot be
+// reclaimed in time from borrowers that ignore their checkpoint.
+func TestGuaranteeReclaimed(t *testing.T) {
+	c := startCluster(t, 2, vmsIn(3))
+	c.putOrg("owner", wire.Shape{VMs: 2, AcceleratorsPerVM: 8, Adjacency: "region"})
+	c.putOrg("borrower", wire.Shape{})
+	c.awaitAssigned("owner", 16)
+	borrowers := borrow(c, 6)
+	began := time.Now()
+	k := c.submit(c.entries[1], wire.SubmitRequest{
+		Org: "owner", Tasks: 16, AcceleratorsPerTask: 1, Adjacency: "region", IdempotencyKey: "own", Payload: payload(500, 100, 1),
+	}, 0)
+	c.awaitPhaseOrEnd(k, 30*time.Second)
+	took := time.Since(began)
+	c.Logf("the shape was reclaimed after %s", took.Round(time.Millisecond))
+	c.Check(took < reclaimBound+2*time.Second, qt.IsTrue, qt.Commentf("took %s", took))
+	c.await(k, 20*time.Second)
+	c.Check(k.kind(), qt.Equals, wire.OutcomeKindAnswer, qt.Commentf("%+v", k.view.Outcome))
+	cancel(c, borrowers)
+	c.check()
+}
+
+// TestGuaranteeReclaimedWhileVMDies guards against a guaranteed shape that is
+// not assigned anew and reclaimed when one of its VMs dies meanwhile.
+func TestGuaranteeReclaimedWhileVMDies(t *testing.T) {
+	c := startCluster(t, 2, vmsIn(3))
+	c.putOrg("owner", wire.Shape{VMs: 2, AcceleratorsPerVM: 8, Adjacency: "region"})
+	c.putOrg("borrower", wire.Shape{})
+	shares := c.awaitAssigned("owner", 16)
+	borrowers := borrow(c, 6)
+	began := time.Now()
+	own := wire.SubmitRequest{
+		Org: "owner", Tasks: 16, AcceleratorsPerTask: 1, Adjacency: "region", Idempotent: true, Payload: payload(500, 100, 1),
+	}
+	k := c.submit(c.entries[1], own, 0)
+	time.Sleep(time.Duration(c.random.IntN(2000)) * time.Millisecond)
+	c.killVM(c.vm(shares[0]))
+	c.awaitPhaseOrEnd(k, 40*time.Second)
+	took := time.Since(began)
+	c.Logf("the shape was reclaimed after %s", took.Round(time.Millisecond))
+	// The reclaim under way may have to run out before the next one begins.
+	c.Check(took < vmLostBound+2*reclaimBound+4*time.Second, qt.IsTrue, qt.Commentf("took %s", took))
+	c.await(k, 20*time.Second)
+	c.Check(k.kind(), qt.Equals, wire.OutcomeKindAnswer, qt.Commentf("%+v", k.view.Outcome))
+	cancel(c, borrowers)
+	c.check()
+}
+
+// awaitAssigned waits until the organisation is owed that many accelerators at
+// every entry, and returns the VMs.
+func (c *cluster) awaitAssigned(org string, want int) []string {
+	c.Helper()
+	var vms []string
+	for _, e := range c.entries {
+		c.eventually(10*time.Second, org+" has its shares", func() error {
+			status, err := c.status(e)
+			if err != nil {
+				return err
+			}
+			vms = nil
+			got := 0
+			for _, v := range status.VMs {
+				if n := v.Shares[org]; n > 0 {
+					got += n
+					vms = append(vms, v.ID)
+				}
+			}
+			if got != want {
+				return fmt.Errorf("owed %d of %d", got, want)
+			}
+			return nil
+		})
+	}
+	return vms
+}
+
+// awaitPhaseOrEnd waits until the job runs or has ended.
+func (c *cluster) awaitPhaseOrEnd(k *call, limit time.Duration) {
+	c.Helper()
+	c.eventually(limit, "job "+k.view.ID+" starts", func() error {
+		var v wire.JobView
+		e := c.entries[1]
+		if err := getJSON("http://"+e.http+"/v1/jobs/"+k.view.ID, &v); err != nil {
+			return err
+		}
+		if v.Phase == wire.JobPhaseRunning || v.Phase == wire.JobPhaseEnded {
+			return nil
+		}
+		return fmt.Errorf("phase %s, waits for %q", v.Phase, v.WaitsFor)
+	})
+}
--- /dev/null
+++ b/proof/harness_test.go
@@ -0,0 +1,465 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/faultproxy"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// binaries is the directory of the programs, which TestMain builds once.
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "celerypoint-proof")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "proof:", err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir+"/", "./cmd/celerypoint", "./cmd/standinlog", "./cmd/standinruntime", "./cmd/faultproxy")
+	build.Dir = ".."
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "proof: %v: %v\n%s", build.Args, err, out)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// process is a started program.
+type process struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	// output is the file that takes its standard output and error.
+	output string
+	// exited is closed once the program has ended.
+	exited chan struct{}
+}
+
+// signal sends a signal to the process by its id.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// wait reports whether the process ends within the span.
+func (p *process) wait(span time.Duration) bool {
+	select {
+	case <-p.exited:
+		return true
+	case <-time.After(span):
+		return false
+	}
+}
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// entryNode is one entry with the proxies in front of it and of its log.
+type entryNode struct {
+	id            string
+	rpc, http     string
+	proxy, toLog  *proxyNode
+	process       *process
+	configuration string
+}
+
+// proxyNode is a fault proxy and its control port.
+type proxyNode struct{ address, control string }
+
+// vmNode is one VM: its runtime and its agent.
+type vmNode struct {
+	id, zone, rack string
+	accelerators   int
+	runtime        string
+	agent, worker  *process
+	configuration  string
+	// died is when the whole VM was killed, and records what its runtime had
+	// recorded by then.
+	died    time.Time
+	records []wire.RuntimeRecord
+}
+
+// cluster is a set of processes with one log.
+type cluster struct {
+	*qt.C
+	seed    uint64
+	random  *rand.Rand
+	dir     string
+	log     string
+	entries []*entryNode
+	vms     []*vmNode
+
+	mu    sync.Mutex
+	calls []*call
+}
+
+// vmsIn describes n VMs of 8 accelerators, three to a rack, over two zones.
+func vmsIn(n int) []*vmNode {
+	var vms []*vmNode
+	for i := range n {
+		zone := "a"
+		if i >= (n+1)/2 {
+			zone = "b"
+		}
+		vms = append(vms, &vmNode{id: fmt.Sprintf("v%d", i+1), zone: zone, rack: fmt.Sprintf("%s-r%d", zone, i/3), accelerators: 8})
+	}
+	return vms
+}
+
+const region = "north"
+
+// startCluster starts a log, entries and VMs and waits until every entry is
+// ready and knows every VM.
+func startCluster(t *testing.T, entries int, vms []*vmNode) *cluster {
+	seed := uint64(time.Now().UnixNano())
+	if text := os.Getenv("PROOF_SEED"); text != "" {
+		var err error
+		if seed, err = strconv.ParseUint(text, 10, 64); err != nil {
+			t.Fatalf("PROOF_SEED: %v", err)
+		}
+	}
+	t.Logf("PROOF_SEED=%d", seed)
+	c := &cluster{C: qt.New(t), seed: seed, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), vms: vms}
+	c.log = c.freeAddress()
+	c.start("log", "standinlog", "--listen", c.log)
+	c.waitListening(c.log)
+	var advertised []string
+	for i := range entries {
+		e := &entryNode{id: fmt.Sprintf("e%d", i+1), rpc: c.freeAddress(), http: c.freeAddress()}
+		e.proxy, e.toLog = c.proxy(e.id+"-proxy", e.rpc), c.proxy(e.id+"-log-proxy", c.log)
+		c.entries = append(c.entries, e)
+		advertised = append(advertised, e.proxy.address)
+	}
+	for i, e := range c.entries {
+		e.configuration = c.write(e.id+".ini", fmt.Sprintf(`[entry]
+id = %s
+zone = %s
+region = %s
+rpcAddress = %s
+advertiseAddress = %s
+httpAddress = %s
+seeds = %s
+[log]
+url = http://%s
+`, e.id, string(rune('a'+i%2)), region, e.rpc, e.proxy.address, e.http, strings.Join(advertised, ","), e.toLog.address))
+		c.startEntry(e)
+	}
+	for _, v := range c.vms {
+		v.runtime = c.freeAddress()
+		v.worker = c.start(v.id+"-runtime", "standinruntime", "--listen", v.runtime, "--vm", v.id, "--accelerators", strconv.Itoa(v.accelerators))
+		v.configuration = c.write(v.id+".ini", fmt.Sprintf(`[agent]
+vm = %s
+zone = %s
+rack = %s
+region = %s
+announceTo = %s
+accelerators = %d
+slots = 8
+connections = 64
+cpus = 32
+memoryMB = 131072
+[runtime]
+url = http://%s
+`, v.id, v.zone, v.rack, region, strings.Join(advertised, ","), v.accelerators, v.runtime))
+		c.waitListening(v.runtime)
+		c.startAgent(v)
+	}
+	c.waitReady()
+	return c
+}
+
+func (c *cluster) startEntry(e *entryNode) {
+	e.process = c.start(e.id, "celerypoint", "entry", "--config", e.configuration)
+}
+
+func (c *cluster) startAgent(v *vmNode) {
+	v.agent = c.start(v.id+"-agent", "celerypoint", "agent", "--config", v.configuration)
+}
+
+// waitReady waits until every entry is ready and sees every VM that is alive.
+func (c *cluster) waitReady() {
+	c.Helper()
+	for _, e := range c.entries {
+		c.eventually(20*time.Second, e.id+" is ready and sees every VM", func() error {
+			if code, body, err := httpDo("GET", "http://"+e.http+"/readyz", nil); err != nil || code != http.StatusOK {
+				return fmt.Errorf("readyz: %d %s %v", code, body, err)
+			}
+			status, err := c.status(e)
+			if err != nil {
+				return err
+			}
+			seen := map[string]bool{}
+			for _, v := range status.VMs {
+				seen[v.ID] = !v.Lost
+			}
+			for _, v := range c.vms {
+				if v.died.IsZero() && !seen[v.id] {
+					return fmt.Errorf("VM %s is not seen", v.id)
+				}
+			}
+			return nil
+		})
+	}
+}
+
+func (c *cluster) status(e *entryNode) (wire.StatusView, error) {
+	var s wire.StatusView
+	err := getJSON("http://"+e.http+"/v1/status", &s)
+	return s, err
+}
+
+// planner is the entry that plans, as the others say.
+func (c *cluster) planner() *entryNode {
+	c.Helper()
+	var found *entryNode
+	c.eventually(15*time.Second, "there is a planner", func() error {
+		for _, e := range c.entries {
+			status, err := c.status(e)
+			if err != nil {
+				continue
+			}
+			for _, p := range c.entries {
+				if p.id == status.Planner && !p.process.wait(0) {
+					found = p
+					return nil
+				}
+			}
+		}
+		return errors.New("no entry names a live planner")
+	})
+	return found
+}
+
+// other is an entry that is not e.
+func (c *cluster) other(e *entryNode) *entryNode {
+	for _, o := range c.entries {
+		if o != e {
+			return o
+		}
+	}
+	return nil
+}
+
+// start starts a program, and ends it when the test does.
+func (c *cluster) start(name, program string, args ...string) *process {
+	c.Helper()
+	p := &process{name: name, args: args, exited: make(chan struct{}), output: filepath.Join(c.dir, name+".out")}
+	out, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	c.Assert(err, qt.IsNil)
+	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	c.Assert(p.cmd.Start(), qt.IsNil)
+	go func() {
+		_ = p.cmd.Wait()
+		_ = out.Close()
+		close(p.exited)
+	}()
+	c.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if c.Failed() {
+			c.Logf("--- %s\n%s", name, tail(p.output, 40))
+		}
+	})
+	return p
+}
+
+func tail(path string, lines int) string {
+	text, _ := os.ReadFile(path)
+	all := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+func (c *cluster) proxy(name, target string) *proxyNode {
+	p := &proxyNode{address: c.freeAddress(), control: c.freeAddress()}
+	c.start(name, "faultproxy", "--listen", p.address, "--control", p.control, "--target", target, "--seed", strconv.FormatUint(c.seed, 10))
+	c.waitListening(p.control)
+	return p
+}
+
+// disturb sets the faults of a proxy.
+func (c *cluster) disturb(p *proxyNode, f faultproxy.Faults) {
+	c.Helper()
+	c.postJSON("http://"+p.control+"/faults", f, nil)
+}
+
+// onlyVM limits faults to the connections of one agent.
+func onlyVM(id string) string { return `"vm":"` + id + `"` }
+
+// logFaults sets the faults of the log.
+func (c *cluster) logFaults(f wire.LogFaults) {
+	c.Helper()
+	c.postJSON("http://"+c.log+"/faults", f, nil)
+}
+
+// killVM kills the agent and the runtime of a VM. What the runtime recorded is
+// kept for the checks.
+func (c *cluster) killVM(v *vmNode) {
+	c.Helper()
+	v.agent.signal(syscall.SIGKILL)
+	v.records = c.runtimeRecords(v)
+	v.died = time.Now()
+	v.worker.kill()
+}
+
+func (c *cluster) vm(id string) *vmNode {
+	for _, v := range c.vms {
+		if v.id == id {
+			return v
+		}
+	}
+	c.Fatalf("no VM %q", id)
+	return nil
+}
+
+// change posts one configuration change and returns the status code, its
+// version when it was accepted, and the error when it was not.
+func (c *cluster) change(e *entryNode, change wire.ConfigChange) (int, wire.ConfigAccepted, wire.ErrorResponse, error) {
+	var accepted wire.ConfigAccepted
+	var refused wire.ErrorResponse
+	body, err := json.Marshal(change)
+	if err != nil {
+		return 0, accepted, refused, err
+	}
+	code, answer, err := httpDo("POST", "http://"+e.http+"/v1/config", body)
+	if err != nil {
+		return 0, accepted, refused, err
+	}
+	if code == http.StatusOK {
+		err = json.Unmarshal(answer, &accepted)
+	} else {
+		err = json.Unmarshal(answer, &refused)
+	}
+	return code, accepted, refused, err
+}
+
+// putOrg writes an organisation and waits until it is in force everywhere.
+func (c *cluster) putOrg(name string, shape wire.Shape) {
+	c.Helper()
+	change := wire.ConfigChange{Kind: wire.ConfigKindPutOrg, Object: "org/" + name, Org: &wire.Org{Name: name, Guarantee: shape}}
+	code, accepted, refused, err := c.change(c.entries[0], change)
+	c.Assert(err, qt.IsNil)
+	c.Assert(code, qt.Equals, http.StatusOK, qt.Commentf("%+v", refused))
+	c.inForce(accepted.Offset)
+}
+
+// inForce waits until every live entry has folded the offset.
+func (c *cluster) inForce(offset int) {
+	c.Helper()
+	for _, e := range c.entries {
+		if e.process.wait(0) {
+			continue
+		}
+		c.eventually(5*time.Second, fmt.Sprintf("configuration %d is in force at %s", offset, e.id), func() error {
+			s, err := c.status(e)
+			if err == nil && s.ConfigOffset < offset {
+				err = fmt.Errorf("configuration %d", s.ConfigOffset)
+			}
+			return err
+		})
+	}
+}
+
+// eventually polls until the function returns nil.
+func (c *cluster) eventually(limit time.Duration, what string, f func() error) {
+	c.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			c.Fatalf("not within %s: %s: %v", limit, what, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *cluster) write(name, text string) string {
+	path := filepath.Join(c.dir, name)
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+func (c *cluster) freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (c *cluster) waitListening(address string) {
+	c.Helper()
+	c.eventually(10*time.Second, address+" listens", func() error {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	})
+}
+
+// client makes a connection for each request, so that a stopped process does
+// not leave a dead one behind.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 60 * time.Second}
+
+func httpDo(method, url string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
+
+func getJSON(url string, v any) error {
+	code, body, err := httpDo("GET", url, nil)
+	if err != nil {
+		return err
+	}
+	if code != http.StatusOK {
+		return fmt.Errorf("GET %s: status %d: %s", url, code, body)
+	}
+	return json.Unmarshal(body, v)
+}
+
+func (c *cluster) postJSON(url string, v, result any) {
+	c.Helper()
+	body, err := json.Marshal(v)
+	c.Assert(err, qt.IsNil)
+	code, answer, err := httpDo("POST", url, body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(code, qt.Equals, http.StatusOK, qt.Commentf("POST %s: %s", url, answer))
+	if result != nil {
+		c.Assert(json.Unmarshal(answer, result), qt.IsNil)
+	}
+}
