Record the boot ID of a member in the commit record

Cause: a planner that takes over did not know which boot of an agent had reserved, so the release by an agent that had restarted counted as proof that nothing had started. proof's TestNotRunIsTrue saw it: 'job 5~... was refused as not run (committedNotStarted: v1 does not run: its agent says so), but ran'. Change: wire.Member carries bootId; a resumed attempt without one trusts no agent's word that it never started. Conclusion: none open.

--- a/gang/step.go
+++ b/gang/step.go
@@ -264,7 +264,7 @@
 	}
 	// The release of a restarted agent says that the part does not run, but
 	// not what happened before the restart.
-	knows := m.Boot != "" && m.Boot == e.Boot || m.Boot == "" && m.State != MemberLost
+	knows := m.Boot != "" && m.Boot == e.Boot || m.Boot == "" && m.State != MemberLost && !s.Resumed
 	m.Ran = m.Ran || e.Started
 	m.EndKnown = m.EndKnown || knows
 	if knows && !m.Ran {
--- a/gang/step_test.go
+++ b/gang/step_test.go
@@ -170,4 +170,15 @@
 	c.Assert(orders, qt.DeepEquals, []Order{End{outcome.NotRun{Rule: RuleCommittedNotStarted, Reason: "v1 does not run: never started"}}})
 }
 
+// TestResumeWithoutBoot guards against a planner that takes over, and tells a
+// caller that the job was not run because an agent that restarted after the
+// run knows nothing of it. It happened when commit records had no boot IDs.
+func TestResumeWithoutBoot(t *testing.T) {
+	c := qt.New(t)
+	a := Resume("j1", "a1", 6, false, []Member{{VM: "v1", Tasks: 1}}, 7, testStart, testTiming)
+	a, _ = Step(a, NotRunning{VM: "v1", Reason: "its agent says so"}, testStart, testTiming)
+	_, orders := Step(a, Released{VM: "v1", Boot: "new"}, testStart, testTiming)
+	c.Assert(orders, qt.DeepEquals, []Order{End{outcome.Unknown{Reason: "v1 does not run: its agent says so"}}})
+}
+
 func join[T any](head []T, tail ...T) []T { return append(head[:len(head):len(head)], tail...) }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -661,6 +661,9 @@
 
 // One VM's part of an attempt.
 type Member struct {
+	// The boot ID of the agent that reserved.
+	BootID string `json:"bootId,omitempty,omitzero"`
+
 	// FirstRank corresponds to the JSON schema field "firstRank".
 	FirstRank int `json:"firstRank"`
 
