agentd: announce an operator's drain as leaving

Cause: an entry that cannot read the log kept sending short requests to a VM that refused them as vmDraining, until the retry budget was spent and callers were refused; seen in proof's TestDrainWhilePartitioned. Change: the announcement says leaving while the VM drains. Result: that test failed with some 50 refused requests and passes. Conclusion: none open.

--- a/agentd/links.go
+++ b/agentd/links.go
@@ -228,7 +228,10 @@
 	}
 	d.ledger.Lock()
 	defer d.ledger.Unlock()
-	p.Leaving, p.ConfigOffset = d.ledger.book.Leaving, int(d.ledger.book.ConfigOffset)
+	// An entry that cannot read the log learns of an operator's drain from here,
+	// and would otherwise send work that is refused.
+	p.Leaving = d.ledger.book.Leaving || d.ledger.book.Draining
+	p.ConfigOffset = int(d.ledger.book.ConfigOffset)
 	for _, h := range d.ledger.book.View() {
 		p.Holdings = append(p.Holdings, codec.HoldingTo(h))
 	}
