--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -9,6 +9,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -22,6 +23,9 @@
 	"celerypoint.example/celerypoint/workpool"
 )
 
+// maxFirstBytes bounds the bytes that Faults.Only is looked for in.
+const maxFirstBytes = 16 << 10
+
 // maxQueuedBytes bounds what one direction of one connection holds; beyond it
 // the connection is closed.
 const maxQueuedBytes = 64 << 20
@@ -60,6 +64,10 @@
 
 // Faults are the faults of the link. The zero value has none.
 type Faults struct {
+	// Only limits the faults to connections whose first bytes from the client
+	// contain the text, so that one proxy in front of a server can disturb the
+	// link of one client. Empty means every connection.
+	Only string `json:"only"`
 	// Cut closes every connection, and new ones as soon as they open.
 	Cut bool `json:"cut"`
 	// Up goes from the client to the server, Down back.
@@ -110,7 +118,11 @@
 }
 
 // link is one connection of a client with its connection to the server.
-type link struct{ up, down *flow }
+type link struct {
+	up, down *flow
+	// first holds the first bytes from the client.
+	first []byte
+}
 
 // flow is one direction of a link.
 type flow struct {
@@ -202,7 +214,9 @@
 	}
 	p.mu.Unlock()
 	p.closeLinks(func(l *link) bool {
-		return f.Cut || l.up.torn && f.Up.Block != BlockDiscard || l.down.torn && f.Down.Block != BlockDiscard
+		disturbed := p.applies(l)
+		return disturbed && f.Cut || l.up.torn && !(disturbed && f.Up.Block == BlockDiscard) ||
+			l.down.torn && !(disturbed && f.Down.Block == BlockDiscard)
 	})
 	return nil
 }
@@ -233,7 +247,7 @@
 	c.SetSession(l.up)
 	p.mu.Lock()
 	p.counters.Accepted++
-	refused := p.faults.Cut || p.closed
+	refused := p.faults.Cut && p.applies(l) || p.closed
 	if !refused {
 		p.links[l] = true
 		p.counters.Open++
@@ -288,6 +302,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if w.isUp && len(w.link.first) < maxFirstBytes {
+		w.link.first = append(w.link.first, data[:min(len(data), maxFirstBytes-len(w.link.first))]...)
+	}
+	if p.faults.Cut && p.applies(w.link) {
+		_ = p.pool.Submit(func() { _ = c.Close() })
+		return
+	}
 	lane := p.lane(w)
 	if lane.Block == BlockDiscard {
 		p.discard(w, len(data))
@@ -313,11 +334,20 @@
 	p.wake(w)
 }
 
+// applies reports whether the faults concern the link. The mutex is held.
+func (p *Proxy) applies(l *link) bool {
+	return p.faults.Only == "" || bytes.Contains(l.first, []byte(p.faults.Only))
+}
+
 func (p *Proxy) lane(w *flow) Lane {
-	if w.isUp {
+	switch {
+	case !p.applies(w.link):
+		return Lane{}
+	case w.isUp:
 		return p.faults.Up
+	default:
+		return p.faults.Down
 	}
-	return p.faults.Down
 }
 
 func (p *Proxy) discard(w *flow, n int) {
--- a/faultproxy/faultproxy_test.go
+++ b/faultproxy/faultproxy_test.go
@@ -200,6 +200,27 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// TestOnly guards against faults that reach the connections of other clients.
+func TestOnly(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{})
+	one, two := dial(c, p), dial(c, p)
+	echo := func(conn net.Conn, text string) error {
+		if _, err := conn.Write([]byte(text)); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, len(text)))
+		return err
+	}
+	c.Assert(echo(one, "I am v1"), qt.IsNil)
+	c.Assert(echo(two, "I am v2"), qt.IsNil)
+	c.Assert(p.Set(Faults{Only: "v1", Cut: true}), qt.IsNil)
+	c.Assert(echo(one, "x"), qt.IsNotNil)
+	c.Assert(echo(two, "x"), qt.IsNil)
+	c.Assert(echo(dial(c, p), "v1 again"), qt.IsNotNil)
+	c.Assert(echo(dial(c, p), "v3"), qt.IsNil)
+}
+
 // TestTargetDown guards against a client that waits for a server that is gone.
 func TestTargetDown(t *testing.T) {
 	c := qt.New(t)
--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,8 +26,14 @@
 	tolerance = 500 * time.Millisecond
 )
 
+// callLabel is the label of a job that numbers the call.
+const callLabel = "call"
+
+var callCount atomic.Int64
+
 // call is one request of a caller and what the caller was told.
 type call struct {
+	label   string
 	request wire.SubmitRequest
 	entry   string
 	sent    time.Time
@@ -53,18 +61,17 @@
 }
 
 // submit sends a request and waits for the outcome for at most waitMs. It is
-// safe for concurrent use.
+// safe for concurrent use. A refusal has a rule and no job; its label lets the
+// checks find the job in the log.
 func (c *cluster) submit(e *entryNode, r wire.SubmitRequest, waitMs int) *call {
-	k := &call{request: r, entry: e.id, sent: time.Now()}
+	k := &call{request: r, entry: e.id, sent: time.Now(), label: strconv.FormatInt(callCount.Add(1), 10)}
+	r.Labels = map[string]string{callLabel: k.label}
 	body, err := json.Marshal(r)
 	if err == nil {
 		var answer []byte
 		k.code, answer, err = httpDo("POST", fmt.Sprintf("http://%s/v1/jobs?waitMs=%d", e.http, waitMs), body)
 		if err == nil {
-			err = json.Unmarshal(answer, &k.view)
-			if k.view.ID == "" && k.view.Outcome == nil {
-				err = fmt.Errorf("status %d: %s", k.code, answer)
-			}
+			err = k.read(answer)
 		}
 	}
 	k.err, k.told = err, time.Now()
@@ -74,6 +81,19 @@
 	return k
 }
 
+// read takes the entry's reply: a job, or a refusal with the rule that refused.
+func (k *call) read(answer []byte) error {
+	var refused wire.ErrorResponse
+	if err := json.Unmarshal(answer, &refused); err == nil && refused.Rule != "" {
+		k.view.Outcome = &wire.Outcome{Kind: wire.OutcomeKindNotRun, Rule: refused.Rule, Reason: refused.Error}
+		return nil
+	}
+	if err := json.Unmarshal(answer, &k.view); err != nil || k.view.ID == "" {
+		return fmt.Errorf("status %d: %s", k.code, answer)
+	}
+	return nil
+}
+
 // await waits until the job of the call has ended, at any live entry.
 func (c *cluster) await(k *call, limit time.Duration) {
 	c.Helper()
@@ -199,28 +219,48 @@
 func (c *cluster) check() {
 	c.Helper()
 	runs, jobs := c.runs(), c.accepted()
-	c.checkOutcomes(runs)
+	c.checkOutcomes(jobs, runs)
 	c.checkOnce(jobs, runs)
 	c.checkGangs(jobs, runs)
 	c.checkNothingHeld()
 }
 
 // checkOutcomes compares what callers were told with what ran.
-func (c *cluster) checkOutcomes(runs []*run) {
+func (c *cluster) checkOutcomes(jobs map[string]wire.Job, runs []*run) {
 	c.Helper()
-	started := map[string][]*run{}
+	// Runs of jobs that the log does not know belong to short requests.
+	started, told := map[string]*run{}, map[string]bool{}
 	for _, r := range runs {
-		started[r.job] = append(started[r.job], r)
+		started[r.job] = r
+	}
+	recorded := map[string]string{}
+	for id, j := range jobs {
+		recorded[j.Labels[callLabel]] = id
 	}
+	unanswered := 0
 	for _, k := range c.calls {
-		switch k.kind() {
-		case wire.OutcomeKindNotRun:
-			if k.view.ID != "" && len(started[k.view.ID]) > 0 {
-				c.Errorf("job %s was refused as not run (%s: %s), but ran: %+v", k.view.ID, k.view.Outcome.Rule, k.view.Outcome.Reason, *started[k.view.ID][0])
-			}
-		case wire.OutcomeKindAnswer:
+		told[k.view.ID] = true
+		if k.kind() == wire.OutcomeKindAnswer {
 			c.checkAnswer(k)
 		}
+		if k.err != nil {
+			unanswered++
+		}
+		if k.kind() != wire.OutcomeKindNotRun {
+			continue
+		}
+		for _, id := range []string{k.view.ID, recorded[k.label]} {
+			if r := started[id]; r != nil {
+				c.Errorf("job %s was refused as not run (%s: %s), but ran: %+v", id, k.view.Outcome.Rule, k.view.Outcome.Reason, *r)
+			}
+		}
+	}
+	for id, r := range started {
+		if _, known := jobs[id]; !known && !told[id] {
+			if unanswered--; unanswered < 0 {
+				c.Errorf("job %s ran, and no caller was told of it, but of a refusal: %+v", id, *r)
+			}
+		}
 	}
 }
 
--- a/proof/drain_test.go
+++ b/proof/drain_test.go
@@ -41,7 +41,7 @@
 		})
 	}
 	time.Sleep(time.Second)
-	code, body, err := httpDo("POST", "http://"+c.entries[0].http+"/v1/drain/"+leaving.id, nil)
+	code, body, err := httpDo("POST", "http://"+c.entries[0].http+"/v1/drain/"+leaving.id+"?draining=true", nil)
 	drained := time.Now()
 	c.Assert(err, qt.IsNil)
 	c.Logf("drain: status %d %s", code, body)
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -192,11 +192,11 @@
 }
 
 func (c *cluster) startEntry(e *entryNode) {
-	e.process = c.start(e.id, "celerypoint", "entry", "--config", e.configuration)
+	e.process = c.start(e.id, "celerypoint", "entry", "--settings", e.configuration)
 }
 
 func (c *cluster) startAgent(v *vmNode) {
-	v.agent = c.start(v.id+"-agent", "celerypoint", "agent", "--config", v.configuration)
+	v.agent = c.start(v.id+"-agent", "celerypoint", "agent", "--settings", v.configuration)
 }
 
 // waitReady waits until every entry is ready and sees every VM that is alive.
@@ -405,11 +405,26 @@
 	return path
 }
 
+// Ports are taken from below the range that the kernel takes the ports of
+// outgoing connections from, which a restarted process would compete with.
+const firstPort, lastPort = 20_000, 32_000
+
+// usedPorts are the ports that this test run has given out.
+var usedPorts sync.Map
+
 func (c *cluster) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	c.Helper()
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		address := "127.0.0.1:" + strconv.Itoa(port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
 }
 
 func (c *cluster) waitListening(address string) {
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -49,10 +49,8 @@
 func TestOnceUnderAgentRestart(t *testing.T) {
 	c := startCluster(t, 2, vmsIn(2))
 	c.putOrg("crews", wire.Shape{})
-	var calls []*call
 	for round := range 4 {
 		k := c.submit(c.entries[round%2], once(fmt.Sprintf("restart-%d", round), 10, 3000, 100, round), 0)
-		calls = append(calls, k)
 		// The start comes some 10 to 100 ms after the acceptance.
 		time.Sleep(time.Duration(c.random.IntN(120)) * time.Millisecond)
 		v := c.vms[round%2]
