httpserver: leave closing to the client that asked for it

Cause: nbhttp closes the connection of a request with Connection: close as soon as the handler returns, and drops what it still holds of a large answer. Change: the server no longer closes such a connection; the client does, because every answer has a Content-Length. Conclusion: Shutdown of nbhttp may still drop unsent bytes; not tested.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -33,7 +33,7 @@
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
 		Addrs:                  []string{address},
-		Handler:                h,
+		Handler:                clientCloses(h),
 		NPoller:                1,
 		MessageHandlerPoolSize: handlers,
 		MaxHTTPBodySize:        MaxBodyBytes,
@@ -45,6 +45,17 @@
 	return &Server{engine: engine}, nil
 }
 
+// clientCloses leaves closing a connection to the client that asked for it with
+// "Connection: close". nbhttp closes it as soon as the handler returns, and
+// what the kernel has not taken yet of a large answer is lost. Every answer
+// carries its length, so the client knows its end.
+func clientCloses(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Close = false
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Address is the address that the server listens on.
 func (s *Server) Address() string { return s.engine.Addrs[0] }
 
