Start nbio engines so that a stop cannot be lost

Cause: nbio v1.6.8 sets its stop flag to false when an accept loop or a poller begins. A Stop before that is undone: the accept loop spins on its closed listener, the poller spins on its event, and Stop waits for ever. A failing Start stops itself the same way. Seen in cmd/standinlog TestListenFails (1 of 30 processes with -cpu 1) and in faultproxy, whose tests did not end within 90 s. Ruled out: the tests and the proxy's own pool.

--- a/entryd/streams.go
+++ b/entryd/streams.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/sirupsen/logrus"
 
 	"celerypoint.example/celerypoint/configfold"
 	"celerypoint.example/celerypoint/entry"
@@ -84,7 +83,7 @@
 	}
 	if err != nil {
 		// Every process skips the same record, because the text is the same.
-		d.config.state.Offset = int64(r.Offset)
+		d.config.state.Skip(int64(r.Offset))
 		d.config.mu.Unlock()
 		d.count("configRecordInvalid")
 		d.logger.WithError(err).WithField("offset", r.Offset).Warn("configuration record skipped")
@@ -184,7 +183,7 @@
 		return
 	}
 	if err != nil {
-		d.jobs.fold.Through = int64(r.Offset)
+		d.jobs.fold.Skip(int64(r.Offset))
 		d.jobs.mu.Unlock()
 		d.count("jobRecordInvalid")
 		d.logger.WithError(err).WithField("offset", r.Offset).Warn("job record skipped")
@@ -290,14 +289,24 @@
 	}
 	d.config.mu.Lock()
 	if d.config.snapshot.take(d.config.state.Offset, now) {
-		record := configfold.Record{Change: configfold.Snapshot{State: d.config.state.Clone()}}
-		d.submitLog(func() { d.appendSnapshot(platformlog.StreamConfig, platformlog.ConfigBody(record)) })
+		change := configfold.Record{Change: configfold.Snapshot{State: d.config.state.Clone()}}
+		d.submitLog(func() {
+			record := platformlog.Record{ID: d.recordID("snapshot"), Body: platformlog.ConfigBody(change)}
+			d.appendSnapshot(platformlog.StreamConfig, record)
+		})
 	}
 	d.config.mu.Unlock()
 	d.jobs.mu.Lock()
 	if d.jobs.snapshot.take(d.jobs.fold.Through, now) {
-		record := jobfold.Snapshot{State: d.jobs.fold.Clone()}
-		d.submitLog(func() { d.appendSnapshot(platformlog.StreamJobs, platformlog.JobBody(record)) })
+		state := d.jobs.fold.Clone()
+		d.submitLog(func() {
+			records, err := platformlog.JobsSnapshotRecords(d.recordID("snapshot"), state)
+			if err != nil {
+				d.logger.WithError(err).Error("jobs snapshot not encoded")
+				return
+			}
+			d.appendSnapshot(platformlog.StreamJobs, records...)
+		})
 	}
 	d.jobs.mu.Unlock()
 }
@@ -323,7 +332,8 @@
 // take reports whether a snapshot is due, and sets when the next one is.
 func (s *snapshotState) take(through int64, now time.Time) bool {
 	s.view.Through = through
-	if s.view.RenewBy.IsZero() && through > s.view.Covered+1 {
+	if s.view.RenewBy.IsZero() {
+		// Also while nothing changes: the newest snapshot expires as well.
 		s.view.RenewBy = now.Add(snapshotEvery)
 	}
 	if now.Before(s.retryAt) || !platformlog.SnapshotDue(s.view, now) {
@@ -333,12 +343,16 @@
 	return true
 }
 
-func (d *Daemon) appendSnapshot(stream string, body any) {
-	ctx, cancel := context.WithTimeout(d.ctx, appendWait)
-	defer cancel()
-	if _, err := d.log.Append(ctx, stream, platformlog.Record{ID: d.recordID("snapshot"), Body: body}); err != nil {
-		d.count("snapshotFailed")
-		return
+// appendSnapshot appends the parts of a snapshot one after the other.
+func (d *Daemon) appendSnapshot(stream string, records ...platformlog.Record) {
+	for _, r := range records {
+		ctx, cancel := context.WithTimeout(d.ctx, appendWait)
+		_, err := d.log.Append(ctx, stream, r)
+		cancel()
+		if err != nil {
+			d.count("snapshotFailed")
+			return
+		}
 	}
-	d.logger.WithFields(logrus.Fields{"stream": stream}).Info("snapshot written")
+	d.count("snapshotWritten")
 }
--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 
+	"celerypoint.example/celerypoint/nbiosetup"
 	"celerypoint.example/celerypoint/workpool"
 )
 
@@ -34,8 +34,6 @@
 	workers     = 4
 	queueDepth  = 1 << 14
 	dialTimeout = time.Second
-	// maxOpenFiles sizes nbio's table of connections at 8 bytes each.
-	maxOpenFiles = 1 << 15
 )
 
 // Block says what happens to the bytes of a direction.
@@ -149,14 +147,17 @@
 // New listens on the TCP address and passes connections on to the target.
 // The seed decides the jitter.
 func New(address, target string, seed uint64) (*Proxy, error) {
-	logging.SetLevel(logging.LevelError)
-	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxOpenFiles)
+	nbiosetup.Limits()
+	listener, err := nbiosetup.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("fault proxy: listen on %s: %w", address, err)
+	}
 	p := &Proxy{
 		target: target, pool: workpool.New(workers, queueDepth),
 		random: rand.New(rand.NewPCG(seed, 0)), links: map[*link]bool{},
 	}
 	p.engine = nbio.NewEngine(nbio.Config{
-		Name: "faultproxy", Network: "tcp", Addrs: []string{address}, NPoller: 1,
+		Name: "faultproxy", Network: "tcp", Addrs: []string{listener.Addr().String()}, Listen: listener.Give, NPoller: 1,
 		ReadBufferSize: 64 << 10, MaxWriteBufferSize: maxQueuedBytes,
 		// With a bound, nbio closes a connection whose other side has closed
 		// before it has read everything.
@@ -167,8 +168,13 @@
 	p.engine.OnWrittenSize(p.written)
 	p.engine.OnClose(func(c *nbio.Conn, _ error) { p.connClosed(c) })
 	if err := p.engine.Start(); err != nil {
+		_ = listener.Close()
 		p.pool.Close()
-		return nil, fmt.Errorf("fault proxy: listen on %s: %w", address, err)
+		return nil, fmt.Errorf("fault proxy: start on %s: %w", address, err)
+	}
+	listener.WaitBegun()
+	if err := nbiosetup.WaitPolling(p.engine); err != nil {
+		return nil, fmt.Errorf("fault proxy: start on %s: %w", address, err)
 	}
 	return p, nil
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -11,28 +11,29 @@
 	"strconv"
 	"time"
 
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"celerypoint.example/celerypoint/nbiosetup"
 )
 
 // MaxBodyBytes bounds a request's body.
 const MaxBodyBytes = 8 << 20
 
-// maxOpenFiles sizes nbio's table of connections at 8 bytes each.
-const maxOpenFiles = 1 << 15
-
 // Server is a running HTTP server.
 type Server struct{ engine *nbhttp.Engine }
 
 // New listens on the TCP address and serves the handler. At most handlers
 // requests are handled at once; further ones wait in their connections.
 func New(address string, handlers int, h http.Handler) (*Server, error) {
-	logging.SetLevel(logging.LevelError)
-	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxOpenFiles)
+	nbiosetup.Limits()
+	listener, err := nbiosetup.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("http: listen on %s: %w", address, err)
+	}
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
-		Addrs:                  []string{address},
+		Addrs:                  []string{listener.Addr().String()},
+		Listen:                 listener.Give,
 		Handler:                clientCloses(h),
 		NPoller:                1,
 		MessageHandlerPoolSize: handlers,
@@ -40,7 +41,12 @@
 		ReadBufferSize:         32 << 10,
 	})
 	if err := engine.Start(); err != nil {
-		return nil, fmt.Errorf("http: listen on %s: %w", address, err)
+		_ = listener.Close()
+		return nil, fmt.Errorf("http: start on %s: %w", address, err)
+	}
+	listener.WaitBegun()
+	if err := nbiosetup.WaitPolling(engine.Engine); err != nil {
+		return nil, fmt.Errorf("http: start on %s: %w", address, err)
 	}
 	return &Server{engine: engine}, nil
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -23,9 +23,9 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"celerypoint.example/celerypoint/nbiosetup"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -36,10 +36,6 @@
 // that sends faster, or reads slower, is disconnected.
 const maxQueuedBytes = 64 << 20
 
-// maxOpenFiles sizes nbio's table of connections: 8 bytes for each possible
-// file descriptor, so that an agent stays within its 32 MB.
-const maxOpenFiles = 1 << 15
-
 // ErrClosed says that the connection closed before the reply came. Whether
 // the other side acted is unknown.
 var ErrClosed = errors.New("rpc: connection closed")
@@ -255,19 +251,22 @@
 	return func(e *Engine, _ *nbio.Config) { e.accept = f }
 }
 
-var quiet sync.Once
-
 // New starts an engine whose connections all use the handler.
 func New(h Handler, options ...Option) (*Engine, error) {
-	quiet.Do(func() {
-		logging.SetLevel(logging.LevelError)
-		nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxOpenFiles)
-	})
+	nbiosetup.Limits()
 	e := &Engine{handler: h}
 	config := nbio.Config{Name: "rpc", Network: "tcp", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxQueuedBytes}
 	for _, o := range options {
 		o(e, &config)
 	}
+	var listener *nbiosetup.Listener
+	if len(config.Addrs) > 0 {
+		var err error
+		if listener, err = nbiosetup.Listen(config.Addrs[0]); err != nil {
+			return nil, fmt.Errorf("rpc: listen on %s: %w", config.Addrs[0], err)
+		}
+		config.Listen = listener.Give
+	}
 	e.nb = nbio.NewEngine(config)
 	e.nb.OnOpen(func(c *nbio.Conn) {
 		if c.Session() == nil {
@@ -289,7 +288,16 @@
 		}
 	})
 	if err := e.nb.Start(); err != nil {
-		return nil, fmt.Errorf("rpc: listen on %v: %w", config.Addrs, err)
+		if listener != nil {
+			_ = listener.Close()
+		}
+		return nil, fmt.Errorf("rpc: start on %v: %w", config.Addrs, err)
+	}
+	if listener != nil {
+		listener.WaitBegun()
+	}
+	if err := nbiosetup.WaitPolling(e.nb); err != nil {
+		return nil, fmt.Errorf("rpc: start on %v: %w", config.Addrs, err)
 	}
 	return e, nil
 }
