capacity: measure the cost of each role over the number of VMs

Cause: no measurement shows how the control plane's processor time, memory and traffic grow with the number of VMs. Change: package capacity starts real processes for 10 to 80 VMs and fits lines over what /proc and the entries' metrics report. The daemons expose the gauges rpcBytesReceived and rpcBytesSent.

--- a/agentd/daemon.go
+++ b/agentd/daemon.go
@@ -92,6 +92,7 @@
 		return nil, fmt.Errorf("agentd: %w", err)
 	}
 	d.engine = engine
+	d.registerTraffic()
 	d.workers = workpool.New(c.Workers, c.QueueDepth)
 	d.pauses = workpool.New(1, c.QueueDepth)
 	d.log.WithFields(logrus.Fields{"vm": c.VM.ID, "boot": d.config.VM.BootID, "seed": c.Seed}).Info("agent started")
@@ -104,6 +105,13 @@
 	return d, nil
 }
 
+// registerTraffic registers gauges of the bytes over all connections to entries
+// since the start.
+func (d *Daemon) registerTraffic() {
+	metrics.NewRegisteredFunctionalGauge("rpcBytesReceived", d.registry, func() int64 { n, _ := d.engine.Traffic(); return n })
+	metrics.NewRegisteredFunctionalGauge("rpcBytesSent", d.registry, func() int64 { _, n := d.engine.Traffic(); return n })
+}
+
 // clearRuntime stops the tasks of an earlier boot and returns the sequence of
 // the next event.
 func (d *Daemon) clearRuntime() (int, error) {
--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,536 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/wire"
+)
+
+var (
+	enabled  = flag.Bool("capacity", false, "measure; without it the measurement is skipped")
+	window   = flag.Duration("capacity.window", 20*time.Second, "length of each measurement")
+	jsonPath = flag.String("capacity.json", "", "file that takes the measured points and slopes as JSON")
+)
+
+// sizes are the numbers of VMs. The largest starts 163 processes.
+var sizes = []int{10, 20, 40, 80}
+
+const (
+	// tasksPerVM is what phase held keeps running on each VM. At the design
+	// size 40,000 tasks run on 4,800 VMs, 8.3 on each; 6 leave free slots, so
+	// that every gang finds a place.
+	tasksPerVM = 6
+	// heldGang is the number of tasks of a gang of phase held.
+	heldGang = 12
+	// urgentEvery is the interval of urgent requests for each VM.
+	urgentEvery = time.Second
+	// gangEvery is the interval of gangs of 4 tasks of 2 s, times the number of VMs.
+	gangEvery = 40 * time.Second
+	// settleLimit bounds each wait for the processes to reach a state.
+	settleLimit = 20 * time.Second
+	// sizeMargin is the longest that starting, settling and loading one size
+	// takes beside its three measurements.
+	sizeMargin = 50 * time.Second
+	// clockTicks is the unit of processor times in /proc/PID/stat: USER_HZ is
+	// 100 on Linux.
+	clockTicks = 100
+)
+
+// Point is what the processes of one role used together in one phase.
+type Point struct {
+	Phase string `json:"phase"`
+	Role  string `json:"role"`
+	VMs   int    `json:"vms"`
+	// CPUPercent is in hundredths of one core.
+	CPUPercent float64 `json:"cpuPercent"`
+	// ResidentMB is in 10^6 bytes; MaxResidentMB is the largest process.
+	ResidentMB    float64 `json:"residentMB"`
+	MaxResidentMB float64 `json:"maxResidentMB"`
+	// RPCBytes are bytes a second in both directions between the system's own
+	// processes, from the gauges of the entries; 0 for other roles.
+	RPCBytes float64 `json:"rpcBytesPerSecond"`
+	// IOBytes are bytes a second that system calls read and wrote, from
+	// /proc/PID/io. They include HTTP.
+	IOBytes float64 `json:"ioBytesPerSecond"`
+}
+
+// Slope is the least-squares line of one measure over the number of VMs.
+type Slope struct {
+	Phase   string  `json:"phase"`
+	Role    string  `json:"role"`
+	Measure string  `json:"measure"`
+	Fixed   float64 `json:"fixed"`
+	PerVM   float64 `json:"perVM"`
+	// Residual is the root mean square of the distances from the line.
+	Residual float64 `json:"residual"`
+}
+
+// fit returns the least-squares line through the points.
+func fit(x, y []float64) (fixed, slope, residual float64) {
+	n, sx, sy, sxx, sxy := float64(len(x)), 0.0, 0.0, 0.0, 0.0
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	fixed = (sy - slope*sx) / n
+	for i := range x {
+		d := y[i] - fixed - slope*x[i]
+		residual += d * d / n
+	}
+	return fixed, slope, math.Sqrt(residual)
+}
+
+// TestFit guards against a wrong line, which would give wrong figures at the
+// design size.
+func TestFit(t *testing.T) {
+	c := qt.New(t)
+	for _, v := range []struct{ y, want []float64 }{
+		{[]float64{5, 7, 9, 11}, []float64{3, 2, 0}},
+		{[]float64{1, -1, -1, 1}, []float64{0, 0, 1}},
+	} {
+		fixed, slope, residual := fit([]float64{1, 2, 3, 4}, v.y)
+		for i, got := range []float64{fixed, slope, residual} {
+			c.Check(math.Abs(got-v.want[i]) < 1e-9, qt.IsTrue, qt.Commentf("%v: found %v, want %v", v.y, got, v.want[i]))
+		}
+	}
+}
+
+// TestCapacity guards against a control plane whose cost at the design size is
+// not known. It fails when processes do not settle or requests are not answered.
+func TestCapacity(t *testing.T) {
+	if !*enabled {
+		t.Skip("not measured: needs the flag -capacity")
+	}
+	c := qt.New(t)
+	// A panic at the timeout would leave the processes running.
+	if need := time.Duration(len(sizes)) * (3**window + sizeMargin); !hasTime(t, need) {
+		t.Fatalf("-timeout: found less than %s left, allowed: at least that", need)
+	}
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+"/", "./cmd/celerypoint", "./cmd/standinlog", "./cmd/standinruntime")
+	build.Dir = ".."
+	out, err := build.CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	var points []Point
+	for _, n := range sizes {
+		c.Run(fmt.Sprintf("vms=%d", n), func(c *qt.C) { measureSize(c, bin, n, &points) })
+	}
+	slopes := slopesOf(points)
+	t.Log("\n" + table(points, slopes))
+	text, err := json.Marshal(map[string]any{"window": window.String(), "points": points, "slopes": slopes})
+	c.Assert(err, qt.IsNil)
+	t.Logf("%s", text)
+	if *jsonPath != "" {
+		c.Assert(os.WriteFile(*jsonPath, text, 0o600), qt.IsNil)
+	}
+}
+
+func hasTime(t *testing.T, need time.Duration) bool {
+	deadline, ok := t.Deadline()
+	return !ok || time.Until(deadline) >= need
+}
+
+var measures = []struct {
+	name string
+	of   func(Point) float64
+}{
+	{"cpuPercent", func(p Point) float64 { return p.CPUPercent }},
+	{"residentMB", func(p Point) float64 { return p.ResidentMB }},
+	{"rpcBytesPerSecond", func(p Point) float64 { return p.RPCBytes }},
+	{"ioBytesPerSecond", func(p Point) float64 { return p.IOBytes }},
+}
+
+func slopesOf(points []Point) []Slope {
+	var slopes []Slope
+	for _, first := range points {
+		if first.VMs != sizes[0] {
+			continue
+		}
+		for _, m := range measures {
+			var x, y []float64
+			for _, p := range points {
+				if p.Phase == first.Phase && p.Role == first.Role {
+					x, y = append(x, float64(p.VMs)), append(y, m.of(p))
+				}
+			}
+			if len(x) < 2 {
+				continue
+			}
+			s := Slope{Phase: first.Phase, Role: first.Role, Measure: m.name}
+			s.Fixed, s.PerVM, s.Residual = fit(x, y)
+			slopes = append(slopes, s)
+		}
+	}
+	return slopes
+}
+
+func table(points []Point, slopes []Slope) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-6s %-8s %4s %9s %9s %9s %12s %12s\n", "phase", "role", "VMs", "cpu%", "RSS MB", "max MB", "RPC B/s", "I/O B/s")
+	for _, p := range points {
+		fmt.Fprintf(&b, "%-6s %-8s %4d %9.2f %9.1f %9.1f %12.0f %12.0f\n", p.Phase, p.Role, p.VMs, p.CPUPercent, p.ResidentMB, p.MaxResidentMB, p.RPCBytes, p.IOBytes)
+	}
+	fmt.Fprintf(&b, "%-6s %-8s %-18s %12s %12s %12s\n", "phase", "role", "measure", "fixed", "per VM", "residual")
+	for _, s := range slopes {
+		fmt.Fprintf(&b, "%-6s %-8s %-18s %12.3f %12.4f %12.3f\n", s.Phase, s.Role, s.Measure, s.Fixed, s.PerVM, s.Residual)
+	}
+	return b.String()
+}
+
+// fleet is the processes of one size.
+type fleet struct {
+	*qt.C
+	bin, dir string
+	// pids lists the processes of each role.
+	pids map[string][]int
+	// http lists the addresses of the entries, the planner's first once it is known.
+	http []string
+}
+
+// measureSize adds the points of each phase as it ends, so that a later failure
+// does not lose them.
+func measureSize(c *qt.C, bin string, n int, points *[]Point) {
+	f := startFleet(c, bin, n)
+	f.settle(n)
+	*points = append(*points, f.measure("idle", n)...)
+	stop := f.load(n)
+	time.Sleep(3 * time.Second)
+	*points = append(*points, f.measure("load", n)...)
+	sent, failed, first := stop()
+	c.Logf("load: %d requests, %d not answered, the first: %s", sent, failed, first)
+	c.Check(failed, qt.Equals, int64(0))
+	f.hold(n)
+	*points = append(*points, f.measure("held", n)...)
+}
+
+func startFleet(c *qt.C, bin string, n int) *fleet {
+	f := &fleet{C: c, bin: bin, dir: c.TempDir(), pids: map[string][]int{}}
+	log := f.freeAddress()
+	f.start("log", "standinlog", "--listen", log)
+	f.listens(log)
+	rpc := []string{f.freeAddress(), f.freeAddress()}
+	seeds := strings.Join(rpc, ",")
+	for i, address := range rpc {
+		http := f.freeAddress()
+		f.http = append(f.http, http)
+		f.start("entry", "celerypoint", "entry", "--settings", f.write(fmt.Sprintf("e%d.ini", i+1), fmt.Sprintf(
+			"[entry]\nid = e%d\nzone = a\nregion = north\nrpcAddress = %s\nhttpAddress = %s\nseeds = %s\n[log]\nurl = http://%s\n[logging]\nlevel = error\n",
+			i+1, address, http, seeds, log)))
+	}
+	for i := range n {
+		runtime := f.freeAddress()
+		f.start("runtime", "standinruntime", "--listen", runtime, "--vm", fmt.Sprintf("v%d", i), "--accelerators", "8")
+		f.start("agent", "celerypoint", "agent", "--settings", f.write(fmt.Sprintf("v%d.ini", i), fmt.Sprintf(
+			"[agent]\nvm = v%d\nzone = a\nrack = r%d\nregion = north\nannounceTo = %s\naccelerators = 8\nslots = 8\ncpus = 32\nmemoryMB = 131072\n[runtime]\nurl = http://%s\n[logging]\nlevel = error\n",
+			i, i/3, seeds, runtime)))
+	}
+	return f
+}
+
+// settle waits until both entries are ready and see every VM, names the roles
+// of the entries, and adds an organisation.
+func (f *fleet) settle(n int) {
+	f.Helper()
+	var planner string
+	for _, address := range f.http {
+		f.eventually("the entry is ready and sees every VM", func() error {
+			if code, body, err := f.do("GET", address, "/readyz", nil); err != nil || code != http.StatusOK {
+				return fmt.Errorf("readyz: %d %s %v", code, body, err)
+			}
+			var s wire.StatusView
+			code, body, err := f.do("GET", address, "/v1/status", nil)
+			if err != nil || code != http.StatusOK {
+				return fmt.Errorf("status: %d %s %v", code, body, err)
+			}
+			if err := json.Unmarshal(body, &s); err != nil {
+				return err
+			}
+			if len(s.VMs) != n || s.Planner == "" || len(s.Entries) < 1 {
+				return fmt.Errorf("%d VMs, planner %q", len(s.VMs), s.Planner)
+			}
+			planner = s.Planner
+			return nil
+		})
+	}
+	entries := f.pids["entry"]
+	delete(f.pids, "entry")
+	if planner == "e2" {
+		entries[0], entries[1] = entries[1], entries[0]
+		f.http[0], f.http[1] = f.http[1], f.http[0]
+	}
+	f.pids["planner"], f.pids["other"] = entries[:1], entries[1:]
+	change, _ := json.Marshal(wire.ConfigChange{Kind: wire.ConfigKindPutOrg, Object: "org/cairn",
+		Org: &wire.Org{Name: "cairn", Guarantee: wire.Shape{VMs: 1, AcceleratorsPerVM: 1}}})
+	code, body, err := f.do("POST", f.http[0], "/v1/config", change)
+	f.Assert(err, qt.IsNil)
+	f.Assert(code, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	time.Sleep(5 * time.Second)
+}
+
+// usage is the counters of one process.
+type usage struct{ ticks, resident, rpc, io float64 }
+
+var roles = []string{"agent", "planner", "other", "log"}
+
+func (f *fleet) measure(phase string, n int) []Point {
+	f.Helper()
+	began, before := time.Now(), f.sample()
+	time.Sleep(*window)
+	span, after := time.Since(began).Seconds(), f.sample()
+	var points []Point
+	for _, role := range roles {
+		p := Point{Phase: phase, Role: role, VMs: n}
+		for i, a := range after[role] {
+			b := before[role][i]
+			p.CPUPercent += 100 * (a.ticks - b.ticks) / clockTicks / span
+			p.ResidentMB += a.resident / 1e6
+			p.MaxResidentMB = max(p.MaxResidentMB, a.resident/1e6)
+			p.RPCBytes += (a.rpc - b.rpc) / span
+			p.IOBytes += (a.io - b.io) / span
+		}
+		points = append(points, p)
+	}
+	return points
+}
+
+func (f *fleet) sample() map[string][]usage {
+	f.Helper()
+	all := map[string][]usage{}
+	for _, role := range roles {
+		for _, pid := range f.pids[role] {
+			all[role] = append(all[role], f.usage(pid))
+		}
+	}
+	all["planner"][0].rpc, all["other"][0].rpc = f.traffic(f.http[0]), f.traffic(f.http[1])
+	return all
+}
+
+func (f *fleet) usage(pid int) usage {
+	f.Helper()
+	stat := f.proc(pid, "stat")
+	// The name in parentheses may hold spaces; utime and stime are the 12th and
+	// 13th fields after it.
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	u := usage{ticks: f.number(fields[11]) + f.number(fields[12])}
+	for line := range strings.Lines(f.proc(pid, "status") + f.proc(pid, "io")) {
+		switch w := strings.Fields(line); w[0] {
+		case "VmRSS:":
+			u.resident = 1024 * f.number(w[1])
+		case "rchar:", "wchar:":
+			u.io += f.number(w[1])
+		}
+	}
+	return u
+}
+
+func (f *fleet) proc(pid int, name string) string {
+	f.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, name))
+	f.Assert(err, qt.IsNil)
+	return string(text)
+}
+
+func (f *fleet) number(text string) float64 {
+	f.Helper()
+	v, err := strconv.ParseFloat(text, 64)
+	f.Assert(err, qt.IsNil)
+	return v
+}
+
+// traffic adds the gauges of both directions.
+func (f *fleet) traffic(address string) float64 {
+	f.Helper()
+	_, body, err := f.do("GET", address, "/metrics", nil)
+	f.Assert(err, qt.IsNil)
+	sum, found := 0.0, 0
+	for line := range strings.Lines(string(body)) {
+		if w := strings.Fields(line); len(w) == 2 && (w[0] == "rpcBytesReceived" || w[0] == "rpcBytesSent") {
+			sum, found = sum+f.number(w[1]), found+1
+		}
+	}
+	f.Assert(found, qt.Equals, 2)
+	return sum
+}
+
+// load sends urgent requests and gangs at a rate in proportion to the number
+// of VMs until the result is called, which waits for the last answers.
+func (f *fleet) load(n int) (stop func() (sent, failed int64, first string)) {
+	done := make(chan struct{})
+	var senders, calls sync.WaitGroup
+	var sent, failed atomic.Int64
+	var first atomic.Value
+	first.Store("")
+	send := func(every time.Duration, r wire.SubmitRequest) {
+		body, _ := json.Marshal(r)
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			address := f.http[i%2]
+			calls.Go(func() {
+				sent.Add(1)
+				var v wire.JobView
+				code, answer, err := f.do("POST", address, "/v1/jobs?waitMs=30000", body)
+				if err == nil {
+					err = json.Unmarshal(answer, &v)
+				}
+				if err != nil || v.Outcome == nil || v.Outcome.Kind != "answer" {
+					failed.Add(1)
+					first.CompareAndSwap("", fmt.Sprintf("%d %s %v", code, answer, err))
+				}
+			})
+		}
+	}
+	senders.Go(func() {
+		send(urgentEvery/time.Duration(n), wire.SubmitRequest{Org: "cairn", Tasks: 1, Urgency: "urgent", Idempotent: true, Payload: `{"runMs":20,"answerBytes":64}`})
+	})
+	senders.Go(func() {
+		send(gangEvery/time.Duration(n), wire.SubmitRequest{Org: "cairn", Tasks: 4, AcceleratorsPerTask: 1, Idempotent: true, Preemptible: true, Payload: `{"runMs":2000,"answerBytes":64}`})
+	})
+	return func() (int64, int64, string) {
+		close(done)
+		senders.Wait()
+		calls.Wait()
+		return sent.Load(), failed.Load(), first.Load().(string)
+	}
+}
+
+// hold starts gangs that run until the end, and waits until all of them run.
+func (f *fleet) hold(n int) {
+	f.Helper()
+	body, _ := json.Marshal(wire.SubmitRequest{Org: "cairn", Tasks: heldGang, AcceleratorsPerTask: 1, Idempotent: true, Preemptible: true, Payload: `{"runMs":600000}`})
+	var ids []string
+	for range n * tasksPerVM / heldGang {
+		code, answer, err := f.do("POST", f.http[0], "/v1/jobs", body)
+		f.Assert(err, qt.IsNil)
+		var v wire.JobView
+		f.Assert(json.Unmarshal(answer, &v), qt.IsNil, qt.Commentf("%d %s", code, answer))
+		ids = append(ids, v.ID)
+	}
+	waited := ""
+	f.Cleanup(func() {
+		if f.Failed() && waited != "" {
+			_, events, err := f.do("GET", f.http[0], "/v1/timeline?job="+waited, nil)
+			f.Logf("timeline of gang %s: %s %v", waited, events, err)
+		}
+	})
+	for _, id := range ids {
+		waited = id
+		f.eventually("gang "+id+" runs", func() error {
+			code, answer, err := f.do("GET", f.http[0], "/v1/jobs/"+id, nil)
+			var v wire.JobView
+			if err == nil {
+				err = json.Unmarshal(answer, &v)
+			}
+			if err != nil || v.Phase != "running" {
+				return fmt.Errorf("%d %s %v", code, answer, err)
+			}
+			return nil
+		})
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// start starts a program, and ends it when the test does.
+func (f *fleet) start(role, program string, args ...string) {
+	f.Helper()
+	cmd := exec.Command(filepath.Join(f.bin, program), args...)
+	f.Assert(cmd.Start(), qt.IsNil)
+	f.pids[role] = append(f.pids[role], cmd.Process.Pid)
+	f.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+}
+
+func (f *fleet) write(name, text string) string {
+	path := filepath.Join(f.dir, name)
+	f.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+// Ports are taken from below the range of outgoing connections, which would
+// compete with a process that starts to listen.
+const firstPort, lastPort = 20_000, 32_000
+
+var usedPorts sync.Map
+
+func (f *fleet) freeAddress() string {
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		address := "127.0.0.1:" + strconv.Itoa(port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+}
+
+func (f *fleet) listens(address string) {
+	f.Helper()
+	f.eventually(address+" listens", func() error {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	})
+}
+
+// eventually polls until the function returns nil.
+func (f *fleet) eventually(what string, try func() error) {
+	f.Helper()
+	deadline := time.Now().Add(settleLimit)
+	for {
+		err := try()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.Fatalf("not within %s: %s: %v", settleLimit, what, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+var client = &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+
+func (f *fleet) do(method, address, path string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -118,6 +118,7 @@
 		return nil, fmt.Errorf("entry %s: %w", c.ID, err)
 	}
 	d.rpc = engine
+	d.registerTraffic()
 	d.done.Go(d.clock)
 	d.done.Go(d.tailConfig)
 	d.done.Go(d.tailJobs)
@@ -126,6 +127,13 @@
 	return d, nil
 }
 
+// registerTraffic registers gauges of the bytes over all connections to agents
+// and peers since the start.
+func (d *Daemon) registerTraffic() {
+	metrics.NewRegisteredFunctionalGauge("rpcBytesReceived", d.metrics, func() int64 { n, _ := d.rpc.Traffic(); return n })
+	metrics.NewRegisteredFunctionalGauge("rpcBytesSent", d.metrics, func() int64 { _, n := d.rpc.Traffic(); return n })
+}
+
 // RPCAddress is the address that agents and peers connect to.
 func (d *Daemon) RPCAddress() string { return d.rpc.Address() }
 
