--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -22,6 +22,16 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/gang"
+	"celerypoint.example/celerypoint/guarantee"
+	"celerypoint.example/celerypoint/job"
+	"celerypoint.example/celerypoint/jobfold"
+	"celerypoint.example/celerypoint/org"
+	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/platformlog"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/vm"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -534,3 +544,61 @@
 	answer, err := io.ReadAll(response.Body)
 	return response.StatusCode, answer, err
 }
+
+// designVMs, designOrgs, designTasks and endedJobs are the design size; ended
+// jobs are kept for jobfold.KeepEnded offsets, at three records each.
+const (
+	designVMs, designOrgs, designTasks = 4800, 790, 40000
+	endedJobs                          = jobfold.KeepEnded / 3
+	// tasksPerJob is an assumption; the requirements do not give it.
+	tasksPerJob = 8
+)
+
+// TestRecordSizes guards against records at the design size that one append to
+// the log cannot hold unnoticed: it prints their sizes as JSON.
+func TestRecordSizes(t *testing.T) {
+	if !*enabled {
+		t.Skip("not measured: needs the flag -capacity")
+	}
+	c := qt.New(t)
+	views := make([]vm.View, designVMs)
+	state := configfold.New()
+	for i := range views {
+		id := fmt.Sprintf("vm%05d", i)
+		views[i] = vm.View{VM: vm.VM{ID: id, Zone: fmt.Sprintf("z%d", i/200), Rack: fmt.Sprintf("k%d", i/3), Region: fmt.Sprintf("r%d", i/686), Accelerators: 1 + min(1, i%5), Slots: 16}}
+		state.VMLabels[id] = map[string]string{"pool": "a"}
+		state.Versions["labels/"+id] = int64(i + 1)
+	}
+	var orgs []org.Org
+	for i := range designOrgs {
+		o := org.Org{Name: fmt.Sprintf("organisation%d", i), Guarantee: shape.Shape{VMs: 1 + i%8, AcceleratorsPerVM: 1 + i%2, Adjacency: shape.AdjacencyRegion}}
+		orgs = append(orgs, o)
+		state.Orgs[o.Name], state.Versions["org/"+o.Name] = o, int64(i+1)
+	}
+	state.Assignment = guarantee.Assign(orgs, views, guarantee.Assignment{})
+	size := func(name string, v any) {
+		text, err := json.Marshal(v)
+		c.Assert(err, qt.IsNil)
+		t.Logf("%s: %d bytes of JSON; one append takes %d", name, len(text), platformlog.MaxBatchBytes)
+	}
+	size("assignment", platformlog.ConfigBody(configfold.Record{Change: configfold.PutAssignment{Assignment: state.Assignment}}))
+	size("configuration snapshot", platformlog.ConfigSnapshotTo(state))
+	jobs := jobfold.New()
+	add := func(i int, phase jobfold.Phase, o outcome.Outcome) {
+		id := fmt.Sprintf("%d~2tjr31nqgmvv7~e1", i)
+		e := &jobfold.Entry{Region: "r1", Phase: phase, Attempt: id + "/1.1", CommitOffset: 1, Commits: 1, Outcome: o,
+			Job: job.Job{ID: id, Org: "organisation1", Tasks: tasksPerJob, AcceleratorsPerTask: 1, Adjacency: shape.AdjacencyRegion, Urgency: job.UrgencyNormal, Idempotent: true, Preemptible: true}}
+		for k := range tasksPerJob / 2 {
+			e.Members = append(e.Members, gang.Member{VM: fmt.Sprintf("vm%05d", k), Tasks: 2, FirstRank: 2 * k, Boot: fmt.Sprintf("vm%05d-1796374200044-0a1b2c3d", k)})
+		}
+		jobs.Jobs[id] = e
+	}
+	for i := range designTasks / tasksPerJob {
+		add(i, jobfold.PhaseCommitted, nil)
+	}
+	size("jobs snapshot, running jobs", platformlog.JobsSnapshotTo(jobs))
+	for i := range endedJobs {
+		add(1e6+i, jobfold.PhaseEnded, outcome.Answer{Length: 1024, Body: make([]byte, 1024)})
+	}
+	size("jobs snapshot, with ended jobs of 1 KiB answers", platformlog.JobsSnapshotTo(jobs))
+}
