capacity: compare the planner that both entries name

Cause: an entry that does not know the other yet names itself as planner, so the roles were swapped in some sizes, and gangs read at the entry that does not plan stay in phase starting while they run. Change: settle waits until both entries see each other and name one planner.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -256,12 +256,18 @@
 	return f
 }
 
-// settle waits until both entries are ready and see every VM, names the roles
-// of the entries, and adds an organisation.
+// settle waits until both entries are ready and see each other and every VM,
+// names the roles of the entries, and adds an organisation. An entry that does
+// not know the other yet names itself as planner.
 func (f *fleet) settle(n int) {
 	f.Helper()
 	var planner string
-	for _, address := range f.http {
+	for i := range 2 * len(f.http) {
+		// The first round waits for the views; the second compares them.
+		address := f.http[i%len(f.http)]
+		if i < len(f.http) {
+			planner = ""
+		}
 		f.eventually("the entry is ready and sees every VM", func() error {
 			if code, body, err := f.do("GET", address, "/readyz", nil); err != nil || code != http.StatusOK {
 				return fmt.Errorf("readyz: %d %s %v", code, body, err)
@@ -274,8 +280,8 @@
 			if err := json.Unmarshal(body, &s); err != nil {
 				return err
 			}
-			if len(s.VMs) != n || s.Planner == "" || len(s.Entries) < 1 {
-				return fmt.Errorf("%d VMs, planner %q", len(s.VMs), s.Planner)
+			if len(s.VMs) != n || len(s.Entries) != len(f.http) || s.Planner == "" || planner != "" && s.Planner != planner {
+				return fmt.Errorf("%d VMs, %d entries, planner %q, as the other says %q", len(s.VMs), len(s.Entries), s.Planner, planner)
 			}
 			planner = s.Planner
 			return nil
