Test the client's answers under changing faults

Cause: a refusal that says not appended has to be true in the end. Change: TestAnswersAreTrue compares each answer with what the log holds after lost answers, delays, outages and a low rate; the fuzz targets share their body.

--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -86,6 +88,51 @@
 	}
 }
 
+// TestAnswersAreTrue guards against an answer that the log contradicts in the
+// end, under faults that come and go.
+func TestAnswersAreTrue(t *testing.T) {
+	l, c, ctx := serveLog(t, standinlog.AppendsPerSecond(40))
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	answers := make([]error, 160)
+	offsets := make([][]int64, len(answers))
+	var wg sync.WaitGroup
+	for i := range answers {
+		if i%16 == 0 {
+			l.SetFaults([]wire.LogFaults{{}, {LoseAnswers: 2}, {AppendDown: true}, {DelayMs: 30}, {DelayMs: 250}}[random.IntN(5)])
+		}
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+			defer cancel()
+			offsets[i], answers[i] = c.Append(ctx, "s", Record{fmt.Sprint(i, "a"), i}, Record{fmt.Sprint(i, "b"), i})
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Wait()
+	l.SetFaults(wire.LogFaults{})
+	// Delayed appends take effect within this time.
+	time.Sleep(300 * time.Millisecond)
+	p, err := c.Read(ctx, "s", 1, 1000, 0)
+	qt.Assert(t, err, qt.IsNil)
+	at := map[string]int64{}
+	for _, r := range p.Records {
+		qt.Assert(t, at[r.ID], qt.Equals, int64(0))
+		at[r.ID] = int64(r.Offset)
+	}
+	for i, err := range answers {
+		found := []int64{at[fmt.Sprint(i, "a")], at[fmt.Sprint(i, "b")]}
+		switch {
+		case err == nil:
+			qt.Assert(t, offsets[i], qt.DeepEquals, found)
+		case errors.Is(err, ErrNotAppended):
+			qt.Assert(t, found, qt.DeepEquals, []int64{0, 0})
+		default:
+			qt.Assert(t, err, qt.ErrorIs, ErrUnknown)
+		}
+	}
+}
+
 // TestDelay guards against a slow log that admission does not see, and against
 // a delay that counts for ever because nothing is appended any more.
 func TestDelay(t *testing.T) {
--- a/platformlog/records_test.go
+++ b/platformlog/records_test.go
@@ -145,60 +145,60 @@
 	}
 }
 
-// fuzzed returns the text as the body of a record, or false.
-func fuzzed(text []byte) (r wire.LogRecord, ok bool) {
-	r = wire.LogRecord{Offset: 5, ID: "id"}
-	return r, json.Unmarshal(text, &r.Body) == nil
-}
-
-// FuzzParseConfig guards against a record that stops every process, and
-// against one that changes when it is written again.
-func FuzzParseConfig(f *testing.F) {
-	records, _ := configRecords()
-	for _, r := range records {
-		text, err := json.Marshal(ConfigBody(r))
+// fuzz gives f the texts, and runs again with others. Again parses a record,
+// folds it, and returns it encoded.
+func fuzz(f *testing.F, stream string, seeds []any, again func(r wire.LogRecord) (any, error)) {
+	for _, body := range seeds {
+		text, err := json.Marshal(body)
 		qt.Assert(f, err, qt.IsNil)
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r, ok := fuzzed(text)
-		if !ok {
+		r := wire.LogRecord{Offset: 5, ID: "id"}
+		if json.Unmarshal(text, &r.Body) != nil {
 			return
 		}
-		c, err := ParseConfig(r)
+		once, err := again(r)
 		if err != nil {
-			qt.Assert(t, strings.HasPrefix(err.Error(), "log stream config: offset 5: "), qt.IsTrue)
+			qt.Assert(t, strings.HasPrefix(err.Error(), "log stream "+stream+": offset 5: "), qt.IsTrue)
 			return
 		}
-		s := configfold.New()
-		s.Apply(5, c)
-		again, err := ParseConfig(stored(t, 5, ConfigBody(c)))
+		twice, err := again(stored(t, 5, once))
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, ConfigBody(again), qt.DeepEquals, ConfigBody(c))
+		qt.Assert(t, twice, qt.DeepEquals, once)
+	})
+}
+
+// FuzzParseConfig guards against a record that stops every process, and
+// against one that changes when it is written again.
+func FuzzParseConfig(f *testing.F) {
+	var seeds []any
+	records, _ := configRecords()
+	for _, r := range records {
+		seeds = append(seeds, ConfigBody(r))
+	}
+	fuzz(f, StreamConfig, seeds, func(r wire.LogRecord) (any, error) {
+		c, err := ParseConfig(r)
+		s := configfold.New()
+		if err == nil {
+			s.Apply(5, c)
+		}
+		return ConfigBody(c), err
 	})
 }
 
 // FuzzParseJob is FuzzParseConfig for the stream jobs.
 func FuzzParseJob(f *testing.F) {
+	var seeds []any
 	records, _ := jobRecords()
 	for _, r := range records {
-		text, err := json.Marshal(JobBody(r))
-		qt.Assert(f, err, qt.IsNil)
-		f.Add(text)
+		seeds = append(seeds, JobBody(r))
 	}
-	f.Fuzz(func(t *testing.T, text []byte) {
-		r, ok := fuzzed(text)
-		if !ok {
-			return
-		}
+	fuzz(f, StreamJobs, seeds, func(r wire.LogRecord) (any, error) {
 		j, err := ParseJob(r)
-		if err != nil {
-			qt.Assert(t, strings.HasPrefix(err.Error(), "log stream jobs: offset 5: "), qt.IsTrue)
-			return
+		if err == nil {
+			jobfold.New().Apply(5, j)
 		}
-		jobfold.New().Apply(5, j)
-		again, err := ParseJob(stored(t, 5, JobBody(j)))
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, JobBody(again), qt.DeepEquals, JobBody(j))
+		return JobBody(j), err
 	})
 }
