Report ends of tasks without holding up announcements

Cause: a link waited for the entry's reply to each report before its next announcement. An entry that is slow to record an end, as in an outage of the log, would have counted the VM as lost after 4 s. Change: reports go out with rpc.Conn.Send, at most 64 at once on a link, and each remembers how far it is on each link. Conclusion: a slow report delays nothing but itself.

--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -32,8 +32,12 @@
 	ends   map[string]wire.TaskEndedParams
 	// foreign refuses reports, as an entry that does not know the job.
 	foreign bool
-	config  wire.VMConfig
-	others  []wire.EntryInfo
+	// silent never answers a report.
+	silent bool
+	// announced counts announcements.
+	announced int
+	config    wire.VMConfig
+	others    []wire.EntryInfo
 }
 
 func newEntry(t *testing.T) *fakeEntry {
@@ -58,6 +62,7 @@
 			return
 		}
 		e.conn, e.last = r.Conn, p
+		e.announced++
 		r.Reply(wire.AnnounceResult{Config: e.config, Entries: e.others})
 	case entry.MethodTaskEnded:
 		var p wire.TaskEndedParams
@@ -66,7 +71,9 @@
 			return
 		}
 		e.ends[taskID(p.Attempt, p.Rank)] = p
-		r.Reply(struct{}{})
+		if !e.silent {
+			r.Reply(struct{}{})
+		}
 	}
 	e.cond.Broadcast()
 }
@@ -135,7 +142,7 @@
 	timing.Reclaim, timing.Checkpoint, timing.Spare = time.Second, 600*time.Millisecond, 300*time.Millisecond
 	d, err := New(Config{
 		VM:         vm.VM{ID: "vm1", Zone: "z1", Rack: "r1", Region: "g1", Accelerators: 8, Slots: 8},
-		AnnounceTo: []string{b.entry.engine.Address()}, RuntimeURL: "http://" + b.runtime.Address(), Ledger: timing, Seed: 1,
+		AnnounceTo: []string{b.entry.engine.Address()}, RuntimeURL: "http://" + b.runtime.Address(), Ledger: timing, Seed: 1, AnnounceEvery: 200 * time.Millisecond,
 	}, WithLogger(quiet()))
 	qt.Assert(b, err, qt.IsNil)
 	b.daemon = d
@@ -389,3 +396,18 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, []any{part.Checksum, len(part.Data)}, qt.DeepEquals, []any{long.Checksum, 133336})
 }
+
+// TestSlowReportHoldsUpNothing guards against a VM that counts as lost because
+// an entry takes long to record the end of a task.
+func TestSlowReportHoldsUpNothing(t *testing.T) {
+	b := newBench(t)
+	b.entry.mu.Lock()
+	b.entry.silent = true
+	b.entry.mu.Unlock()
+	b.runs(b.job("j1", `{}`, false), 1, 5000)
+	b.entry.end(t, "j1-a/0")
+	began, seen := time.Now(), 0
+	b.entry.until(t, "first announcement", func() bool { seen = b.entry.announced; return true })
+	b.entry.until(t, "further announcements", func() bool { return b.entry.announced >= seen+4 })
+	qt.Assert(t, time.Since(began) < callTimeout, qt.IsTrue)
+}
--- a/agentd/answers.go
+++ b/agentd/answers.go
@@ -40,8 +40,21 @@
 type report struct {
 	params wire.TaskEndedParams
 	until  time.Time
+	// sent says how far the report is on each link.
+	sent map[*link]reportState
 }
 
+// reportState is how far a report is on one link.
+type reportState string
+
+const (
+	reportWaits   reportState = "waits"
+	reportRefused reportState = "refused"
+)
+
+// maxReportsSent bounds the reports that one link sends at once.
+const maxReportsSent = 64
+
 type kept struct {
 	id, attempt string
 	until       time.Time
@@ -101,6 +114,7 @@
 func (t *answerTable) report(id string, r report) {
 	t.Lock()
 	defer t.Unlock()
+	r.sent = map[*link]reportState{}
 	t.reports[id] = &r
 	t.ended[r.params.Attempt] = append(t.ended[r.params.Attempt], r.params)
 	t.kept = append(t.kept, kept{"", r.params.Attempt, r.until})
@@ -113,24 +127,36 @@
 	return slices.Clone(t.ended[attempt])
 }
 
-// unconfirmed lists the reports that no entry has confirmed.
-func (t *answerTable) unconfirmed() map[string]wire.TaskEndedParams {
+// due takes the reports that are to be sent on the link. Refused ones are sent
+// again only with again.
+func (t *answerTable) due(k *link, again bool) map[string]wire.TaskEndedParams {
 	t.Lock()
 	defer t.Unlock()
-	if len(t.reports) == 0 {
-		return nil
-	}
-	reports := make(map[string]wire.TaskEndedParams, len(t.reports))
+	var due map[string]wire.TaskEndedParams
 	for id, r := range t.reports {
-		reports[id] = r.params
+		state := r.sent[k]
+		if state == reportWaits || state == reportRefused && !again {
+			continue
+		}
+		if due == nil {
+			due = map[string]wire.TaskEndedParams{}
+		}
+		r.sent[k] = reportWaits
+		due[id] = r.params
+		if len(due) == maxReportsSent {
+			break
+		}
 	}
-	return reports
+	return due
 }
 
-func (t *answerTable) waits(id string) bool {
+// refused notes that the link's entry did not take the report.
+func (t *answerTable) refused(id string, k *link) {
 	t.Lock()
 	defer t.Unlock()
-	return t.reports[id] != nil
+	if r := t.reports[id]; r != nil {
+		r.sent[k] = reportRefused
+	}
 }
 
 func (t *answerTable) confirmed(id string) {
--- a/agentd/links.go
+++ b/agentd/links.go
@@ -181,9 +181,6 @@
 func (d *Daemon) converse(k *link, conn *rpc.Conn) (answered bool) {
 	client := entry.Client{Conn: conn}
 	var announced time.Time
-	// refused holds the reports that this entry refused since the last
-	// announcement.
-	refused := map[string]bool{}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -193,7 +190,7 @@
 		case <-conn.Done():
 			return answered
 		case <-k.ended:
-			d.reportEnds(client, refused)
+			d.reportEnds(k, conn, false)
 		case <-k.changed:
 			timer.Reset(max(0, time.Until(announced.Add(announceGap))))
 		case <-timer.C:
@@ -206,8 +203,7 @@
 				answered = true
 				d.log.WithFields(logrus.Fields{"vm": d.config.VM.ID, "entry": k.address}).Info("entry linked")
 			}
-			clear(refused)
-			d.reportEnds(client, refused)
+			d.reportEnds(k, conn, true)
 			d.dropOld()
 			timer.Reset(max(0, time.Until(announced.Add(d.config.AnnounceEvery))))
 		}
@@ -316,21 +312,18 @@
 	}
 }
 
-// reportEnds sends the unconfirmed reports that this entry has not refused. An
-// entry that does not know the job refuses, and the report waits for other
-// entries and for the next announcement.
-func (d *Daemon) reportEnds(client entry.Client, refused map[string]bool) {
-	for id, p := range d.answers.unconfirmed() {
-		if refused[id] || !d.answers.waits(id) {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
-		err := client.TaskEnded(ctx, p)
-		cancel()
-		if err == nil {
+// reportEnds sends unconfirmed reports to the entry, and does not wait for its
+// replies, so that an entry that is slow to record an end still gets
+// announcements. An entry that does not know the job refuses, and the report
+// waits for other entries and for the next announcement.
+func (d *Daemon) reportEnds(k *link, conn *rpc.Conn, again bool) {
+	for id, p := range d.answers.due(k, again) {
+		conn.Send(entry.MethodTaskEnded, p, time.Now().Add(callTimeout), func(_ []byte, err error) {
+			if err != nil {
+				d.answers.refused(id, k)
+				return
+			}
 			d.answers.confirmed(id)
-			continue
-		}
-		refused[id] = true
+		})
 	}
 }
