--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -26,8 +26,8 @@
 const (
 	// handlers bounds the HTTP requests in progress. It is above the bound of
 	// package caller on requests that wait, so that waits never hold up the
-	// others.
-	handlers = 512
+	// others. nbhttp starts a goroutine for each only when it is needed.
+	handlers = caller.DefaultWaiting + 512
 	// closeTimeout bounds the closing of idle connections.
 	closeTimeout = 2 * time.Second
 )
@@ -42,6 +42,8 @@
 	active int
 	// idle is closed and replaced when active falls to 0.
 	idle chan struct{}
+	// closeOnce guards the end: a second Shutdown of an nbio engine panics.
+	closeOnce sync.Once
 }
 
 // New serves the daemon on the TCP address.
@@ -88,10 +90,12 @@
 // until they have ended, and closes the server. The error says what was left.
 func (f *Frontend) Stop(ctx context.Context) error {
 	err := errors.Join(f.daemon.Stop(ctx), f.waitIdle(ctx))
-	f.server.Close(closeTimeout)
-	if err == nil {
-		f.callers.Close()
-	}
+	f.closeOnce.Do(func() {
+		f.server.Close(closeTimeout)
+		if err == nil {
+			f.callers.Close()
+		}
+	})
 	return err
 }
 
