ledger: refuse a reserve of an attempt that is being stopped

Cause: a repeated reserve of a released attempt was answered as granted while its tasks were still stopping. Change: it is refused as attemptReleased. Conclusion: a reserve is granted twice only while the attempt is not ending.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -157,6 +157,9 @@
 		if h.State == StateReserved && !now.Before(h.Until) {
 			return Refused{RuleReservationExpired, "the reservation has expired"}, true
 		}
+		if h.Doom != "" {
+			return Refused{RuleAttemptReleased, "the attempt is being stopped"}, true
+		}
 		return Granted{Already: true}, true
 	}
 	if t, ok := l.dead[r.Attempt]; ok {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -51,14 +51,18 @@
 		change func(r *Request)
 		want   string
 	}{
-		"granted":             {want: "ledger.Granted"},
-		"beyond the share":    {change: func(r *Request) { r.Tasks = 7 }, want: RuleOwnShareOnly},
-		"borrows":             {change: func(r *Request) { r.Tasks, r.Preemptible = 8, true }, want: "ledger.Granted"},
-		"too large":           {change: func(r *Request) { r.Tasks = 9 }, want: RuleNoFreePlace},
-		"old configuration":   {change: func(r *Request) { r.ConfigOffset = 0 }, want: RuleStaleConfiguration},
-		"draining":            {before: func(l *Ledger) { l.Drain(1, true) }, want: RuleVMDraining},
-		"leaving":             {before: func(l *Ledger) { l.Leave() }, want: RuleVMDraining},
-		"released before":     {before: func(l *Ledger) { l.Release(at(0), "job of a", "a", 1, false) }, want: RuleAttemptReleased},
+		"granted":           {want: "ledger.Granted"},
+		"beyond the share":  {change: func(r *Request) { r.Tasks = 7 }, want: RuleOwnShareOnly},
+		"borrows":           {change: func(r *Request) { r.Tasks, r.Preemptible = 8, true }, want: "ledger.Granted"},
+		"too large":         {change: func(r *Request) { r.Tasks = 9 }, want: RuleNoFreePlace},
+		"old configuration": {change: func(r *Request) { r.ConfigOffset = 0 }, want: RuleStaleConfiguration},
+		"draining":          {before: func(l *Ledger) { l.Drain(1, true) }, want: RuleVMDraining},
+		"leaving":           {before: func(l *Ledger) { l.Leave() }, want: RuleVMDraining},
+		"released before":   {before: func(l *Ledger) { l.Release(at(0), "job of a", "a", 1, false) }, want: RuleAttemptReleased},
+		"being stopped": {before: func(l *Ledger) {
+			runs(t, l, at(0), request("a", "sur", 2))
+			l.Release(at(0), "job of a", "a", 1, true)
+		}, want: RuleAttemptReleased},
 		"older term":          {before: func(l *Ledger) { l.Release(at(0), "job of a", "b", 2, false) }, want: RuleStaleTerm},
 		"nothing to reclaim":  {before: func(l *Ledger) { runs(t, l, at(0), request("b", "norte", 4)) }, change: func(r *Request) { r.Org, r.Reclaim, r.Tasks = "norte", true, 5 }, want: RuleOwnShareOnly},
 		"reclaim beyond own":  {before: func(l *Ledger) { borrow(t, l, 8) }, change: func(r *Request) { r.Reclaim, r.Tasks = true, 3 }, want: RuleNoFreePlace},
