--- a/cli/load.go
+++ b/cli/load.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -12,20 +15,35 @@
 
 	"celerypoint.example/celerypoint/caller"
 	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/embedded"
 	"celerypoint.example/celerypoint/entryhttp"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/load"
 	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/placement"
 	"celerypoint.example/celerypoint/wire"
 )
 
+// loadVMs is the size of both of today's deployments.
+const loadVMs = 11
+
+// loadOptions are the flags of load.
+type loadOptions struct {
+	remote          *remote
+	seeds, policies string
+	report          string
+}
+
 func (p *program) loadCommand() *ffcli.Command {
 	fs := p.flags("load")
-	r := remoteFlags(fs)
-	seed := fs.Uint64("seed", 1, "seed of the requests")
-	policy := fs.String("policy", "adjacent", "placement policy of the entries, which the report names")
-	return command(fs, "[profile]", "put a profile's organisations and send its requests to VMs with stand-in runtimes, or list the profiles",
-		"celerypoint load --entry 127.0.0.1:7180,127.0.0.1:7181 dawn",
+	o := &loadOptions{remote: remoteFlags(fs)}
+	fs.Lookup("entry").DefValue = ""
+	o.remote.entries = ""
+	fs.StringVar(&o.seeds, "seeds", "1", "seeds of the requests, `SEED[,SEED]`; one run each")
+	fs.StringVar(&o.policies, "policies", "adjacent", "placement policies, `POLICY[,POLICY]`; one run each; with --entry, the name in the report")
+	fs.StringVar(&o.report, "report", "", "write an HTML page with plots to this `FILE`")
+	return command(fs, "[profile]", "send the requests of a profile to a running system or, without --entry, to one in this process; or list the profiles",
+		"celerypoint load --seeds 1,2,3 --policies baseline,adjacent --report dawn.html dawn",
 		func(ctx context.Context, args []string) error {
 			if len(args) == 0 {
 				listProfiles(p.stdout)
@@ -38,24 +56,95 @@
 			if err != nil {
 				return usageError{err}
 			}
-			if err := putOrgs(ctx, r, profile); err != nil {
-				return err
-			}
-			targets, closeAll := r.targets()
-			defer closeAll()
-			run, err := load.Do(ctx, profile, *seed, targets)
+			return p.load(ctx, profile, o)
+		})
+}
+
+// load runs the profile once for each seed and policy.
+func (p *program) load(ctx context.Context, profile load.Profile, o *loadOptions) error {
+	var reports []load.Report
+	wrong := 0
+	for seedText := range strings.SplitSeq(o.seeds, ",") {
+		seed, err := strconv.ParseUint(strings.TrimSpace(seedText), 10, 64)
+		if err != nil {
+			return usageError{fmt.Errorf("--seeds: found %q, allowed: numbers from 0 on, separated by commas", o.seeds)}
+		}
+		for policy := range strings.SplitSeq(o.policies, ",") {
+			report, err := runProfile(ctx, profile, seed, strings.TrimSpace(policy), o.remote)
 			if err != nil {
 				return err
 			}
-			report := run.Report(*policy)
-			if err := p.print(r.json, report, func() { fmt.Fprint(p.stdout, report.Text()) }); err != nil {
-				return err
-			}
-			if n := report.Wrong(); n > 0 {
-				return fmt.Errorf("load: %d answers are wrong", n)
+			reports = append(reports, report)
+			wrong += report.Wrong()
+			if !o.remote.json {
+				fmt.Fprintln(p.stdout, report.Text())
 			}
-			return nil
-		})
+		}
+	}
+	if o.report != "" {
+		if err := writePage(o.report, load.Page{Title: profile.Title, Reports: reports}); err != nil {
+			return err
+		}
+	}
+	if err := p.print(o.remote.json, reports, func() {}); err != nil {
+		return err
+	}
+	if wrong > 0 {
+		return fmt.Errorf("load: %d answers are wrong", wrong)
+	}
+	return nil
+}
+
+func writePage(path string, page load.Page) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("load: report: %w", err)
+	}
+	return errors.Join(page.Write(f), f.Close())
+}
+
+func runProfile(ctx context.Context, profile load.Profile, seed uint64, policy string, r *remote) (load.Report, error) {
+	if r.entries == "" {
+		return runEmbedded(ctx, profile, seed, placement.Policy(policy))
+	}
+	if err := putOrgs(ctx, r, profile); err != nil {
+		return load.Report{}, err
+	}
+	targets, closeAll := r.targets()
+	defer closeAll()
+	run, err := load.Do(ctx, profile, seed, targets)
+	if err != nil {
+		return load.Report{}, err
+	}
+	return run.Report(policy), nil
+}
+
+// runEmbedded runs the profile on a system of its own.
+func runEmbedded(ctx context.Context, profile load.Profile, seed uint64, policy placement.Policy) (load.Report, error) {
+	if policy != placement.PolicyBaseline && policy != placement.PolicyAdjacent {
+		return load.Report{}, usageError{fmt.Errorf("--policies: found %q, allowed: baseline, adjacent", policy)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*profile.Timeout())
+	defer cancel()
+	system, err := embedded.Start(ctx, embedded.Config{VMs: loadVMs, Zones: profile.Zones, Placement: policy})
+	if err != nil {
+		return load.Report{}, err
+	}
+	defer system.Kill()
+	for _, o := range profile.Orgs {
+		if err := system.PutOrg(ctx, o); err != nil {
+			return load.Report{}, err
+		}
+	}
+	var targets []load.Target
+	for _, e := range system.Entries {
+		targets = append(targets, e)
+	}
+	run, err := load.Do(ctx, profile, seed, targets)
+	if err != nil {
+		return load.Report{}, err
+	}
+	return run.Report(string(policy)), nil
 }
 
 func listProfiles(out io.Writer) {
--- a/entryd/submit.go
+++ b/entryd/submit.go
@@ -82,9 +82,13 @@
 		in.MatchingVMs++
 		in.MatchingAccelerators += v.Accelerators
 		in.LargestVM = max(in.LargestVM, v.Accelerators)
-		in.Servers += v.Slots
+		servers := v.Slots
+		if j.AcceleratorsPerTask > 0 {
+			servers = min(servers, v.Accelerators/j.AcceleratorsPerTask)
+		}
+		in.Servers += servers
 	}
-	in.Queued, in.ExpectedRun = d.queued(j)
+	in.Queued, in.ExpectedRun, in.QueuedRun = d.queued(j)
 	return in
 }
 
@@ -100,21 +104,21 @@
 }
 
 // queued counts the jobs of the lane that this entry knows and that wait or,
-// for short requests, have not ended.
-func (d *Daemon) queued(j job.Job) (int, time.Duration) {
+// for short requests, have not ended. It also returns the expected run times of
+// the job and of those ahead of it.
+func (d *Daemon) queued(j job.Job) (n int, run, ahead time.Duration) {
 	d.jobs.mu.Lock()
 	defer d.jobs.mu.Unlock()
-	run := d.jobs.model.Expected(j)
+	run, ahead = d.jobs.model.Expected(j), d.jobs.model.LaneRun(j.Urgency)
 	if !j.Recorded() {
-		return int(d.shorts.Load()), run
+		return int(d.shorts.Load()), run, ahead
 	}
-	n := 0
 	for _, e := range d.jobs.fold.Jobs {
 		if e.Phase == jobfold.PhaseWaiting && e.Job.Urgency == j.Urgency {
 			n++
 		}
 	}
-	return n, run
+	return n, run, ahead
 }
 
 // submitRecorded accepts a job through the log.
