Wait for agents' refusals past the deadline, and encode views once

A graceful stop did not wait for an answer that was being read. Short work was announced as non-preemptible although a reclaim may stop it. The encoding of job views stood twice.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 
+	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/wire"
@@ -93,7 +94,7 @@
 }
 
 func answerLine(v job.View, requestID string) wire.JobView {
-	wv := viewTo(v)
+	wv := codec.ViewTo(v)
 	wv.RequestID = requestID
 	return wv
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -17,6 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/httpserver"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/outcome"
@@ -244,7 +245,7 @@
 		refuse(w, n)
 		return
 	}
-	wv := viewTo(v)
+	wv := codec.ViewTo(v)
 	wv.RequestID = requestID
 	status := http.StatusOK
 	if created && v.Phase != job.PhaseEnded {
--- a/cli/load.go
+++ b/cli/load.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		return job.View{}, err
 	}
-	return caller.ViewFrom(w)
+	return codec.ViewFrom(w)
 }
 
 // Wait implements load.Target: it waits until the deadline of ctx, and asks
@@ -220,7 +220,7 @@
 	if err != nil {
 		return job.View{}, false, err
 	}
-	v, err := caller.ViewFrom(w)
+	v, err := codec.ViewFrom(w)
 	return v, true, err
 }
 
@@ -234,7 +234,7 @@
 	if err != nil {
 		return nil, outcome.Answer{}, err
 	}
-	v, err := caller.ViewFrom(w)
+	v, err := codec.ViewFrom(w)
 	if err != nil {
 		return nil, outcome.Answer{}, err
 	}
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -186,3 +186,24 @@
 		Accelerators: w.Accelerators, Slots: w.Slots, Connections: w.Connections, CPUs: w.CPUs, MemoryMB: w.MemoryMB,
 	}, nil
 }
+
+// ViewTo encodes what a caller learns of a job.
+func ViewTo(v job.View) wire.JobView {
+	return wire.JobView{
+		ID: v.ID, Org: v.Org, Phase: wire.JobPhase(v.Phase), VMs: v.VMs, AcceptedAtUnixMs: Millis(v.AcceptedAt),
+		StartedAtUnixMs: Millis(v.StartedAt), EndedAtUnixMs: Millis(v.EndedAt), WaitsFor: v.WaitsFor,
+		Outcome: OutcomeTo(v.Outcome),
+	}
+}
+
+// ViewFrom decodes what a caller learns of a job.
+func ViewFrom(w wire.JobView) (job.View, error) {
+	o, err := OutcomeFrom(w.Outcome)
+	if err != nil {
+		return job.View{}, err
+	}
+	return job.View{
+		ID: w.ID, Org: w.Org, Phase: job.Phase(w.Phase), VMs: w.VMs, AcceptedAt: Time(w.AcceptedAtUnixMs),
+		StartedAt: Time(w.StartedAtUnixMs), EndedAt: Time(w.EndedAtUnixMs), WaitsFor: w.WaitsFor, Outcome: o,
+	}, nil
+}
--- a/entryd/peers.go
+++ b/entryd/peers.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/membership"
 	"celerypoint.example/celerypoint/platformlog"
@@ -406,7 +407,7 @@
 		r.Reply(wire.PeerJobResult{Found: false})
 		return
 	}
-	w := viewTo(v)
+	w := codec.ViewTo(v)
 	r.Reply(wire.PeerJobResult{Found: true, Job: &w})
 }
 
--- a/entryd/service.go
+++ b/entryd/service.go
@@ -51,7 +51,7 @@
 	if !r.Found || r.Job == nil {
 		return job.View{}, false, nil
 	}
-	v, err := viewFrom(*r.Job)
+	v, err := codec.ViewFrom(*r.Job)
 	return v, true, err
 }
 
@@ -139,6 +139,10 @@
 
 // Answer returns the whole answer of a job that ended with one.
 func (d *Daemon) Answer(ctx context.Context, id string) ([]byte, outcome.Answer, error) {
+	// An answer that is being read counts as a request, so that a graceful stop
+	// waits for it.
+	d.requests.Add(1)
+	defer d.requests.Add(-1)
 	v, ok, err := d.Job(ctx, id)
 	if err != nil {
 		return nil, outcome.Answer{}, err
@@ -164,25 +168,6 @@
 // ErrNoAnswer says that a job is unknown or did not end with an answer.
 var ErrNoAnswer = fmt.Errorf("no answer")
 
-func viewTo(v job.View) wire.JobView {
-	return wire.JobView{
-		ID: v.ID, Org: v.Org, Phase: wire.JobPhase(v.Phase), VMs: v.VMs, AcceptedAtUnixMs: codec.Millis(v.AcceptedAt),
-		StartedAtUnixMs: codec.Millis(v.StartedAt), EndedAtUnixMs: codec.Millis(v.EndedAt), WaitsFor: v.WaitsFor,
-		Outcome: codec.OutcomeTo(v.Outcome),
-	}
-}
-
-func viewFrom(w wire.JobView) (job.View, error) {
-	o, err := codec.OutcomeFrom(w.Outcome)
-	if err != nil {
-		return job.View{}, err
-	}
-	return job.View{
-		ID: w.ID, Org: w.Org, Phase: job.Phase(w.Phase), VMs: w.VMs, AcceptedAt: codec.Time(w.AcceptedAtUnixMs),
-		StartedAt: codec.Time(w.StartedAtUnixMs), EndedAt: codec.Time(w.EndedAtUnixMs), WaitsFor: w.WaitsFor, Outcome: o,
-	}, nil
-}
-
 // Config returns the configuration in force at this entry.
 func (d *Daemon) Config(context.Context) (configfold.State, error) {
 	d.config.mu.Lock()
--- a/entryd/short.go
+++ b/entryd/short.go
@@ -30,6 +30,10 @@
 	// maxRefusals is the number of VMs that may refuse a short request for want
 	// of room before the caller is told.
 	maxRefusals = 3
+	// replyGrace is how long after the deadline an agent's reply may come. The
+	// agent refuses at the deadline itself, and only its reply tells that the
+	// request was not run.
+	replyGrace = time.Second
 	// avoidFor is how long a VM that refused a job is passed over for it.
 	avoidFor = time.Second
 )
@@ -92,7 +96,7 @@
 	d.jobs.mu.Unlock()
 	params := wire.RunParams{Job: codec.JobTo(r.job), Attempt: attemptID, QueueMs: int(deadline.Sub(now).Milliseconds()), Config: d.vmConfig(id)}
 	d.count("shortSent")
-	send(d, conn, agent.MethodRun, params, deadline, func(result wire.RunResult, err error) {
+	send(d, conn, agent.MethodRun, params, deadline.Add(replyGrace), func(result wire.RunResult, err error) {
 		d.shortDone(r, id, attemptID, result, err)
 	})
 }
--- a/entryd/streams.go
+++ b/entryd/streams.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-
 	"celerypoint.example/celerypoint/configfold"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/gang"
--- a/ledger/types.go
+++ b/ledger/types.go
@@ -182,9 +182,11 @@
 func (h *Holding) view() vm.Holding {
 	return vm.Holding{
 		JobID: h.JobID, Attempt: h.Attempt, Org: h.Org, Tasks: h.Tasks,
-		Accelerators: h.Accelerators() - h.loaned(), Preemptible: h.Preemptible,
-		Running:   h.State != StateReserved,
-		Throttled: !h.PausedAt.IsZero(), StartedAt: h.StartedAt,
+		Accelerators: h.Accelerators() - h.loaned(),
+		// Short work is idempotent, so a reclaim may stop it.
+		Preemptible: h.Preemptible || h.Short,
+		Running:     h.State != StateReserved,
+		Throttled:   !h.PausedAt.IsZero(), StartedAt: h.StartedAt,
 	}
 }
 
