ledger: let urgent work that borrows use the slots of paused tasks

Cause: a paused task kept its slot, so a VM full of long tasks ran at most 2 urgent tasks at once (a quarter of its 8 slots), whatever its accelerators; the 11 VMs served 22 at once where the dawn peak needs about 52. Ruled out: the entry (its queue was empty) and the log (short requests do not use it). Change: for a task that borrows, paused tasks do not count against the slots.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -33,8 +33,9 @@
 }
 
 // Ledger is the state of one VM. Make it with New; operations keep the
-// invariants: holdings never exceed Accelerators, tasks never exceed Slots
-// plus ExtraSlots, and only urgent short tasks use the extra slots.
+// invariants: holdings never exceed Accelerators, tasks that are not short
+// never exceed Slots, and short tasks that borrow nothing never bring the sum
+// above Slots plus ExtraSlots; neither do those that borrow, paused tasks aside.
 type Ledger struct {
 	Accelerators int
 	Slots        int
@@ -72,10 +73,9 @@
 	}
 }
 
-// ExtraSlots is the number of tasks that urgent short work may have beyond
-// Slots. A paused task keeps its slot for its memory but uses no processor, so
-// a quarter more tasks fit, and a VM full of long tasks still serves urgent
-// work.
+// ExtraSlots is the number of tasks that urgent short work may run beyond
+// Slots, so that a VM full of long tasks still serves urgent work. Paused tasks
+// do not count for a task that borrows; see runningBeside.
 func (l *Ledger) ExtraSlots() int { return max(1, l.Slots/4) }
 
 // Configure takes a configuration that is newer than the one acted on.
--- a/ledger/short.go
+++ b/ledger/short.go
@@ -85,21 +85,23 @@
 func (l *Ledger) place(now time.Time, h *Holding) Decision {
 	accelerators, slots := l.free()
 	urgent := h.Urgency == job.UrgencyUrgent
-	if urgent {
+	missing := h.Accelerators() - max(0, accelerators)
+	switch {
+	case missing <= 0 && urgent:
 		slots += l.ExtraSlots()
-	}
-	if slots < h.Tasks {
-		return nil
-	}
-	if missing := h.Accelerators() - max(0, accelerators); missing > 0 {
-		if !urgent {
-			return nil
-		}
+	case missing > 0 && urgent:
 		loans := l.lenders(h, missing)
 		if loans == nil {
 			return nil
 		}
 		h.Loans, h.LoanUntil = loans, now.Add(l.Timing.Loan)
+		slots = l.Slots + l.ExtraSlots() - l.runningBeside(loans)
+	case missing > 0:
+		return nil
+	}
+	if slots < h.Tasks {
+		h.Loans, h.LoanUntil = nil, time.Time{}
+		return nil
 	}
 	l.unqueue(h)
 	h.State, h.StartedAt = StateStarting, now
@@ -120,6 +122,23 @@
 	return Lending{Pause: pause}
 }
 
+// runningBeside counts the tasks that run while the lenders of the loans are
+// paused. A paused task does not run, so the slot of a task that borrows from
+// it is free: otherwise a VM full of long tasks would serve only ExtraSlots
+// urgent tasks at once, whatever its accelerators.
+func (l *Ledger) runningBeside(loans map[string]int) int {
+	n := 0
+	for attempt, t := range l.Holdings {
+		if _, lends := loans[attempt]; !lends && t.PausedAt.IsZero() {
+			n += t.Tasks
+		}
+	}
+	for _, t := range l.Reclaims {
+		n += t.Tasks
+	}
+	return n
+}
+
 // lenders picks preemptible running attempts whose accelerators cover what is
 // missing: those already paused first, then the organisation's own, then
 // borrowers beyond their share, and within each the smallest that suffices.
