proof: kill the planner at known steps of an attempt

Cause: kills at random times never came between two steps, because an attempt takes some 10 ms. Change: the links of the planner are slowed and cut, and it is killed once a reservation, a commit record or a first start is seen; the planner is the holder of the newest term in the log. Conclusion: none open.

--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -313,19 +313,29 @@
 	}
 }
 
-// accepted reads every job that the log ever accepted.
-func (c *cluster) accepted() map[string]wire.Job {
+// jobRecords reads every record that the log ever took in the stream jobs.
+func (c *cluster) jobRecords() []wire.JobRecord {
 	c.Helper()
 	var dump wire.ReadResponse
 	c.Assert(getJSON("http://"+c.log+"/dump/jobs", &dump), qt.IsNil)
-	jobs := map[string]wire.Job{}
+	var records []wire.JobRecord
 	for _, r := range dump.Records {
 		var record wire.JobRecord
 		body, err := json.Marshal(r.Body)
 		c.Assert(err, qt.IsNil)
 		c.Assert(json.Unmarshal(body, &record), qt.IsNil)
-		if record.Job != nil {
-			jobs[record.Job.ID] = *record.Job
+		records = append(records, record)
+	}
+	return records
+}
+
+// accepted reads every job that the log ever accepted.
+func (c *cluster) accepted() map[string]wire.Job {
+	c.Helper()
+	jobs := map[string]wire.Job{}
+	for _, r := range c.jobRecords() {
+		if r.Job != nil {
+			jobs[r.Job.ID] = *r.Job
 		}
 	}
 	return jobs
--- a/proof/gang_test.go
+++ b/proof/gang_test.go
@@ -52,35 +52,102 @@
 }
 
 // TestPlannerKilled guards against a gang that runs in part, a job that starts
-// again, and reservations that stay, when the planner dies at any point
-// between reserving and starting.
+// again, and reservations that stay, when the planner dies between reserving
+// and committing, between committing and starting, and between two starts.
 func TestPlannerKilled(t *testing.T) {
 	c := startCluster(t, 3, vmsIn(3))
 	c.putOrg("crews", wire.Shape{})
 	var calls []*call
-	for round := range 3 {
+	// Slow links stretch the attempt from some 10 ms to about half a second, so
+	// that the kill comes between two of its steps. In the first round the commit
+	// takes longer than the agents' announcements of the reservations.
+	slow := faultproxy.Lane{DelayMs: 20, JitterMs: 150}
+	lateCommit := faultproxy.Faults{Up: faultproxy.Lane{DelayMs: 800}}
+	for round, stage := range []struct {
+		reached func(*call) bool
+		toLog   faultproxy.Faults
+	}{
+		{c.reserved, lateCommit}, {c.committed, faultproxy.Faults{Down: slow}}, {c.started, faultproxy.Faults{}},
+		{c.started, faultproxy.Faults{}}, {c.committed, faultproxy.Faults{Down: slow}},
+	} {
 		victim := c.planner()
 		survivor := c.other(victim)
-		calls = append(calls,
-			c.submit(survivor, gangOf(12, 1500, 500, round), 0),
-			c.submit(survivor, once(fmt.Sprintf("planner-%d", round), 12, 1500, 500, round), 0))
-		// An attempt takes some 10 ms from the reservation to the start.
-		time.Sleep(time.Duration(c.random.IntN(60)) * time.Millisecond)
+		c.disturb(victim.proxy, faultproxy.Faults{Down: slow})
+		c.disturb(victim.toLog, stage.toLog)
+		r := once(fmt.Sprintf("planner-%d", round), 12, 1500, 500, round)
+		if round%2 == 1 {
+			r = gangOf(12, 1500, 500, round)
+		}
+		k := c.submit(survivor, r, 0)
+		c.Assert(k.err, qt.IsNil)
+		calls = append(calls, k)
+		deadline := time.Now().Add(5 * time.Second)
+		for !stage.reached(k) && time.Now().Before(deadline) {
+			time.Sleep(2 * time.Millisecond)
+		}
+		// The cut drops the orders that the proxy still delays.
+		c.disturb(victim.proxy, faultproxy.Faults{Cut: true})
+		c.disturb(victim.toLog, faultproxy.Faults{Cut: true})
+		c.Logf("round %d: stage reached: %t", round, stage.reached(k))
 		victim.process.kill()
+		c.disturb(victim.proxy, faultproxy.Faults{})
+		c.disturb(victim.toLog, faultproxy.Faults{})
 		time.Sleep(time.Duration(2+c.random.IntN(3)) * time.Second)
 		c.startEntry(victim)
 		c.waitReady()
 	}
 	for i, k := range calls {
 		c.await(k, 40*time.Second)
-		c.Logf("job %d: %s %+v", i, k.kind(), k.view.Outcome.Reason)
+		c.Logf("job %d: %s %s", i, k.kind(), k.view.Outcome.Reason)
 		if k.request.Idempotent {
 			c.Check(k.kind(), qt.Equals, wire.OutcomeKindAnswer, qt.Commentf("%+v", k.view.Outcome))
 		}
 	}
+	starts := map[string]int{}
+	for _, r := range c.runs() {
+		starts[r.attempt]++
+	}
+	c.Logf("tasks started, by attempt: %v", starts)
 	c.check()
 }
 
+// reserved reports whether some agent has reserved for the job, as the timeline
+// of an entry shows it.
+func (c *cluster) reserved(k *call) bool {
+	for _, e := range c.entries {
+		var timeline wire.EventsResult
+		if getJSON("http://"+e.http+"/v1/timeline", &timeline) != nil {
+			continue
+		}
+		for _, event := range timeline.Events {
+			if event.Kind == "memberReserved" && event.Job == k.view.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// committed reports whether the log holds a commit record of the job.
+func (c *cluster) committed(k *call) bool {
+	for _, r := range c.jobRecords() {
+		if r.Kind == wire.JobRecordKindCommit && r.JobID == k.view.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// started reports whether some task of the job started.
+func (c *cluster) started(k *call) bool {
+	for _, r := range c.runs() {
+		if r.job == k.view.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // TestAgentFrozen guards against a part that goes on beyond its lease, or
 // starts again, when its agent is stopped for longer than the lease.
 func TestAgentFrozen(t *testing.T) {
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -231,24 +230,34 @@
 	return s, err
 }
 
-// planner is the entry that plans, as the others say.
+// planner is the entry that holds the newest term in the log, once every entry
+// agrees with that.
 func (c *cluster) planner() *entryNode {
 	c.Helper()
 	var found *entryNode
-	c.eventually(15*time.Second, "there is a planner", func() error {
+	c.eventually(20*time.Second, "the entries agree on a planner", func() error {
+		holder := ""
+		for _, r := range c.jobRecords() {
+			if r.Kind == wire.JobRecordKindTerm {
+				holder, _, _ = strings.Cut(r.Entry, "/")
+			}
+		}
 		for _, e := range c.entries {
 			status, err := c.status(e)
 			if err != nil {
-				continue
+				return err
 			}
-			for _, p := range c.entries {
-				if p.id == status.Planner && !p.process.wait(0) {
-					found = p
-					return nil
-				}
+			if name, _, _ := strings.Cut(status.Planner, "/"); name != holder {
+				return fmt.Errorf("%s names %q, the log %q", e.id, status.Planner, holder)
+			}
+			if e.id == holder {
+				found = e
 			}
 		}
-		return errors.New("no entry names a live planner")
+		if found == nil {
+			return fmt.Errorf("the log names %q", holder)
+		}
+		return nil
 	})
 	return found
 }
