--- /dev/null
+++ b/membership/example_test.go
@@ -0,0 +1,19 @@
+package membership_test
+
+import (
+	"fmt"
+
+	"celerypoint.example/celerypoint/membership"
+)
+
+// Every process that sees the same peers picks the same owner, and the next in
+// rank takes over when the owner is lost.
+func ExampleOwner() {
+	peers := []string{"entry1", "entry2", "entry3"}
+	ranked := membership.Ranked("planner/north", peers)
+	fmt.Println(membership.Owner("planner/north", peers) == ranked[0])
+	fmt.Println(membership.Owner("planner/north", ranked[1:]) == ranked[1])
+	// Output:
+	// true
+	// true
+}
