Start the retry budget with credit

Cause: the budget earned 0.09 retries a request and started empty, so when a VM died soon after an entry had started, requests in flight to it ended as unknown (TestVMLostUnderShortRequests: 'no retry is left in the budget'). Change: retrybudget.New starts with full credit of 200 retries. Conclusion: none open.

--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -20,6 +20,7 @@
 	"celerypoint.example/celerypoint/jobfold"
 	"celerypoint.example/celerypoint/platformlog"
 	"celerypoint.example/celerypoint/quarantine"
+	"celerypoint.example/celerypoint/retrybudget"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/timeline"
 	"celerypoint.example/celerypoint/wire"
@@ -102,7 +103,7 @@
 		jobs: jobTable{
 			fold: jobfold.New(), changed: make(chan struct{}), byID: map[string]*running{},
 			attempts: map[string]*attempt{}, holders: map[string]string{},
-			model: estimate.New(), faults: quarantine.New(),
+			model: estimate.New(), faults: quarantine.New(), budget: retrybudget.New(),
 		},
 		startedAt: time.Now(),
 	}
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -411,3 +411,25 @@
 	defer other.jobs.mu.Unlock()
 	qt.Assert(t, other.jobs.fold.Jobs[v.ID].Commits, qt.Equals, 1)
 }
+
+// TestVMLostUnderShortRequests guards against short requests ending as unknown
+// because a VM died soon after the entry started, when the retry budget had
+// earned nothing yet.
+func TestVMLostUnderShortRequests(t *testing.T) {
+	s := start(t, 1, 2)
+	s.putOrg("paint", shape.Shape{})
+	const requests = 12
+	kinds := make(chan outcome.Outcome, requests)
+	for range requests {
+		j := job.Job{Org: "paint", Tasks: 1, AcceleratorsPerTask: 1, Urgency: job.UrgencyUrgent, Idempotent: true, Payload: []byte(`{"runMs":800,"echo":"ok"}`)}
+		v, err := s.entries[0].Submit(s.context(), j)
+		qt.Assert(t, err, qt.IsNil)
+		go func() { kinds <- s.wait(v.ID, 0).Outcome }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.agents[0].Kill()
+	for range requests {
+		o := <-kinds
+		qt.Check(t, outcome.KindOf(o), qt.Equals, outcome.KindAnswer, qt.Commentf("%#v", o))
+	}
+}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -21,7 +21,7 @@
 	floorEvery = 10 * time.Second
 )
 
-// Budget holds the credit. The zero value is ready to use.
+// Budget holds the credit. The zero value has none but the floor; see New.
 type Budget struct {
 	// Credit is in hundredths of a retry, 0 to 20,000.
 	Credit int
@@ -32,6 +32,10 @@
 	FloorDue time.Time
 }
 
+// New returns a budget with full credit, so that requests in flight to a VM that
+// is lost soon after the start of the entry can be sent again.
+func New() Budget { return Budget{Credit: maxCredit} }
+
 // Request adds the credit that a first try earns.
 func (b *Budget) Request() { b.Credit = min(maxCredit, b.Credit+perRequest) }
 
