entryd: send short requests of a silent VM to another one

Cause: a VM that falls silent counts as lost after 4 s, and short requests that wait for it have deadlines of about 2 s, so all of them ended as unknown (TestSilentVM without the change). Change: after 1.5 s without an announcement a VM is suspect: it gets no short requests, and those that wait for it go to another VM as well, within the retry budget. The first whole answer counts; the other try is released. A job's phase comes from the planner when only that knows whether its attempt runs. Conclusion: hedging follows the VM's silence and not the request's age, so that queues at peak demand cause no second tries.

--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -40,7 +40,7 @@
 	rebooted := !isNew && t.vm.BootID != machine.BootID
 	changed := isNew || rebooted || t.lost || t.leaving != p.Leaving || !slices.Equal(t.holdings, holdings)
 	membersChanged := isNew || t.lost || t.leaving != p.Leaving
-	t.vm, t.holdings, t.leaving, t.conn, t.lost = machine, holdings, p.Leaving, conn, false
+	t.vm, t.holdings, t.leaving, t.conn, t.lost, t.suspect = machine, holdings, p.Leaving, conn, false, false
 	t.lostAt = time.Now().Add(d.c.VMLost)
 	t.configOffset = int64(p.ConfigOffset)
 	d.vms.mu.Unlock()
@@ -74,11 +74,20 @@
 	}
 }
 
+// suspectAfter is the silence after which a VM gets no short requests and those
+// that wait for it are sent to another VM as well. Agents announce themselves
+// every second, and the deadlines of short requests are about two.
+const suspectAfter = 1500 * time.Millisecond
+
 // tickVMs marks the VMs as lost that did not announce themselves in time.
 func (d *Daemon) tickVMs(now time.Time) {
-	var lost []string
+	var lost, silent []string
 	d.vms.mu.Lock()
 	for id, t := range d.vms.byID {
+		if !t.lost && !t.suspect && now.After(t.lostAt.Add(suspectAfter-d.c.VMLost)) {
+			t.suspect = true
+			silent = append(silent, id)
+		}
 		if !t.lost && now.After(t.lostAt) {
 			t.lost = true
 			lost = append(lost, id)
@@ -88,6 +97,11 @@
 		}
 	}
 	d.vms.mu.Unlock()
+	for _, id := range silent {
+		d.count("vmSuspect")
+		d.ring.Add(timeline.Event{Kind: "vmSuspect", VM: id})
+		d.hedgeShorts(id, now)
+	}
 	for _, id := range lost {
 		d.count("vmLost")
 		d.logger.WithField("vm", id).Warn("VM lost")
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -15,6 +15,7 @@
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/org"
 	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/shape"
 	"celerypoint.example/celerypoint/standinlog"
 	"celerypoint.example/celerypoint/standinruntime"
@@ -433,3 +434,31 @@
 		qt.Check(t, outcome.KindOf(o), qt.Equals, outcome.KindAnswer, qt.Commentf("%#v", o))
 	}
 }
+
+// TestSilentVM guards against short requests missing their deadline because
+// their VM is silent and not yet lost.
+func TestSilentVM(t *testing.T) {
+	s := start(t, 1, 2)
+	s.putOrg("paint", shape.Shape{})
+	d := s.entries[0]
+	// An agent that answers nothing: its orders go to a peer that ignores them.
+	deaf, err := rpc.New(func(*rpc.Request) {}, rpc.WithListen("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(deaf.Close)
+	conn, err := d.rpc.Dial(s.context(), deaf.Address())
+	qt.Assert(t, err, qt.IsNil)
+	_, err = d.announced(conn, wire.AnnounceParams{VM: "v9", BootID: "b", Zone: "a", Rack: "r9", Region: "north", Accelerators: 8, Slots: 8, Connections: 64})
+	qt.Assert(t, err, qt.IsNil)
+	const requests = 12
+	ends := make(chan outcome.Outcome, requests)
+	for range requests {
+		j := job.Job{Org: "paint", Tasks: 1, AcceleratorsPerTask: 1, Urgency: job.UrgencyUrgent, Idempotent: true, Deadline: time.Now().Add(3 * time.Second), Payload: []byte(`{"runMs":50,"echo":"ok"}`)}
+		v, err := d.Submit(s.context(), j)
+		qt.Assert(t, err, qt.IsNil)
+		go func() { ends <- s.wait(v.ID, 0).Outcome }()
+	}
+	for range requests {
+		o := <-ends
+		qt.Check(t, outcome.KindOf(o), qt.Equals, outcome.KindAnswer, qt.Commentf("%#v", o))
+	}
+}
--- a/entryd/service.go
+++ b/entryd/service.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -31,14 +32,21 @@
 
 // Job returns the view of a job that this entry or its owner knows.
 func (d *Daemon) Job(ctx context.Context, id string) (job.View, bool, error) {
-	if v, ok := d.viewHere(id); ok {
-		return v, true, nil
+	v, ok := d.viewHere(id)
+	if !ok {
+		return d.remoteJob(ctx, ownerOf(id), id, wire.PeerJobOpGet)
 	}
-	return d.remoteJob(ctx, id, wire.PeerJobOpGet)
+	if planner := d.planner(time.Now()); v.Phase == job.PhaseStarting && planner != d.c.ID {
+		// Only the planner knows whether a committed attempt runs.
+		if remote, found, err := d.remoteJob(ctx, planner, id, wire.PeerJobOpGet); err == nil && found {
+			return remote, true, nil
+		}
+	}
+	return v, true, nil
 }
 
-func (d *Daemon) remoteJob(ctx context.Context, id string, op wire.PeerJobOp) (job.View, bool, error) {
-	conn := d.peerConn(ownerOf(id))
+func (d *Daemon) remoteJob(ctx context.Context, entryID, id string, op wire.PeerJobOp) (job.View, bool, error) {
+	conn := d.peerConn(entryID)
 	if conn == nil {
 		return job.View{}, false, nil
 	}
@@ -46,7 +54,7 @@
 	defer cancel()
 	r, err := entry.Client{Conn: conn}.PeerJob(ctx, wire.PeerJobParams{ID: id, Op: op})
 	if err != nil {
-		return job.View{}, false, fmt.Errorf("job %s: entry %s: %w", id, ownerOf(id), err)
+		return job.View{}, false, fmt.Errorf("job %s: entry %s: %w", id, entryID, err)
 	}
 	if !r.Found || r.Job == nil {
 		return job.View{}, false, nil
@@ -70,7 +78,7 @@
 		if r != nil {
 			done = r.done
 		} else {
-			v, ok, err := d.remoteJob(ctx, id, wire.PeerJobOpGet)
+			v, ok, err := d.remoteJob(ctx, ownerOf(id), id, wire.PeerJobOpGet)
 			if err != nil || !ok || v.Phase == job.PhaseEnded {
 				return v, ok, err
 			}
@@ -95,7 +103,7 @@
 	r := d.jobs.byID[id]
 	d.jobs.mu.Unlock()
 	if r == nil {
-		return d.remoteJob(ctx, id, wire.PeerJobOpCancel)
+		return d.remoteJob(ctx, ownerOf(id), id, wire.PeerJobOpCancel)
 	}
 	if !r.recorded {
 		d.cancelHere(id)
@@ -122,18 +130,14 @@
 		return
 	}
 	r.cancelAsked = true
-	attemptID, holder, sentTo := r.attempt, d.jobs.holders[id], r.sentTo
-	recorded := r.recorded
+	holder, sent, recorded := d.jobs.holders[id], maps.Clone(r.sent), r.recorded
 	d.jobs.mu.Unlock()
 	d.kicked.Store(true)
 	switch {
 	case recorded && holder != "":
 		d.step(holder, gang.Cancelled{})
-	case !recorded && attemptID != "":
-		if conn := d.agentOf(sentTo); conn != nil {
-			p := wire.ReleaseParams{Job: id, Attempt: attemptID, Reason: "cancelled by the caller"}
-			send(d, conn, agent.MethodRelease, p, time.Now().Add(orderTimeout), func(wire.ReleaseResult, error) {})
-		}
+	case !recorded:
+		d.releaseShort(id, sent, "cancelled by the caller")
 	}
 }
 
--- a/entryd/short.go
+++ b/entryd/short.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -42,7 +43,7 @@
 func (d *Daemon) submitShort(j job.Job) job.View {
 	r := &running{
 		job: j, phase: job.PhaseWaiting, waitSince: j.AcceptedAt,
-		avoid: map[string]time.Time{}, done: make(chan struct{}),
+		avoid: map[string]time.Time{}, sent: map[string]string{}, done: make(chan struct{}),
 	}
 	d.jobs.mu.Lock()
 	d.jobs.byID[j.ID] = r
@@ -58,10 +59,7 @@
 // tryShort sends a short request to a VM.
 func (d *Daemon) tryShort(r *running) {
 	now := time.Now()
-	deadline := r.job.Deadline
-	if deadline.IsZero() {
-		deadline = r.job.AcceptedAt.Add(shortWait)
-	}
+	deadline := r.deadline()
 	if !now.Before(deadline) {
 		d.endShort(r, d.expired(r))
 		return
@@ -75,30 +73,80 @@
 		d.endShort(r, d.cancelledShort(r))
 		return
 	}
+	if d.sendShort(r, avoid, failedOn, deadline, now) {
+		return
+	}
+	if len(failedOn) > 0 && !d.anotherVM(r.job, failedOn, now) {
+		d.endShort(r, outcome.Failed{Reason: "jobFailsEverywhere: it failed on every VM that its selector allows"})
+		return
+	}
+	if now.Sub(r.job.AcceptedAt) > noVMWait && !mayHaveRun {
+		d.endShort(r, outcome.NotRun{Rule: "noVMReachable", Reason: "no VM that the selector allows can be reached"})
+		return
+	}
+	time.AfterFunc(noVMRetry, func() { d.submit(func() { d.tryShort(r) }) })
+}
+
+// sendShort sends a short request to the best VM, and reports whether there is
+// one.
+func (d *Daemon) sendShort(r *running, avoid map[string]time.Time, failedOn map[string]bool, deadline, now time.Time) bool {
 	id, conn := d.chooseVM(r.job, avoid, failedOn, now)
 	if conn == nil {
-		if len(failedOn) > 0 && !d.anotherVM(r.job, failedOn, now) {
-			d.endShort(r, outcome.Failed{Reason: "jobFailsEverywhere: it failed on every VM that its selector allows"})
-			return
-		}
-		if now.Sub(r.job.AcceptedAt) > noVMWait && !mayHaveRun {
-			d.endShort(r, outcome.NotRun{Rule: "noVMReachable", Reason: "no VM that the selector allows can be reached"})
-			return
-		}
-		time.AfterFunc(noVMRetry, func() { d.submit(func() { d.tryShort(r) }) })
-		return
+		return false
 	}
 	d.jobs.mu.Lock()
 	r.tries++
-	r.sentTo, r.attempt = id, r.job.ID+"/"+strconv.Itoa(r.tries)
+	attemptID := r.job.ID + "/" + strconv.Itoa(r.tries)
+	r.sent[attemptID] = id
 	r.phase, r.vms = job.PhaseStarting, []string{id}
-	attemptID := r.attempt
 	d.jobs.mu.Unlock()
 	params := wire.RunParams{Job: codec.JobTo(r.job), Attempt: attemptID, QueueMs: int(deadline.Sub(now).Milliseconds()), Config: d.vmConfig(id)}
 	d.count("shortSent")
 	send(d, conn, agent.MethodRun, params, deadline.Add(replyGrace), func(result wire.RunResult, err error) {
 		d.shortDone(r, id, attemptID, result, err)
 	})
+	return true
+}
+
+// hedgeShorts sends the short requests that wait for a suspect VM to another
+// one as well, within the retry budget. They are idempotent, and the first
+// whole answer counts.
+func (d *Daemon) hedgeShorts(id string, now time.Time) {
+	d.jobs.mu.Lock()
+	var waiting []*running
+	for _, r := range d.jobs.byID {
+		if r.recorded || r.outcome != nil || r.cancelAsked || len(r.sent) != 1 {
+			continue
+		}
+		for _, on := range r.sent {
+			if on == id {
+				waiting = append(waiting, r)
+			}
+		}
+	}
+	d.jobs.mu.Unlock()
+	for _, r := range waiting {
+		d.jobs.mu.Lock()
+		allowed := d.jobs.budget.Retry(now)
+		failedOn := d.jobs.faults.Avoid(r.job.ID)
+		d.jobs.mu.Unlock()
+		if !allowed {
+			d.count("retryBudgetSpent")
+			return
+		}
+		if d.sendShort(r, map[string]time.Time{id: now.Add(avoidFor)}, failedOn, r.deadline(), now) {
+			d.count("shortHedged")
+			d.ring.Add(timeline.Event{Kind: "shortHedged", Job: r.job.ID, Org: r.job.Org, VM: id, Detail: "the VM is silent"})
+		}
+	}
+}
+
+// deadline is when the caller stops wanting the answer of a short request.
+func (r *running) deadline() time.Time {
+	if r.job.Deadline.IsZero() {
+		return r.job.AcceptedAt.Add(shortWait)
+	}
+	return r.job.Deadline
 }
 
 // shortDone takes the end of one try.
@@ -108,10 +156,18 @@
 		t.short--
 	}
 	d.vms.mu.Unlock()
-	if err != nil || result.Status != wire.RunStatusRefused {
-		d.jobs.mu.Lock()
-		r.mayHaveRun = true
-		d.jobs.mu.Unlock()
+	d.jobs.mu.Lock()
+	delete(r.sent, attemptID)
+	r.mayHaveRun = r.mayHaveRun || err != nil || result.Status != wire.RunStatusRefused
+	ended, others := r.outcome != nil, len(r.sent)
+	d.jobs.mu.Unlock()
+	if ended {
+		return
+	}
+	if others > 0 && (err != nil || result.Status != wire.RunStatusAnswered) {
+		// The end of the other try decides.
+		d.count("shortOtherTryDecides")
+		return
 	}
 	if err != nil {
 		d.count("shortRetriedUnreachable")
@@ -217,7 +273,7 @@
 	if !r.mayHaveRun {
 		return outcome.NotRun{Rule: "deadlinePassed", Reason: "no VM took the request before its deadline"}
 	}
-	return outcome.Unknown{Reason: "the deadline passed after the request was sent to VM " + r.sentTo}
+	return outcome.Unknown{Reason: fmt.Sprintf("the deadline passed after %d tries, of which one may have run", r.tries)}
 }
 
 func (d *Daemon) cancelledShort(r *running) outcome.Outcome {
@@ -233,13 +289,25 @@
 	d.jobs.mu.Lock()
 	first := r.outcome == nil
 	r.end(o)
+	others := maps.Clone(r.sent)
 	d.jobs.mu.Unlock()
 	if !first {
 		return
 	}
+	d.releaseShort(r.job.ID, others, "another try has ended the request")
 	d.shorts.Add(-1)
 	d.count("short." + string(outcome.KindOf(o)))
-	d.ring.Add(timeline.Event{Kind: "jobEnded", Job: r.job.ID, Org: r.job.Org, VM: r.sentTo, Detail: describe(o)})
+	d.ring.Add(timeline.Event{Kind: "jobEnded", Job: r.job.ID, Org: r.job.Org, Detail: describe(o)})
+}
+
+// releaseShort tells agents to drop or stop tries of a short request.
+func (d *Daemon) releaseShort(jobID string, sent map[string]string, reason string) {
+	for attemptID, id := range sent {
+		if conn := d.agentOf(id); conn != nil {
+			p := wire.ReleaseParams{Job: jobID, Attempt: attemptID, Reason: reason}
+			send(d, conn, agent.MethodRelease, p, time.Now().Add(orderTimeout), func(wire.ReleaseResult, error) {})
+		}
+	}
 }
 
 // chooseVM picks the VM with the most room for a short task: one with free
@@ -258,7 +326,7 @@
 	for i := range views {
 		v := views[(i+offset)%len(views)]
 		t := d.vms.byID[v.ID]
-		if t == nil || closed(t.conn) || !v.Usable(now) || !s.Matches(v.EffectiveLabels) || v.Accelerators < j.AcceleratorsPerTask ||
+		if t == nil || closed(t.conn) || t.suspect || !v.Usable(now) || !s.Matches(v.EffectiveLabels) || v.Accelerators < j.AcceleratorsPerTask ||
 			failedOn[v.ID] || now.Before(avoid[v.ID]) || t.short >= max(1, v.Connections) {
 			continue
 		}
--- a/entryd/tables.go
+++ b/entryd/tables.go
@@ -64,6 +64,8 @@
 	// lostAt is when the VM counts as lost unless it announces itself.
 	lostAt time.Time
 	lost   bool
+	// suspect says that the VM missed an announcement and is not lost yet.
+	suspect bool
 	// configOffset is the newest offset that the agent has acted on.
 	configOffset int64
 	// short counts the short requests in flight from this entry.
@@ -96,11 +98,10 @@
 	done    chan struct{}
 	// ending says that an end record is being appended.
 	ending bool
-	// tries counts the sends of a short request; sentTo is the VM that the
-	// newest one went to, attempt its identifier.
-	tries   int
-	sentTo  string
-	attempt string
+	// tries counts the sends of a short request; sent maps those that have not
+	// ended to their VMs.
+	tries int
+	sent  map[string]string
 	// mayHaveRun says that a try of a short request ended otherwise than by a
 	// refusal, so that "not run" would not be true.
 	mayHaveRun bool
