entryd: hand ended short jobs to a peer before a planned stop

Change: a stopping entry gives its ended short jobs to a peer, and an entry that cannot reach a job's owner asks its peers. Conclusion: a killed entry still loses the short answers that it holds; the request is idempotent and can be sent again.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	MethodPeerConfig = "peerConfig"
 	MethodPeerJob    = "peerJob"
 	MethodPeerEvents = "peerEvents"
+	MethodPeerAdopt  = "peerAdopt"
 )
 
 // Client speaks to one entry.
@@ -48,6 +49,11 @@
 	return call[wire.PeerJobResult](ctx, c, MethodPeerJob, p)
 }
 
+// PeerAdopt gives the peer ended short jobs, so that callers still find them.
+func (c Client) PeerAdopt(ctx context.Context, p wire.PeerAdoptParams) error {
+	return c.Conn.Call(ctx, MethodPeerAdopt, p, nil)
+}
+
 // PeerEvents reads the peer's events for the timeline.
 func (c Client) PeerEvents(ctx context.Context, p wire.EventsParams) (wire.EventsResult, error) {
 	return call[wire.EventsResult](ctx, c, MethodPeerEvents, p)
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -157,7 +158,7 @@
 	d.logger.WithField("entry", d.c.ID).Info("entry stopping")
 	d.ring.Add(timeline.Event{Kind: "entryStopping"})
 	d.helloAll(time.Now())
-	err := d.drainRequests(ctx)
+	err := errors.Join(d.drainRequests(ctx), d.handOver(ctx))
 	d.Kill()
 	return err
 }
@@ -285,6 +286,8 @@
 		d.submit(func() { serve(r, d.peerConfig) })
 	case entry.MethodPeerJob:
 		d.submit(func() { d.peerJob(r) })
+	case entry.MethodPeerAdopt:
+		d.submit(func() { serve(r, d.peerAdopt) })
 	case entry.MethodPeerEvents:
 		d.submit(func() { serve(r, d.peerEvents) })
 	default:
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -462,3 +462,26 @@
 		qt.Check(t, outcome.KindOf(o), qt.Equals, outcome.KindAnswer, qt.Commentf("%#v", o))
 	}
 }
+
+// TestStopHandsOverAnswers guards against the answer of a short job being lost
+// with a planned stop of the entry that ran it.
+func TestStopHandsOverAnswers(t *testing.T) {
+	s := start(t, 3, 1)
+	s.putOrg("paint", shape.Shape{})
+	var ids []string
+	for _, payload := range []string{`{"runMs":10,"echo":"ok"}`, `{"runMs":10,"answerBytes":200000,"seed":4}`} {
+		j := job.Job{Org: "paint", Tasks: 1, AcceleratorsPerTask: 1, Urgency: job.UrgencyUrgent, Idempotent: true, Payload: []byte(payload)}
+		v, err := s.entries[0].Submit(s.context(), j)
+		qt.Assert(t, err, qt.IsNil)
+		ids = append(ids, v.ID)
+	}
+	qt.Assert(t, s.entries[0].Stop(s.context()), qt.IsNil)
+	for _, e := range s.entries[1:] {
+		body, _, err := e.Answer(s.context(), ids[0])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(body), qt.Equals, "ok")
+		body, _, err = e.Answer(s.context(), ids[1])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, bytes.Equal(body, wantAnswer(`{"runMs":10,"answerBytes":200000,"seed":4}`, 1)), qt.IsTrue)
+	}
+}
--- a/entryd/service.go
+++ b/entryd/service.go
@@ -48,7 +48,7 @@
 func (d *Daemon) remoteJob(ctx context.Context, entryID, id string, op wire.PeerJobOp) (job.View, bool, error) {
 	conn := d.peerConn(entryID)
 	if conn == nil {
-		return job.View{}, false, nil
+		return d.anyPeerJob(ctx, id)
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -750,6 +750,12 @@
 const OutcomeKindNotRun OutcomeKind = "notRun"
 const OutcomeKindUnknown OutcomeKind = "unknown"
 
+// Ended short jobs that a stopping entry gives to a peer.
+type PeerAdoptParams struct {
+	// Jobs corresponds to the JSON schema field "jobs".
+	Jobs []JobView `json:"jobs"`
+}
+
 // Asks for configuration records.
 type PeerConfigParams struct {
 	// From corresponds to the JSON schema field "from".
