--- a/proof/gang_test.go
+++ b/proof/gang_test.go
@@ -149,10 +149,12 @@
 }
 
 // TestAgentFrozen guards against a part that goes on beyond its lease, or
-// starts again, when its agent is stopped for longer than the lease.
+// starts again, when its agent is stopped for longer than the lease. The tasks
+// run for so long that one without a lease would still run, alone, long after
+// the others were stopped.
 func TestAgentFrozen(t *testing.T) {
 	for name, r := range map[string]wire.SubmitRequest{
-		"idempotent": gangOf(16, 6000, 100, 1), "once": once("frozen", 16, 6000, 100, 2),
+		"idempotent": gangOf(16, 14_000, 100, 1), "once": once("frozen", 16, 14_000, 100, 2),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -162,9 +164,9 @@
 			c.awaitPhase(k, wire.JobPhaseRunning, 10*time.Second)
 			frozen := c.vm(k.view.VMs[c.random.IntN(2)])
 			frozen.agent.signal(syscall.SIGSTOP)
-			time.Sleep(7 * time.Second)
+			time.Sleep(12 * time.Second)
 			frozen.agent.signal(syscall.SIGCONT)
-			c.await(k, 40*time.Second)
+			c.await(k, 60*time.Second)
 			c.Logf("%s %s", k.kind(), k.view.Outcome.Reason)
 			if r.Idempotent {
 				c.Check(k.kind(), qt.Equals, wire.OutcomeKindAnswer, qt.Commentf("%+v", k.view.Outcome))
