--- a/cli/check.go
+++ b/cli/check.go
@@ -12,41 +12,23 @@
 
 func (p *program) checkCommand() *ffcli.Command {
 	fs := p.flags("check")
-	entryFile := fs.String("entry-file", "", "settings `FILE` of an entry to check")
-	agentFile := fs.String("agent-file", "", "settings `FILE` of an agent to check")
 	defaults := fs.Bool("defaults", false, "print every setting with its default")
 	asJSON := fs.Bool("json", false, "print JSON")
-	c := command(fs, "", "check settings files without starting anything, or print the defaults", "celerypoint check --entry-file examples/vordulit/entry.ini",
-		func(_ context.Context, args []string) error {
-			if err := arguments(args); err != nil {
-				return err
-			}
-			if *defaults == (*entryFile != "" || *agentFile != "") {
-				return usagef("flags: found both or neither, allowed: --defaults, or --entry-file and --agent-file")
+	c := command(fs, "[FILE ...]", "check settings files without starting anything, or print the defaults", "celerypoint check examples/vordulit/entry.ini examples/vordulit/agent.ini",
+		func(_ context.Context, files []string) error {
+			if *defaults == (len(files) > 0) {
+				return usagef("arguments: found --defaults and files, or neither; allowed: --defaults, or files")
 			}
 			if *defaults {
-				keys := map[string][]settings.Key{"entry": settings.EntryKeys(), "agent": settings.AgentKeys()}
-				return p.print(*asJSON, keys, func() {
-					writeKeys(p.stdout, "entry.ini", keys["entry"])
-					fmt.Fprintln(p.stdout)
-					writeKeys(p.stdout, "agent.ini", keys["agent"])
-				})
-			}
-			var checked []string
-			if *entryFile != "" {
-				if _, err := settings.LoadEntry(*entryFile, nil); err != nil {
-					return err
-				}
-				checked = append(checked, *entryFile)
+				return p.printDefaults(*asJSON)
 			}
-			if *agentFile != "" {
-				if _, err := settings.LoadAgent(*agentFile, nil); err != nil {
+			for _, path := range files {
+				if err := settings.Check(path); err != nil {
 					return err
 				}
-				checked = append(checked, *agentFile)
 			}
-			return p.print(*asJSON, checked, func() {
-				for _, path := range checked {
+			return p.print(*asJSON, files, func() {
+				for _, path := range files {
 					fmt.Fprintf(p.stdout, "%s: valid\n", path)
 				}
 			})
@@ -56,6 +38,15 @@
 	return c
 }
 
+func (p *program) printDefaults(asJSON bool) error {
+	keys := map[string][]settings.Key{"entry": settings.EntryKeys(), "agent": settings.AgentKeys()}
+	return p.print(asJSON, keys, func() {
+		writeKeys(p.stdout, "entry.ini", keys["entry"])
+		fmt.Fprintln(p.stdout)
+		writeKeys(p.stdout, "agent.ini", keys["agent"])
+	})
+}
+
 // writeKeys writes the keys as an INI file; keys without a default stand in
 // comments.
 func writeKeys(out io.Writer, name string, keys []settings.Key) {
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,26 @@
+package settings
+
+import (
+	"fmt"
+
+	"gopkg.in/ini.v1"
+)
+
+// Check reads a settings file whole and reports what is wrong with it, or nil.
+// Its section [entry] or [agent] says whose file it is.
+func Check(path string) error {
+	file, err := ini.Load(path)
+	if err != nil {
+		return fmt.Errorf("settings: %s: %w", path, err)
+	}
+	entry, agent := file.HasSection("entry"), file.HasSection("agent")
+	switch {
+	case entry == agent:
+		return fmt.Errorf("settings: %s: section: found [entry] %t and [agent] %t, allowed: one of the two", path, entry, agent)
+	case entry:
+		_, err = LoadEntry(path, nil)
+	default:
+		_, err = LoadAgent(path, nil)
+	}
+	return err
+}
