entryd: keep the planner while configuration spreads

Cause: the planner was chosen among ready entries, and an entry is not ready while a peer has folded a newer change. Change: whether an entry may plan depends on having read the configuration, on the VMs that it sees, and on not leaving; agents refuse orders with an older configuration. Names of several functions say what they do. Conclusion: none open.

--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -53,7 +53,7 @@
 		d.jobs.mu.Lock()
 		d.jobs.faults.ForgetVM(p.VM)
 		d.jobs.mu.Unlock()
-		d.loseMembers(p.VM, "the agent restarted")
+		d.markMembersLost(p.VM, "the agent restarted")
 	}
 	if changed {
 		d.kicked.Store(true)
@@ -106,13 +106,13 @@
 		d.count("vmLost")
 		d.logger.WithField("vm", id).Warn("VM lost")
 		d.ring.Add(timeline.Event{Kind: "vmLost", VM: id})
-		d.loseMembers(id, "no announcement in time")
+		d.markMembersLost(id, "no announcement in time")
 		d.assignDue.Store(now.Add(assignDelay).UnixMilli())
 	}
 }
 
-// loseMembers tells every attempt with a part on the VM that the part is lost.
-func (d *Daemon) loseMembers(id, reason string) {
+// markMembersLost tells every attempt with a part on the VM that the part is lost.
+func (d *Daemon) markMembersLost(id, reason string) {
 	d.jobs.mu.Lock()
 	var ids []string
 	for attemptID, a := range d.jobs.attempts {
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -189,7 +189,7 @@
 }
 
 // commit appends the commit record. Its fold tells whether it is valid. When
-// nobody can tell whether it was appended, a new term settles it: a commit of
+// it is unknown whether it was appended, a new term settles it: a commit of
 // an older term is void from then on.
 func (d *Daemon) commit(a gang.Attempt) {
 	members := make([]gang.Member, 0, len(a.Members))
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -442,10 +442,10 @@
 	s.putOrg("paint", shape.Shape{})
 	d := s.entries[0]
 	// An agent that answers nothing: its orders go to a peer that ignores them.
-	deaf, err := rpc.New(func(*rpc.Request) {}, rpc.WithListen("127.0.0.1:0"))
+	silent, err := rpc.New(func(*rpc.Request) {}, rpc.WithListen("127.0.0.1:0"))
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(deaf.Close)
-	conn, err := d.rpc.Dial(s.context(), deaf.Address())
+	t.Cleanup(silent.Close)
+	conn, err := d.rpc.Dial(s.context(), silent.Address())
 	qt.Assert(t, err, qt.IsNil)
 	_, err = d.announced(conn, wire.AnnounceParams{VM: "v9", BootID: "b", Zone: "a", Rack: "r9", Region: "north", Accelerators: 8, Slots: 8, Connections: 64})
 	qt.Assert(t, err, qt.IsNil)
@@ -485,3 +485,16 @@
 		qt.Assert(t, bytes.Equal(body, wantAnswer(`{"runMs":10,"answerBytes":200000,"seed":4}`, 1)), qt.IsTrue)
 	}
 }
+
+// TestChangeKeepsPlanner guards against the planner changing, and voiding the
+// commits in progress, whenever a configuration change reaches another entry a
+// moment earlier.
+func TestChangeKeepsPlanner(t *testing.T) {
+	s := start(t, 1, 1)
+	d := s.entries[0]
+	d.updatePeer(nil, wire.PeerHello{ID: "e9", Address: "127.0.0.1:1", Region: "south", ConfigOffset: 1 << 30}, false)
+	ready, reason := d.Ready()
+	qt.Assert(t, ready, qt.IsFalse)
+	qt.Assert(t, reason, qt.Matches, "configuration at offset .*")
+	qt.Assert(t, d.planner(time.Now()), qt.Equals, d.c.ID)
+}
--- a/entryd/handover.go
+++ b/entryd/handover.go
@@ -32,7 +32,7 @@
 		}
 	}
 	if last == nil {
-		// Nobody is left to ask, so nobody can be answered either.
+		// Without a live peer no other entry could serve the answers.
 		return nil
 	}
 	return fmt.Errorf("entry %s: answers of short jobs not handed over: %w", d.c.ID, last)
--- a/entryd/peers.go
+++ b/entryd/peers.go
@@ -18,8 +18,8 @@
 	"celerypoint.example/celerypoint/wire"
 )
 
-// forgetAfter is how long the address of a lost peer is kept and dialled.
-const forgetAfter = 60 * time.Second
+// peerRetention is how long the address of a lost peer is kept and dialled.
+const peerRetention = 60 * time.Second
 
 // dialTimeout bounds one connection attempt to a peer.
 const dialTimeout = time.Second
@@ -53,7 +53,8 @@
 	return infos
 }
 
-// liveEntries are the peers of this region that are live and not leaving.
+// liveEntries are the peers of this region that are live, can plan and are not
+// leaving.
 func (d *Daemon) liveEntries(now time.Time) []string {
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
@@ -69,7 +70,7 @@
 // planner is the entry that plans this region, as this entry sees it.
 func (d *Daemon) planner(now time.Time) string {
 	ids := d.liveEntries(now)
-	if ready, _ := d.Ready(); ready {
+	if d.canPlan() {
 		ids = append(ids, d.c.ID)
 	}
 	return membership.Owner("planner/"+d.c.Region, ids)
@@ -92,12 +93,24 @@
 		if now.After(p.liveUntil) {
 			p.info = i
 		}
-		p.forgetAt = now.Add(forgetAfter)
+		p.expiresAt = now.Add(peerRetention)
 	}
 }
 
+// canPlan reports whether this entry may be the planner. Unlike Ready it stays
+// true while a peer has folded a configuration change a moment earlier: the
+// planner must not change with every configuration change, and agents refuse
+// orders with an older configuration anyway.
+func (d *Daemon) canPlan() bool {
+	if d.leaving.Load() || d.missingVMs(time.Now()) != "" {
+		return false
+	}
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	return d.config.caughtUp
+}
+
 func (d *Daemon) hello() wire.PeerHello {
-	ready, _ := d.Ready()
 	d.config.mu.Lock()
 	offset := d.config.state.Offset
 	d.config.mu.Unlock()
@@ -106,7 +119,7 @@
 	d.jobs.mu.Unlock()
 	return wire.PeerHello{
 		ID: d.c.ID, Address: d.address(), Zone: d.c.Zone, Region: d.c.Region,
-		ConfigOffset: int(offset), JobsOffset: int(jobs), Leaving: d.leaving.Load(), Ready: ready,
+		ConfigOffset: int(offset), JobsOffset: int(jobs), Leaving: d.leaving.Load(), Ready: d.canPlan(),
 		Entries: d.knownEntries(), VMs: d.aliveVMs(),
 	}
 }
@@ -116,13 +129,13 @@
 	if p.ID == "" || p.Address == "" {
 		return wire.PeerHello{}, fmt.Errorf("peerHello: found id=%q address=%q, allowed: none empty", p.ID, p.Address)
 	}
-	d.heard(conn, p, false)
+	d.updatePeer(conn, p, false)
 	return d.hello(), nil
 }
 
-// heard updates what is known of a peer. A dialled connection is kept for
+// updatePeer updates what is known of a peer. A dialled connection is kept for
 // messages to the peer.
-func (d *Daemon) heard(conn *rpc.Conn, h wire.PeerHello, dialled bool) {
+func (d *Daemon) updatePeer(conn *rpc.Conn, h wire.PeerHello, dialled bool) {
 	if h.ID == d.c.ID {
 		return
 	}
@@ -138,7 +151,7 @@
 	p.info = wire.EntryInfo{ID: h.ID, Address: h.Address, Zone: h.Zone, Region: h.Region}
 	p.hello = h
 	p.liveUntil = now.Add(d.c.PeerLost)
-	p.forgetAt = now.Add(forgetAfter)
+	p.expiresAt = now.Add(peerRetention)
 	if dialled {
 		p.conn = conn
 	}
@@ -152,8 +165,8 @@
 	}
 }
 
-// tickPeers greets the peers, dials those without a connection, and forgets
-// those that are gone.
+// tickPeers sends hellos to the peers, dials those without a connection, and
+// drops the addresses of those that are gone.
 func (d *Daemon) tickPeers(now time.Time) {
 	d.peers.mu.Lock()
 	var lost []string
@@ -162,7 +175,7 @@
 			p.liveUntil = time.Time{}
 			lost = append(lost, id)
 		}
-		if now.After(p.forgetAt) {
+		if now.After(p.expiresAt) {
 			delete(d.peers.byID, id)
 		}
 	}
@@ -202,7 +215,7 @@
 	}
 	d.peers.mu.Unlock()
 	for _, conn := range conns {
-		d.greet(conn, now)
+		d.sendHello(conn, now)
 	}
 	for _, t := range dials {
 		d.submitLog(func() { d.dialPeer(t.id, t.address) })
@@ -218,11 +231,11 @@
 	}
 }
 
-func (d *Daemon) greet(conn *rpc.Conn, now time.Time) {
+func (d *Daemon) sendHello(conn *rpc.Conn, now time.Time) {
 	send(d, conn, entry.MethodPeerHello, d.hello(), now.Add(d.c.PeerLost), func(h wire.PeerHello, err error) {
 		switch {
 		case err == nil:
-			d.heard(conn, h, true)
+			d.updatePeer(conn, h, true)
 		case errors.Is(err, rpc.ErrTimeout):
 			// A connection that carries no replies is dialled anew.
 			conn.Close()
@@ -250,7 +263,7 @@
 	}
 	d.peers.mu.Unlock()
 	if err == nil {
-		d.greet(conn, time.Now())
+		d.sendHello(conn, time.Now())
 	}
 }
 
--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -126,7 +126,7 @@
 	d.kicked.Store(true)
 }
 
-// termTaken follows a valid term record. An older planner lets go of its
+// termTaken follows a valid term record. An older planner drops its
 // attempts: those not committed never will be, the others are renewed by the
 // new planner.
 func (d *Daemon) termTaken(region, entryName string, number int64) {
--- a/entryd/tables.go
+++ b/entryd/tables.go
@@ -40,9 +40,9 @@
 	dialing bool
 	// liveUntil is when the peer counts as lost unless it is heard again.
 	liveUntil time.Time
-	// forgetAt is when the address is dropped unless it is named again.
-	forgetAt time.Time
-	hello    wire.PeerHello
+	// expiresAt is when the address is dropped unless it is named again.
+	expiresAt time.Time
+	hello     wire.PeerHello
 }
 
 // peerTable is the second in the lock order.
