codec: read empty labels as none

Cause: 8 s of FuzzParseConfig found a record with an empty labels object that came out without it when written again; the state was the same. Change: codec.Labels makes an empty map nil, for organisations, jobs and the labels of VMs. Conclusion: none open.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -32,6 +32,15 @@
 	return time.UnixMilli(int64(ms))
 }
 
+// Labels makes no labels nil, because an empty map does not survive encoding:
+// a record would differ from the one that was read.
+func Labels(m map[string]string) map[string]string {
+	if len(m) == 0 {
+		return nil
+	}
+	return m
+}
+
 // JobTo encodes a job.
 func JobTo(j job.Job) wire.Job {
 	return wire.Job{
@@ -60,7 +69,7 @@
 		return job.Job{}, err
 	}
 	j := job.Job{
-		ID: w.ID, Org: w.Org, Labels: w.Labels, Selector: w.Selector,
+		ID: w.ID, Org: w.Org, Labels: Labels(w.Labels), Selector: w.Selector,
 		Tasks: w.Tasks, AcceleratorsPerTask: w.AcceleratorsPerTask,
 		Adjacency: adjacency, Urgency: urgency,
 		Deadline: Time(w.DeadlineUnixMs), Idempotent: w.Idempotent,
@@ -92,7 +101,7 @@
 		return org.Org{}, err
 	}
 	o := org.Org{
-		Name: w.Name, Labels: w.Labels, Selector: w.Selector, ShedRank: w.ShedRank,
+		Name: w.Name, Labels: Labels(w.Labels), Selector: w.Selector, ShedRank: w.ShedRank,
 		Guarantee: shape.Shape{VMs: w.Guarantee.VMs, AcceleratorsPerVM: w.Guarantee.AcceleratorsPerVM, Adjacency: adjacency},
 	}
 	return o, o.Check()
--- a/platformlog/config.go
+++ b/platformlog/config.go
@@ -90,7 +90,7 @@
 		return configfold.DeleteOrg{Name: name}, err
 	case wire.ConfigKindPutLabels:
 		id, err := objectID(w.Object, "vm/")
-		return configfold.PutLabels{VM: id, Labels: w.Labels}, err
+		return configfold.PutLabels{VM: id, Labels: codec.Labels(w.Labels)}, err
 	case wire.ConfigKindSetDrain:
 		id, err := objectID(w.Object, "drain/")
 		return configfold.SetDrain{VM: id, Draining: w.Draining}, err
