entryd: ask the other peers when a job's entry stops during the call

The entry had handed its answers to a peer and stopped; the asking entry still held the connection, and passed the error on instead of asking the peers. Change: a failed call to the owner is followed by the question to the peers. Conclusion: the cause follows from the error and the code.

--- a/entryd/service.go
+++ b/entryd/service.go
@@ -50,10 +50,14 @@
 	if conn == nil {
 		return d.anyPeerJob(ctx, id)
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	r, err := entry.Client{Conn: conn}.PeerJob(ctx, wire.PeerJobParams{ID: id, Op: op})
+	r, err := entry.Client{Conn: conn}.PeerJob(callCtx, wire.PeerJobParams{ID: id, Op: op})
 	if err != nil {
+		// The entry may have stopped a moment ago and given its jobs to a peer.
+		if v, found, peerErr := d.anyPeerJob(ctx, id); peerErr == nil && found {
+			return v, true, nil
+		}
 		return job.View{}, false, fmt.Errorf("job %s: entry %s: %w", id, entryID, err)
 	}
 	if !r.Found || r.Job == nil {
