--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,11 @@
 	MethodAnswer  = "answer"
 	MethodDrain   = "drain"
 	MethodEvents  = "events"
+
+	// Orders about jobs of steps.
+	MethodAttach   = "attach"
+	MethodStartRun = "startRun"
+	MethodStopRun  = "stopRun"
 )
 
 // Client sends orders to one agent. An *rpc.Error means that the agent
@@ -72,6 +77,22 @@
 	return call[wire.EventsResult](ctx, c, MethodEvents, p)
 }
 
+// Attach makes the agent follow the planner of the term.
+func (c Client) Attach(ctx context.Context, p wire.AttachParams) (wire.AttachResult, error) {
+	return call[wire.AttachResult](ctx, c, MethodAttach, p)
+}
+
+// StartRun starts one run of a task of a step. A result that does not say
+// started, without a reason of unsettled, is certain.
+func (c Client) StartRun(ctx context.Context, p wire.StartRunParams) (wire.StartRunResult, error) {
+	return call[wire.StartRunResult](ctx, c, MethodStartRun, p)
+}
+
+// StopRun stops one run; its end follows in a report.
+func (c Client) StopRun(ctx context.Context, p wire.StopRunParams) (wire.StopRunResult, error) {
+	return call[wire.StopRunResult](ctx, c, MethodStopRun, p)
+}
+
 func call[R any](ctx context.Context, c Client, method string, params any) (R, error) {
 	var result R
 	err := c.Conn.Call(ctx, method, params, &result)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -46,14 +46,19 @@
 	text(w, http.StatusOK, "ready")
 }
 
-func (h *Handler) metrics(w http.ResponseWriter, r *http.Request) {
-	switch format := r.URL.Query().Get("format"); format {
-	case "json":
-		httpserver.JSON(w, http.StatusOK, h.registry.GetAll())
-	case "", "text":
-		text(w, http.StatusOK, strings.Join(lines(h.registry), "\n"))
-	default:
-		text(w, http.StatusBadRequest, fmt.Sprintf("format: found %q, allowed: text, json", format))
+func (h *Handler) metrics(w http.ResponseWriter, r *http.Request) { Metrics(h.registry)(w, r) }
+
+// Metrics serves the registry as text, or as JSON with ?format=json.
+func Metrics(registry metrics.Registry) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		switch format := r.URL.Query().Get("format"); format {
+		case "json":
+			httpserver.JSON(w, http.StatusOK, registry.GetAll())
+		case "", "text":
+			text(w, http.StatusOK, strings.Join(lines(registry), "\n"))
+		default:
+			text(w, http.StatusBadRequest, fmt.Sprintf("format: found %q, allowed: text, json", format))
+		}
 	}
 }
 
--- /dev/null
+++ b/cli/site.go
@@ -0,0 +1,164 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"celerypoint.example/celerypoint/balancer"
+	"celerypoint.example/celerypoint/httpserver"
+	"celerypoint.example/celerypoint/platform"
+	"celerypoint.example/celerypoint/settings"
+	"celerypoint.example/celerypoint/stepagent"
+	"celerypoint.example/celerypoint/stepentry"
+	"celerypoint.example/celerypoint/stepplan"
+)
+
+const (
+	// topicRecords is the topic of the system's own records.
+	topicRecords = "celerypoint"
+	// clientHandlers bounds the clients' requests that are handled at once;
+	// each may wait for the store.
+	clientHandlers = 256
+	// probeHandlers serve readiness, metrics and heartbeats, and wait for
+	// nothing.
+	probeHandlers = 4
+	// memoryShare is the part of the VM's memory at which the collector works
+	// harder, in percent.
+	memoryShare = 60
+	// grantShare is the part of the longest lease that is asked for, and
+	// keyShare the part of the time for which a removed key may be honoured, in
+	// percent. The rest allows for late timers.
+	grantShare = 92
+	keyShare   = 80
+	// killMargin is left between the end of a stop and the kill.
+	killMargin = 700 * time.Millisecond
+	// closeTimeout bounds the closing of listeners.
+	closeTimeout = 200 * time.Millisecond
+)
+
+func (p *program) siteCommand() *ffcli.Command {
+	return p.group("site", "run a role on the users' platform",
+		p.siteEntryCommand(), p.siteAgentCommand())
+}
+
+func (p *program) siteEntryCommand() *ffcli.Command {
+	fs := p.flags("site entry")
+	path := fs.String("settings", "", "INI `FILE` with the settings")
+	overrides := settingFlags(fs, settings.SiteEntryKeys())
+	return command(fs, "", "run an entry on the platform until SIGTERM, which stops it gracefully", "celerypoint site entry --settings /etc/celerypoint/entry.ini",
+		func(ctx context.Context, args []string) error {
+			if err := arguments(args); err != nil {
+				return err
+			}
+			s, err := settings.LoadSiteEntry(*path, overrides())
+			if err != nil {
+				return usageError{err}
+			}
+			return p.runSiteEntry(ctx, s)
+		})
+}
+
+func (p *program) siteAgentCommand() *ffcli.Command {
+	fs := p.flags("site agent")
+	path := fs.String("settings", "", "INI `FILE` with the settings")
+	overrides := settingFlags(fs, settings.SiteAgentKeys())
+	return command(fs, "", "run the agent beside a worker on the platform until SIGTERM, which stops it gracefully", "celerypoint site agent --settings /etc/celerypoint/agent.ini",
+		func(ctx context.Context, args []string) error {
+			if err := arguments(args); err != nil {
+				return err
+			}
+			s, err := settings.LoadSiteAgent(*path, overrides())
+			if err != nil {
+				return usageError{err}
+			}
+			return p.runSiteAgent(ctx, s)
+		})
+}
+
+// limitProcess fits the process to a small VM with one core.
+func limitProcess(memoryMB int) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(memoryMB) << 20 * memoryShare / 100)
+}
+
+func (p *program) runSiteEntry(ctx context.Context, s settings.SiteEntry) error {
+	limitProcess(s.MemoryMB)
+	d, err := stepentry.New(stepentry.Config{
+		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Topic: topicRecords, ConfigTopic: platform.TopicConfiguration,
+		Log: platform.NewStore(s.Store), DecodeConfig: platform.DecodeConfiguration,
+		Timing: stepplan.Timing{
+			Grant: s.Lease * grantShare / 100, KeepStatus: s.KeepStatus, StopTime: s.StopRun, FarFactor: s.FarFactor, Early: s.Early,
+		},
+		KeyGrace: s.KeyGrace * keyShare / 100, StopAfter: s.Stop - 2*killMargin,
+	}, stepentry.WithOutput(p.stdout))
+	if err != nil {
+		return err
+	}
+	servers, err := serveAll(
+		server{s.ClientAddress, clientHandlers, platform.ClientHandler(d)},
+		server{s.ReadinessAddress, probeHandlers, platform.ReadinessHandler(d)},
+		server{s.MetricsAddress(), probeHandlers, balancer.Metrics(d.Metrics())},
+	)
+	if err != nil {
+		d.Kill()
+		return err
+	}
+	<-ctx.Done()
+	err = stop(ctx, s.Stop-killMargin, d.Stop)
+	closeAll(servers)
+	return err
+}
+
+func (p *program) runSiteAgent(ctx context.Context, s settings.SiteAgent) error {
+	limitProcess(s.MemoryMB)
+	d, err := stepagent.New(stepagent.Config{
+		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Topic: topicRecords,
+		Log: platform.NewStore(s.Store), Worker: platform.NewWorker(s.WorkerAddress),
+	}, stepagent.WithOutput(p.stdout))
+	if err != nil {
+		return err
+	}
+	servers, err := serveAll(
+		server{s.HeartbeatAddress, probeHandlers, platform.HeartbeatHandler(d)},
+		server{s.MetricsAddress(), probeHandlers, balancer.Metrics(d.Metrics())},
+	)
+	if err != nil {
+		d.Kill()
+		return err
+	}
+	<-ctx.Done()
+	err = stop(ctx, s.Stop-killMargin, d.Stop)
+	closeAll(servers)
+	return err
+}
+
+// server is one listener of a process.
+type server struct {
+	address  string
+	handlers int
+	handler  http.Handler
+}
+
+func serveAll(all ...server) ([]*httpserver.Server, error) {
+	var running []*httpserver.Server
+	for _, s := range all {
+		h, err := httpserver.New(s.address, s.handlers, s.handler)
+		if err != nil {
+			closeAll(running)
+			return nil, err
+		}
+		running = append(running, h)
+	}
+	return running, nil
+}
+
+func closeAll(servers []*httpserver.Server) {
+	for _, s := range servers {
+		s.Close(closeTimeout)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,10 @@
 	MethodPeerJob    = "peerJob"
 	MethodPeerEvents = "peerEvents"
 	MethodPeerAdopt  = "peerAdopt"
+
+	// Messages about jobs of steps.
+	MethodReport      = "report"
+	MethodPingPlanner = "pingPlanner"
 )
 
 // Client speaks to one entry.
@@ -59,6 +63,16 @@
 	return call[wire.EventsResult](ctx, c, MethodPeerEvents, p)
 }
 
+// Report tells the planner everything about a worker and asks for a lease.
+func (c Client) Report(ctx context.Context, p wire.WorkerReport) (wire.ReportReply, error) {
+	return call[wire.ReportReply](ctx, c, MethodReport, p)
+}
+
+// PingPlanner asks the entry whether it plans.
+func (c Client) PingPlanner(ctx context.Context, p wire.PlannerPing) (wire.PlannerPong, error) {
+	return call[wire.PlannerPong](ctx, c, MethodPingPlanner, p)
+}
+
 func call[R any](ctx context.Context, c Client, method string, params any) (R, error) {
 	var result R
 	err := c.Conn.Call(ctx, method, params, &result)
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -21,9 +21,9 @@
 	// aside included.
 	MaxTries = 6
 
-	// firstSpan and longestSpan bound how long a VM is set aside; the span
-	// doubles with each probe that fails. A restart of a worker takes about
-	// the first, and an operator has looked after about the last.
+	// firstSpan and longestSpan bound by default how long a VM is set aside;
+	// the span doubles with each probe that fails. A restart of a worker takes
+	// about the first, and an operator has looked after about the last.
 	firstSpan   = 30 * time.Second
 	longestSpan = 30 * time.Minute
 )
@@ -46,6 +46,16 @@
 	VMs map[string]VM
 	// Jobs maps a job that has not ended to the different VMs that it failed on.
 	Jobs map[string][]string
+	// First and Longest bound how long a VM is set aside.
+	First, Longest time.Duration
+}
+
+// Option changes how New sets a State up.
+type Option func(*State)
+
+// WithSpans sets how long a VM is set aside at first and at most.
+func WithSpans(first, longest time.Duration) Option {
+	return func(s *State) { s.First, s.Longest = first, longest }
 }
 
 // Verdict is what follows from a failure.
@@ -58,7 +68,13 @@
 }
 
 // New returns a state without failures.
-func New() *State { return &State{VMs: map[string]VM{}, Jobs: map[string][]string{}} }
+func New(options ...Option) *State {
+	s := &State{VMs: map[string]VM{}, Jobs: map[string][]string{}, First: firstSpan, Longest: longestSpan}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
 
 // Failed adds a failure of the job on the VM.
 func (s *State) Failed(vm, job string, now time.Time) Verdict {
@@ -75,10 +91,10 @@
 		// before the VM was set aside.
 		if job == v.Probe || !now.Before(v.Until) {
 			v.Probes++
-			v.Probe, v.Until = "", now.Add(span(v.Probes))
+			v.Probe, v.Until = "", now.Add(s.span(v.Probes))
 		}
 	case len(v.Failed) >= FailuresOfVM:
-		v.Until = now.Add(span(0))
+		v.Until = now.Add(s.span(0))
 	}
 	// The newest jobs are enough to decide, and bound the memory.
 	v.Failed = v.Failed[max(0, len(v.Failed)-FailuresOfVM):]
@@ -91,8 +107,8 @@
 	return Verdict{SetAside: !until.IsZero(), Until: until, JobFaulty: faulty}
 }
 
-func span(probes int) time.Duration {
-	return min(longestSpan, firstSpan<<min(probes, 10))
+func (s *State) span(probes int) time.Duration {
+	return min(s.Longest, s.First<<min(probes, 10))
 }
 
 func (s *State) jobFaulty(job string) bool {
@@ -131,7 +147,7 @@
 // other job may go there until this one has ended or the next deadline passes.
 func (s *State) Probing(vm, job string, now time.Time) {
 	if v, ok := s.VMs[vm]; ok && !v.Until.IsZero() && !now.Before(v.Until) {
-		v.Probe, v.Until = job, now.Add(span(v.Probes))
+		v.Probe, v.Until = job, now.Add(s.span(v.Probes))
 		s.VMs[vm] = v
 	}
 }
--- /dev/null
+++ b/recordlog/recordlog.go
@@ -0,0 +1,87 @@
+// Package recordlog keeps records by key in the platform's store. A topic is
+// an ordered log that retains the newest record of each key for good.
+//
+// Log is the store's transport. Writer appends through it with one producer's
+// fence until the outcome is certain. Tail folds a topic from its newest
+// records on and says how fresh the fold is. The package owns the queue of a
+// Writer; its mutex is never held during a call.
+package recordlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Record is one record to append. A record without a value drops its key.
+type Record struct {
+	// Key has 1 to 255 bytes.
+	Key   string
+	Value []byte
+}
+
+// Stored is a record with its place in the topic.
+type Stored struct {
+	Offset int64
+	Record
+}
+
+// Fence orders the appends of a producer: the store refuses a lower epoch than
+// it has seen, and carries out each sequence number once.
+type Fence struct {
+	Producer string
+	Epoch    int64
+	Sequence int64
+}
+
+// Page is a run of records.
+type Page struct {
+	Records []Stored
+	// Next is the offset to read from next.
+	Next int64
+}
+
+// Newest is a page of the newest records of keys, in the order of the keys.
+type Newest struct {
+	Records []Stored
+	// More says that keys after the last record follow.
+	More bool
+	// End is the topic's end at the time of the page.
+	End int64
+}
+
+// Errors of a Log.
+var (
+	// ErrNotAppended says that nothing was appended and nothing will be.
+	ErrNotAppended = errors.New("not appended to the store")
+	// ErrUnknown says that the records may be there, or may come later.
+	ErrUnknown = errors.New("unknown whether appended to the store")
+	// ErrFenced says that a higher epoch has been seen; nothing was appended.
+	ErrFenced = errors.New("fenced by a higher epoch in the store")
+	// ErrSequence says that the sequence number does not follow the last.
+	ErrSequence = errors.New("sequence number out of order in the store")
+	// ErrUnavailable says that a read failed.
+	ErrUnavailable = errors.New("the store cannot be read")
+)
+
+// ErrExpired says that records at the offset are no longer retained.
+type ErrExpired struct{ First int64 }
+
+func (e ErrExpired) Error() string {
+	return fmt.Sprintf("records below offset %d have expired", e.First)
+}
+
+// Log is one client of the store. It is safe for concurrent use.
+type Log interface {
+	// Append appends the records adjacent to one another and returns the
+	// offset of the first. fence may be nil. Without records it only sets the
+	// fence's epoch. Errors are ErrNotAppended, ErrUnknown, ErrFenced and
+	// ErrSequence.
+	Append(ctx context.Context, topic string, fence *Fence, records []Record) (int64, error)
+	// Read returns records from the offset on and waits for one at most for
+	// wait. Errors are ErrExpired and ErrUnavailable.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
+	// Newest returns the newest records of the keys after the key.
+	Newest(ctx context.Context, topic, after string) (Newest, error)
+}
--- a/settings/values.go
+++ b/settings/values.go
@@ -114,3 +114,26 @@
 		return true
 	}
 }
+
+// seconds accepts seconds with a fraction, up to a day.
+func seconds[S any](field func(*S) *time.Duration) func(*S, string) bool {
+	return func(s *S, value string) bool {
+		n, err := strconv.ParseFloat(value, 64)
+		*field(s) = time.Duration(n * float64(time.Second))
+		return err == nil && n >= 0.5 && n <= 86_400
+	}
+}
+
+// ports accepts the first and the last port of a range of at least two.
+func ports(value string, field *[]int) bool {
+	first, last, found := strings.Cut(value, ",")
+	low, errLow := strconv.Atoi(strings.TrimSpace(first))
+	high, errHigh := strconv.Atoi(strings.TrimSpace(last))
+	if !found || errLow != nil || errHigh != nil || low < 1 || high <= low || high > 65535 {
+		return false
+	}
+	for port := low; port <= high; port++ {
+		*field = append(*field, port)
+	}
+	return true
+}
--- /dev/null
+++ b/stepentry/daemon.go
@@ -0,0 +1,216 @@
+// Package stepentry is an entry for jobs of steps. Every entry accepts jobs,
+// answers for their phase from the records that it folds, and can plan; one of
+// them does.
+//
+// What lasts is in the platform's store: a job is accepted once its record is
+// stored, and a run is ordered once the record that names its place is stored.
+// The planner of a term is fenced by the store. It keeps the board of package
+// stepplan, and agents follow it through sessions.
+//
+// The package owns three tables. Lock order: config, records, planner; none is
+// held during a call to another process.
+package stepentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/entry"
+	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/stepplan"
+	"celerypoint.example/celerypoint/wire"
+	"celerypoint.example/celerypoint/workpool"
+)
+
+// Config is what an entry needs.
+type Config struct {
+	// Name is unique over all entries and the same after a restart.
+	Name string
+	Zone string
+	// Listen is the IP address and port where agents and entries connect.
+	Listen string
+	// Topic is where the system's records are; ConfigTopic is where operators
+	// write.
+	Topic, ConfigTopic string
+	Log                recordlog.Log
+	// DecodeConfig reads a record of ConfigTopic; it reports false for a record
+	// that is not a configuration.
+	DecodeConfig func(recordlog.Record) (access.Table, bool, error)
+	Timing       stepplan.Timing
+	// KeyGrace is the longest time that a key is honoured after the operator
+	// took it away.
+	KeyGrace time.Duration
+	// StopAfter is how long a stop serves on, so that the load balancer can
+	// notice.
+	StopAfter time.Duration
+}
+
+const (
+	// poolWorkers carry out reports and pings; they wait for nothing.
+	poolWorkers = 8
+	poolQueue   = 65536
+	// staleAfter is when records that could not be read count as out of date.
+	// A read that finds nothing takes up to 0.7 s.
+	staleAfter = 2 * time.Second
+)
+
+// Daemon is a running entry.
+type Daemon struct {
+	c       Config
+	boot    string
+	log     *eventlog.Log
+	metrics metrics.Registry
+	rpc     *rpc.Engine
+	pool    *workpool.Pool
+
+	config  configTable
+	records recordTable
+	planner plannerTable
+
+	// requests counts the callers' requests in progress.
+	requests atomic.Int64
+	// leaving takes the entry out of the load balancer; closing also closes
+	// connections.
+	leaving, closing atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	once   sync.Once
+}
+
+// Option changes how New sets a Daemon up.
+type Option func(*Daemon)
+
+// WithOutput sets where log lines go; by default they are discarded.
+func WithOutput(out io.Writer) Option {
+	return func(d *Daemon) { d.log = eventlog.New(out, d.c.Name, d.metrics) }
+}
+
+// New starts an entry; see Ready for when it takes requests.
+func New(c Config, options ...Option) (*Daemon, error) {
+	d := &Daemon{
+		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), metrics: metrics.NewRegistry(), pool: workpool.New(poolWorkers, poolQueue),
+		records: recordTable{state: stepfold.New(), advanced: make(chan struct{}, 1)},
+		planner: plannerTable{links: map[string]*agentLink{}, due: make(chan struct{}, 1)},
+	}
+	for _, o := range options {
+		o(d)
+	}
+	if d.log == nil {
+		d.log = eventlog.New(io.Discard, c.Name, d.metrics)
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen))
+	if err != nil {
+		d.pool.Close()
+		return nil, fmt.Errorf("entry %s: %w", c.Name, err)
+	}
+	d.rpc = engine
+	d.log.Add("entryStarted", eventlog.Fields{"boot": d.boot, "listen": engine.Address()})
+	d.done.Go(func() { d.followConfig(d.ctx) })
+	d.done.Go(func() { d.followRecords(d.ctx) })
+	d.done.Go(func() { d.elect(d.ctx) })
+	return d, nil
+}
+
+// Metrics is the registry of counters.
+func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
+
+func (d *Daemon) count(name string) { metrics.GetOrRegisterCounter(name, d.metrics).Inc(1) }
+
+// handle takes the messages of agents and entries.
+func (d *Daemon) handle(r *rpc.Request) {
+	var err error
+	switch r.Method {
+	case entry.MethodReport:
+		received := boottime.Now()
+		err = d.pool.Submit(func() { d.reported(r, received) })
+	case entry.MethodPingPlanner:
+		err = d.pool.Submit(func() {
+			d.planner.mu.Lock()
+			pong := wire.PlannerPong{Boot: d.boot}
+			if d.planner.board != nil {
+				pong.Term = int(d.planner.term)
+			}
+			d.planner.mu.Unlock()
+			r.Reply(pong)
+		})
+	default:
+		err = fmt.Errorf("unknown method %q", r.Method)
+	}
+	if err != nil {
+		r.Fail(err)
+	}
+}
+
+// Phases of a stop.
+const (
+	// closeTime is how long before the end connections are closed as they are
+	// answered.
+	closeTime = 1200 * time.Millisecond
+	// quietTime is how long no request is in progress before the end.
+	quietTime = 100 * time.Millisecond
+	stopTick  = 20 * time.Millisecond
+)
+
+// Stop stops gracefully: another entry plans, the load balancer has time to
+// notice, and requests in progress end. When ctx ends first, it stops at once.
+func (d *Daemon) Stop(ctx context.Context) error {
+	if d.leaving.Swap(true) {
+		return nil
+	}
+	d.log.Add("entryStopping", eventlog.Fields{"boot": d.boot})
+	d.resign(ctx)
+	sleep(ctx, d.c.StopAfter-closeTime)
+	d.closing.Store(true)
+	sleep(ctx, closeTime-quietTime)
+	quiet := time.Duration(0)
+	for quiet < quietTime && ctx.Err() == nil {
+		quiet += stopTick
+		if d.requests.Load() > 0 {
+			quiet = 0
+		}
+		sleep(ctx, stopTick)
+	}
+	d.Kill()
+	if n := d.requests.Load(); n > 0 {
+		return fmt.Errorf("entry %s: stopped with %d requests in progress: %w", d.c.Name, n, ctx.Err())
+	}
+	return nil
+}
+
+// Kill stops at once, as a crash would. Tests use it; Stop ends with it.
+func (d *Daemon) Kill() {
+	d.leaving.Store(true)
+	d.closing.Store(true)
+	d.once.Do(func() {
+		d.cancel()
+		d.rpc.Close()
+		d.done.Wait()
+		d.pool.Close()
+		d.log.Close()
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/stepentry/elect.go
@@ -0,0 +1,256 @@
+package stepentry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/entry"
+	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/lease"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/stepplan"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// Election of the planner.
+const (
+	// electEvery is how often an entry looks at the planner's beats.
+	electEvery = 150 * time.Millisecond
+	// beatEvery is how often the planner writes a beat.
+	beatEvery = 800 * time.Millisecond
+	// beatLost is how long no beat is folded before another entry takes over;
+	// it allows for two lost beats of a slow store.
+	beatLost = 2500 * time.Millisecond
+	// pingEvery is how often the planner's process is asked whether it lives.
+	pingEvery = 500 * time.Millisecond
+	// pingTimeout bounds a ping; entries are a few milliseconds apart.
+	pingTimeout = 400 * time.Millisecond
+	// claimSpread is drawn from before a claim, so that entries that notice at
+	// once do not all claim.
+	claimSpread = 120 * time.Millisecond
+	// claimTimeout bounds a claim.
+	claimTimeout = 3 * time.Second
+	// foldTimeout bounds the wait until a claim has been folded.
+	foldTimeout = 3 * time.Second
+	// termSpread leaves room between the terms of successive claims, so that
+	// two entries that claim at once take different terms.
+	termSpread = 1000
+	// producer names the planners' appends to the store.
+	producer = "planner"
+)
+
+// elect watches the planner and takes over when it is gone.
+func (d *Daemon) elect(ctx context.Context) {
+	var pinged time.Time
+	gone := false
+	for ctx.Err() == nil {
+		sleep(ctx, electEvery)
+		if d.plans() || d.leaving.Load() {
+			continue
+		}
+		now := boottime.Now()
+		d.records.mu.Lock()
+		p, fresh := d.records.state.Planner, d.fresh() && !d.records.steadySince.IsZero()
+		quiet := now.Sub(later(d.records.beatAt, d.records.steadySince))
+		d.records.mu.Unlock()
+		if !fresh {
+			continue
+		}
+		if now.Sub(pinged) >= pingEvery && p.Term > 0 {
+			pinged = now
+			gone = d.gone(ctx, p)
+		}
+		reason := ""
+		switch {
+		case p.Term == 0:
+			reason = "no planner yet"
+		case p.Resigned:
+			reason = "the planner resigned"
+		case p.Entry == d.c.Name && p.Boot != d.boot:
+			reason = "this entry planned before its restart"
+		case gone:
+			reason = "the planner's process is gone"
+		case quiet > beatLost:
+			reason = "no beat of the planner"
+		default:
+			continue
+		}
+		sleep(ctx, rand.N(claimSpread))
+		d.records.mu.Lock()
+		same := d.records.state.Planner.Term == p.Term && d.records.state.Planner.Beat == p.Beat
+		d.records.mu.Unlock()
+		if same {
+			d.claim(ctx, p, reason)
+		}
+		gone = false
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (d *Daemon) plans() bool {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	return d.planner.board != nil
+}
+
+// gone reports whether the planner's process is known to have ended or to have
+// stopped planning. A process that does not answer may live.
+func (d *Daemon) gone(ctx context.Context, p stepfold.Planner) bool {
+	if p.Entry == d.c.Name {
+		return p.Boot == d.boot
+	}
+	bounded, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	conn, err := d.rpc.Dial(bounded, p.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer conn.Close()
+	pong, err := entry.Client{Conn: conn}.PingPlanner(bounded, wire.PlannerPing{Term: int(p.Term)})
+	return err == nil && (pong.Boot != p.Boot || int64(pong.Term) < p.Term)
+}
+
+// claim begins a term.
+func (d *Daemon) claim(ctx context.Context, before stepfold.Planner, reason string) {
+	term := (before.Term/termSpread+1)*termSpread + rand.Int64N(termSpread)
+	fence := recordlog.Fence{Producer: producer, Epoch: term}
+	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.rpc.Address(), Term: term, Beat: 1}
+	record, err := codec.EncodeStepRecord(stepfold.PlannerSeen{Planner: self})
+	if err != nil {
+		d.log.Add("claimFailed", eventlog.Fields{"cause": err.Error()})
+		return
+	}
+	begun := boottime.Now()
+	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	offset, err := recordlog.Settle(bounded, d.c.Log, d.c.Topic, &fence, []recordlog.Record{record})
+	if err != nil {
+		d.log.Add("claimFailed", eventlog.Fields{"term": term, "reason": reason, "cause": err.Error()})
+		return
+	}
+	d.log.Add("claimStored", eventlog.Fields{"term": term, "reason": reason, "before": before.Entry, "offset": offset})
+	if d.folded(ctx, offset) {
+		fence.Sequence++
+		d.begin(self, fence, begun)
+	}
+}
+
+// folded waits until the records through the offset are folded.
+func (d *Daemon) folded(ctx context.Context, offset int64) bool {
+	bounded, cancel := context.WithTimeout(ctx, foldTimeout)
+	defer cancel()
+	for {
+		d.records.mu.Lock()
+		through := d.records.state.Through
+		d.records.mu.Unlock()
+		if through >= offset {
+			return true
+		}
+		select {
+		case <-bounded.Done():
+			return false
+		case <-d.records.advanced:
+		}
+	}
+}
+
+// begin plans in the term: the fold holds everything that earlier planners
+// stored, because the store has fenced them off.
+func (d *Daemon) begin(self stepfold.Planner, fence recordlog.Fence, checked time.Time) {
+	now := boottime.Now()
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	d.records.mu.Lock()
+	defer d.records.mu.Unlock()
+	if d.records.state.Planner.Term > self.Term || d.leaving.Load() {
+		return
+	}
+	board := stepplan.New(d.c.Timing)
+	if d.config.known {
+		board.Configure(d.config.table)
+	} else {
+		board.Configure(access.Table{})
+	}
+	inherited := lease.Inherited(now, d.c.Timing.Grant)
+	for _, e := range d.records.state.Jobs {
+		board.Recover(*e, inherited, now)
+	}
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.planner.board, d.planner.term, d.planner.fence = board, self.Term, fence
+	d.planner.checkedAt, d.planner.cancel = checked, cancel
+	for name, a := range d.records.state.Agents {
+		d.link(name, a)
+	}
+	d.log.Add("termBegun", eventlog.Fields{"term": self.Term, "jobs": len(board.Jobs), "agents": len(d.planner.links)})
+	d.done.Go(func() { d.plan(ctx, self) })
+	d.done.Go(func() { d.attachAgents(ctx) })
+}
+
+// superseded ends the term when a later one has begun. The caller holds the
+// records' mutex.
+func (d *Daemon) superseded(p stepfold.Planner) {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.board != nil && p.Term > d.planner.term {
+		d.endTerm("a later term began")
+	}
+}
+
+// endTerm stops planning. The caller holds the planner's mutex.
+func (d *Daemon) endTerm(reason string) {
+	if d.planner.board == nil {
+		return
+	}
+	d.log.Add("termEnded", eventlog.Fields{"term": d.planner.term, "reason": reason})
+	d.planner.cancel()
+	d.planner.board = nil
+	for _, l := range d.planner.links {
+		if l.conn != nil {
+			l.conn.Close()
+		}
+	}
+	d.planner.links = map[string]*agentLink{}
+}
+
+// resignTimeout bounds the last append of a term.
+const resignTimeout = 500 * time.Millisecond
+
+// resign hands planning to another entry.
+func (d *Daemon) resign(ctx context.Context) {
+	d.planner.mu.Lock()
+	if d.planner.board == nil {
+		d.planner.mu.Unlock()
+		return
+	}
+	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.rpc.Address(), Term: d.planner.term, Resigned: true}
+	d.endTerm("the entry stops")
+	d.planner.mu.Unlock()
+	record, err := codec.EncodeStepRecord(stepfold.PlannerSeen{Planner: self})
+	if err != nil {
+		d.log.Add("resignFailed", eventlog.Fields{"cause": err.Error()})
+		return
+	}
+	// A higher epoch of its own makes the planner's open appends void, so that
+	// none is stored behind the resignation.
+	fence := recordlog.Fence{Producer: producer, Epoch: self.Term + 1}
+	bounded, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	if _, err := recordlog.Settle(bounded, d.c.Log, d.c.Topic, &fence, []recordlog.Record{record}); err != nil {
+		d.log.Add("resignFailed", eventlog.Fields{"cause": err.Error()})
+	}
+}
--- /dev/null
+++ b/stepentry/follow.go
@@ -0,0 +1,123 @@
+package stepentry
+
+import (
+	"context"
+	"time"
+
+	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/stepfold"
+)
+
+// followConfig keeps the newest configuration.
+func (d *Daemon) followConfig(ctx context.Context) {
+	recordlog.Follow(ctx, d.c.Log, d.c.ConfigTopic, recordlog.Follower{
+		Fold: d.foldConfig,
+		Fresh: func(begun time.Time) {
+			d.config.mu.Lock()
+			d.config.provenAt = begun
+			d.config.mu.Unlock()
+		},
+		Lost:     func(err error) { d.log.Add("configurationLost", eventlog.Fields{"cause": err.Error()}) },
+		Regained: func() { d.log.Add("configurationRegained", nil) },
+	})
+}
+
+func (d *Daemon) foldConfig(records []recordlog.Stored) {
+	for _, r := range records {
+		t, found, err := d.c.DecodeConfig(r.Record)
+		if err != nil {
+			d.count("configurationInvalid")
+			d.log.Add("configurationInvalid", eventlog.Fields{"offset": r.Offset, "cause": err.Error()})
+			continue
+		}
+		if !found {
+			continue
+		}
+		d.config.mu.Lock()
+		if !d.config.known || t.Version > d.config.table.Version {
+			d.config.table, d.config.known = t, true
+			d.log.Add("configurationInForce", eventlog.Fields{"version": t.Version, "offset": r.Offset, "queues": len(t.Queues), "orgs": len(t.Orgs)})
+			d.planner.mu.Lock()
+			if d.planner.board != nil {
+				d.planner.board.Configure(t)
+			}
+			d.planner.mu.Unlock()
+		}
+		d.config.mu.Unlock()
+	}
+}
+
+// followRecords keeps the fold of the system's own records.
+func (d *Daemon) followRecords(ctx context.Context) {
+	recordlog.Follow(ctx, d.c.Log, d.c.Topic, recordlog.Follower{
+		Fold: d.foldRecords,
+		Fresh: func(begun time.Time) {
+			d.records.mu.Lock()
+			if d.records.steadySince.IsZero() {
+				d.records.steadySince = boottime.Now()
+			}
+			d.records.provenAt = begun
+			d.records.mu.Unlock()
+			d.signalAdvanced()
+		},
+		Lost: func(err error) {
+			d.records.mu.Lock()
+			d.records.steadySince = time.Time{}
+			d.records.mu.Unlock()
+			d.log.Add("storeLost", eventlog.Fields{"cause": err.Error()})
+		},
+		Regained: func() { d.log.Add("storeRegained", nil) },
+	})
+}
+
+func (d *Daemon) signalAdvanced() {
+	select {
+	case d.records.advanced <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) foldRecords(records []recordlog.Stored) {
+	now := boottime.Now()
+	d.records.mu.Lock()
+	defer d.records.mu.Unlock()
+	for _, r := range records {
+		record, err := codec.DecodeStepRecord(r.Record)
+		if err != nil {
+			d.count("recordInvalid")
+			d.log.Add("recordInvalid", eventlog.Fields{"offset": r.Offset, "cause": err.Error()})
+			continue
+		}
+		if !d.records.state.Apply(r.Offset, record) {
+			continue
+		}
+		switch record := record.(type) {
+		case stepfold.PlannerSeen:
+			d.records.beatAt = now
+			d.superseded(record.Planner)
+		case stepfold.Accepted, stepfold.Cancelled, stepfold.AgentSeen:
+			d.tellPlanner(record, now)
+		}
+	}
+}
+
+// tellPlanner hands a new record to the board, if this entry plans.
+func (d *Daemon) tellPlanner(record stepfold.Record, now time.Time) {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.board == nil {
+		return
+	}
+	switch record := record.(type) {
+	case stepfold.Accepted:
+		d.planner.board.Accept(record.Job, now)
+	case stepfold.Cancelled:
+		d.planner.board.Cancel(record.ID, now)
+	case stepfold.AgentSeen:
+		d.link(record.Name, record.Agent)
+	}
+	d.planDue()
+}
--- /dev/null
+++ b/stepentry/serve.go
@@ -0,0 +1,160 @@
+package stepentry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+)
+
+// Bounds of a request that needs the store.
+const (
+	// settleTime is how long an append may stay without a certain outcome
+	// before the caller is told so; the store answers within half a second
+	// when it is slow.
+	settleTime = 1500 * time.Millisecond
+	// refusedTime is how long an append that the store refuses is repeated.
+	refusedTime = 200 * time.Millisecond
+)
+
+// Admit decides which queue and organisation a request belongs to.
+func (d *Daemon) Admit(host, path, key string) access.Admission {
+	d.config.mu.Lock()
+	table, known, proven := d.config.table, d.config.known, d.config.provenAt
+	d.config.mu.Unlock()
+	if !known {
+		return access.Admission{Denial: access.DeniedStale}
+	}
+	age := boottime.Now().Sub(proven)
+	a := access.Decide(table, access.Request{Host: host, Path: path, Key: key, Fresh: age < d.c.KeyGrace})
+	if a.Denial != "" {
+		d.count("requestDenied." + string(a.Denial))
+		d.log.Add("requestDenied", eventlog.Fields{"path": path, "reason": a.Denial, "version": table.Version, "ageMs": age.Milliseconds()})
+	}
+	return a
+}
+
+// Begin counts a request in; the returned function counts it out.
+func (d *Daemon) Begin() func() {
+	d.requests.Add(1)
+	return func() { d.requests.Add(-1) }
+}
+
+// fresh reports whether the folded records are recent. The caller holds the
+// records' mutex.
+func (d *Daemon) fresh() bool {
+	return !d.records.provenAt.IsZero() && boottime.Now().Sub(d.records.provenAt) < staleAfter
+}
+
+// Submit accepts a job once its record is stored. Submitting it again is
+// answered like the first time.
+func (d *Daemon) Submit(ctx context.Context, j steps.Job) steps.Outcome {
+	d.records.mu.Lock()
+	e := d.records.state.Jobs[j.ID]
+	known, fresh := e != nil && e.Job != nil, d.fresh()
+	d.records.mu.Unlock()
+	fields := eventlog.Fields{"job": j.ID, "queue": j.Queue, "org": j.Org}
+	if known {
+		d.count("submitRepeated")
+		return steps.OutcomeOK
+	}
+	outcome := steps.OutcomeRefused
+	if fresh {
+		outcome = d.store(ctx, fields, stepfold.Accepted{Job: j})
+	}
+	fields["fresh"] = fresh
+	d.finish("submit", outcome, fields)
+	return outcome
+}
+
+// Cancel cancels a job once its record is stored.
+func (d *Daemon) Cancel(ctx context.Context, id string) steps.Outcome {
+	phase, outcome := d.State(id)
+	if outcome != steps.OutcomeOK || phase.Over() {
+		return outcome
+	}
+	fields := eventlog.Fields{"job": id, "phase": phase}
+	outcome = d.store(ctx, fields, stepfold.Cancelled{ID: id})
+	d.finish("cancel", outcome, fields)
+	return outcome
+}
+
+func (d *Daemon) finish(request string, outcome steps.Outcome, fields eventlog.Fields) {
+	d.count(request + "." + string(outcome))
+	fields["outcome"] = outcome
+	d.log.Add(request, fields)
+}
+
+// store appends a record that any entry may write. Repeating it does no harm,
+// because its key and value are the same each time.
+func (d *Daemon) store(ctx context.Context, fields eventlog.Fields, r stepfold.Record) steps.Outcome {
+	record, err := codec.EncodeStepRecord(r)
+	if err != nil {
+		fields["cause"] = err.Error()
+		return steps.OutcomeRefused
+	}
+	bounded, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	begun := time.Now()
+	_, err = recordlog.Settle(bounded, d.c.Log, d.c.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusedUntil(begun.Add(refusedTime)))
+	fields["storeMs"] = time.Since(begun).Milliseconds()
+	switch {
+	case err == nil:
+		return steps.OutcomeOK
+	case errors.Is(err, recordlog.ErrNotAppended):
+		fields["cause"] = err.Error()
+		return steps.OutcomeRefused
+	}
+	fields["cause"] = err.Error()
+	return steps.OutcomeUnsettled
+}
+
+// State returns a job's phase.
+func (d *Daemon) State(id string) (stepfold.Phase, steps.Outcome) {
+	d.records.mu.Lock()
+	defer d.records.mu.Unlock()
+	switch e := d.records.state.Jobs[id]; {
+	case e != nil && e.Job != nil:
+		return e.Phase(), steps.OutcomeOK
+	case d.fresh():
+		return "", steps.OutcomeUnknownJob
+	}
+	return "", steps.OutcomeRefused
+}
+
+// Pending counts the queue's accepted jobs of which nothing has begun.
+func (d *Daemon) Pending(queue string) (int, steps.Outcome) {
+	d.records.mu.Lock()
+	defer d.records.mu.Unlock()
+	if !d.fresh() {
+		return 0, steps.OutcomeRefused
+	}
+	n := 0
+	for _, e := range d.records.state.Jobs {
+		if e.Job != nil && e.Job.Queue == queue && !e.Progress.Begun && !e.Phase().Over() {
+			n++
+		}
+	}
+	return n, steps.OutcomeOK
+}
+
+// Ready reports whether the load balancer may send new connections.
+func (d *Daemon) Ready() bool {
+	d.config.mu.Lock()
+	current := d.config.known && boottime.Now().Sub(d.config.provenAt) < staleAfter
+	d.config.mu.Unlock()
+	d.records.mu.Lock()
+	current = current && d.fresh()
+	d.records.mu.Unlock()
+	return current && !d.leaving.Load()
+}
+
+// Leaving reports that connections are to be closed.
+func (d *Daemon) Leaving() bool { return d.closing.Load() }
--- /dev/null
+++ b/stepentry/tables.go
@@ -0,0 +1,67 @@
+package stepentry
+
+import (
+	"sync"
+	"time"
+
+	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/stepplan"
+)
+
+// configTable is the first in the lock order.
+type configTable struct {
+	mu    sync.Mutex
+	table access.Table
+	// known is false before the first version.
+	known bool
+	// provenAt is when the newest read began that showed no later version, on
+	// the boot-time clock.
+	provenAt time.Time
+}
+
+// recordTable is the second in the lock order.
+type recordTable struct {
+	mu    sync.Mutex
+	state *stepfold.State
+	// provenAt is when the newest read began that has been folded.
+	provenAt time.Time
+	// steadySince is when the reads last began to succeed; beatAt is when the
+	// planner's newest beat was folded.
+	steadySince, beatAt time.Time
+	// advanced is signalled when records were folded.
+	advanced chan struct{}
+}
+
+// agentLink is the planner's connection to one agent.
+type agentLink struct {
+	address string
+	conn    *rpc.Conn
+	session int
+	dialing bool
+	// storedLife and storedThrough are the worker's life and the number of its
+	// newest end that is stored.
+	storedLife    string
+	storedThrough int64
+}
+
+// plannerTable is the last in the lock order. board is nil while this entry
+// does not plan.
+type plannerTable struct {
+	mu    sync.Mutex
+	board *stepplan.Board
+	term  int64
+	// fence orders the planner's appends.
+	fence recordlog.Fence
+	// checkedAt is when the newest successful append of the term began.
+	checkedAt time.Time
+	// sessions numbers the sessions with agents.
+	sessions int
+	links    map[string]*agentLink
+	// cancel ends the term.
+	cancel func()
+	// due is signalled when a planning pass is to run.
+	due chan struct{}
+}
--- /dev/null
+++ b/stepplan/place.go
@@ -0,0 +1,333 @@
+package stepplan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+)
+
+// unit is what is placed together: a gang, or one task.
+type unit struct {
+	job   *Job
+	step  *Step
+	tasks []*Task
+	since time.Time
+}
+
+// reportFresh bounds the age of a report on which a start is based; agents
+// report several times as often.
+const reportFresh = 1500 * time.Millisecond
+
+// pass is one planning pass.
+type pass struct {
+	b   *Board
+	now time.Time
+	// usable are the VMs that may take new work, in the order of their names.
+	usable []*VM
+	// free is what no open run holds; it can be negative where a waiting unit
+	// has claimed what is being freed.
+	free map[*VM]steps.Resources
+	// guaranteed holds the organisations whose jobs of priority 0 need no more
+	// than their guarantee.
+	guaranteed map[string]bool
+}
+
+// Plan starts what fits, and stops what has to make room.
+func (b *Board) Plan(now time.Time) {
+	p := pass{b: b, now: now, free: map[*VM]steps.Resources{}, guaranteed: b.withinGuarantee()}
+	for _, vm := range b.VMs {
+		if vm.Attached && vm.Worker != "" && !vm.Draining && !vm.Leaving && vm.Foreign == 0 &&
+			now.Sub(vm.ReportedAt) < reportFresh && now.Before(vm.LeaseUntil) &&
+			!now.Before(vm.UnhealthyUntil) && !b.Faults.Until(vm.Agent).After(now) {
+			p.usable = append(p.usable, vm)
+			p.free[vm] = vm.free()
+		}
+	}
+	slices.SortFunc(p.usable, func(x, y *VM) int { return cmp.Compare(x.Agent, y.Agent) })
+	for _, u := range b.waiting(now) {
+		p.place(u)
+	}
+}
+
+func (vm *VM) free() steps.Resources {
+	free := vm.Capacity
+	for _, t := range vm.Open {
+		free = free.Minus(t.needs)
+	}
+	return free
+}
+
+// withinGuarantee finds the organisations whose jobs of priority 0 need no
+// more than is guaranteed.
+func (b *Board) withinGuarantee() map[string]bool {
+	used := map[string]int{}
+	for _, j := range b.Jobs {
+		if !j.Phase.Over() && j.Queue.Priority == 0 {
+			used[j.Spec.Org] += j.mostGPUs()
+		}
+	}
+	within := map[string]bool{}
+	for name, o := range b.Orgs {
+		within[name] = used[name] <= o.Guaranteed.GPUs
+	}
+	return within
+}
+
+// mostGPUs is the most that one step of the job needs at once.
+func (j *Job) mostGPUs() int {
+	most := 0
+	for _, s := range j.Spec.Steps {
+		most = max(most, s.Count*s.Needs.GPUs)
+	}
+	return most
+}
+
+// waiting lists what may start now, the most urgent first.
+func (b *Board) waiting(now time.Time) []unit {
+	var all []unit
+	for _, j := range b.Jobs {
+		if j.Phase.Over() {
+			continue
+		}
+		for _, occurrence := range j.Occurrences {
+			for _, s := range occurrence {
+				if s.Done < len(s.Tasks) && ready(occurrence, s) {
+					all = append(all, s.units(j, now)...)
+				}
+			}
+		}
+	}
+	slices.SortFunc(all, func(x, y unit) int {
+		return cmp.Or(
+			cmp.Compare(x.job.Queue.Priority, y.job.Queue.Priority),
+			x.job.Spec.AcceptedAt.Compare(y.job.Spec.AcceptedAt),
+			compareIDs(x.tasks[0].ID, y.tasks[0].ID),
+		)
+	})
+	return all
+}
+
+func ready(occurrence []*Step, s *Step) bool {
+	for _, a := range s.Spec.After {
+		if occurrence[a].Done < len(occurrence[a].Tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// units lists what of the step waits.
+func (s *Step) units(j *Job, now time.Time) []unit {
+	var all []unit
+	if s.Spec.Gang {
+		if s.Open > 0 {
+			return nil
+		}
+		u := unit{job: j, step: s, tasks: s.Tasks}
+		for _, t := range s.Tasks {
+			if now.Before(t.NotBefore) {
+				return nil
+			}
+			if t.WaitSince.After(u.since) {
+				u.since = t.WaitSince
+			}
+		}
+		return []unit{u}
+	}
+	for _, t := range s.Tasks {
+		if !t.Done && !t.Open && !now.Before(t.NotBefore) {
+			all = append(all, unit{job: j, step: s, tasks: []*Task{t}, since: t.WaitSince})
+		}
+	}
+	return all
+}
+
+// place starts the unit if it fits, or makes room for it if it may.
+func (p *pass) place(u unit) {
+	for _, set := range p.candidates(u) {
+		if chosen := p.fit(u, set); chosen != nil {
+			p.start(u, chosen)
+			return
+		}
+	}
+	if u.job.Queue.Priority == 0 {
+		p.preempt(u)
+	}
+}
+
+// candidates lists the sets of VMs to try in turn: those that are near first,
+// all of them once the unit has waited for about what the distance costs.
+func (p *pass) candidates(u unit) [][]*VM {
+	var allowed []*VM
+	for _, vm := range p.usable {
+		if p.allows(u, vm) {
+			allowed = append(allowed, vm)
+		}
+	}
+	var sets [][]*VM
+	spec := u.step.Spec
+	switch {
+	case spec.Rack != "" && (!spec.SameRack || p.rackHolds(u, spec.Rack)):
+		sets = append(sets, inRack(allowed, spec.Rack))
+	case spec.SameRack:
+		for _, rack := range p.racks(allowed) {
+			if p.rackHolds(u, rack) {
+				sets = append(sets, inRack(allowed, rack))
+			}
+		}
+	}
+	if len(sets) == 0 || p.now.Sub(u.since) >= p.patience(u) {
+		sets = append(sets, allowed)
+	}
+	return sets
+}
+
+// patience is how long a unit waits for VMs that are near.
+func (p *pass) patience(u unit) time.Duration {
+	if u.job.Queue.Priority == 0 {
+		return urgentPatience
+	}
+	return time.Duration(float64(u.step.Spec.Estimate) * (p.b.Timing.FarFactor - 1) / 2)
+}
+
+// urgentPatience leaves an urgent unit time to start within the bound for
+// reclaiming, which is 2.7 s at least, after others were stopped.
+const urgentPatience = 800 * time.Millisecond
+
+func (p *pass) allows(u unit, vm *VM) bool {
+	spec := u.step.Spec
+	if u.job.Queue.Service != "" && vm.Service != u.job.Queue.Service || spec.Label != "" && !slices.Contains(vm.Labels, spec.Label) {
+		return false
+	}
+	return len(u.tasks) > 1 || len(p.usable) < 2 || !u.tasks[0].avoids(vm.Agent, len(p.usable))
+}
+
+// avoids reports whether the task failed on the VM and others are left.
+func (t *Task) avoids(agent string, vms int) bool {
+	return len(t.FailedOn) < vms && slices.Contains(t.FailedOn, agent)
+}
+
+func (p *pass) racks(vms []*VM) []string {
+	var racks []string
+	for _, vm := range vms {
+		if !slices.Contains(racks, vm.Rack) {
+			racks = append(racks, vm.Rack)
+		}
+	}
+	// The rack with the least room that suffices leaves others for larger
+	// gangs.
+	room := func(rack string) int {
+		n := 0
+		for _, vm := range inRack(vms, rack) {
+			n += p.free[vm].GPUs
+		}
+		return n
+	}
+	slices.SortStableFunc(racks, func(x, y string) int { return cmp.Compare(room(x), room(y)) })
+	return racks
+}
+
+func inRack(vms []*VM, rack string) []*VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm *VM) bool { return vm.Rack != rack })
+}
+
+// rackHolds reports whether the empty rack would hold the unit.
+func (p *pass) rackHolds(u unit, rack string) bool {
+	need := counted(u.step.Spec)
+	room := 0
+	for _, vm := range p.usable {
+		if vm.Rack == rack && p.allows(u, vm) {
+			room += tasksThatFit(vm.Capacity, need, u.step.Spec.PerVM, len(u.tasks))
+		}
+	}
+	return room >= len(u.tasks)
+}
+
+func tasksThatFit(room, need steps.Resources, perVM, most int) int {
+	n := 0
+	for n < most && (perVM == 0 || n < perVM) && room.Holds(need) {
+		room = room.Minus(need)
+		n++
+	}
+	return n
+}
+
+// fit chooses a VM for each task, or nil. The fullest VM that still holds the
+// task is taken, so that empty VMs are left for large tasks.
+func (p *pass) fit(u unit, vms []*VM) []*VM {
+	need := counted(u.step.Spec)
+	left := map[*VM]steps.Resources{}
+	placed := map[*VM]int{}
+	for _, vm := range vms {
+		left[vm] = p.free[vm]
+		placed[vm] = u.step.openOn(vm)
+	}
+	chosen := make([]*VM, 0, len(u.tasks))
+	for range u.tasks {
+		var best *VM
+		for _, vm := range vms {
+			if !left[vm].Holds(need) || u.step.Spec.PerVM > 0 && placed[vm] >= u.step.Spec.PerVM {
+				continue
+			}
+			if best == nil || tighter(left[vm], left[best]) {
+				best = vm
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		left[best] = left[best].Minus(need)
+		placed[best]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+func tighter(a, b steps.Resources) bool {
+	return cmp.Or(cmp.Compare(a.GPUs, b.GPUs), cmp.Compare(a.MemMB, b.MemMB), cmp.Compare(a.CPU, b.CPU)) < 0
+}
+
+// openOn counts the step's open runs on a VM.
+func (s *Step) openOn(vm *VM) int {
+	n := 0
+	for _, t := range s.Tasks {
+		if t.Open && t.Agent == vm.Agent {
+			n++
+		}
+	}
+	return n
+}
+
+// start opens a run of each task of the unit.
+func (p *pass) start(u unit, chosen []*VM) {
+	run := 0
+	for _, t := range u.tasks {
+		run = max(run, t.Run+1)
+	}
+	checkpoint := ""
+	if u.step.Spec.Checkpointing {
+		checkpoint = u.tasks[0].Checkpoint
+	}
+	if !u.job.Phase.Over() {
+		u.job.Phase = stepfold.PhaseRunning
+	}
+	u.job.Begun = true
+	for i, t := range u.tasks {
+		vm := chosen[i]
+		t.Run = run
+		t.needs = counted(u.step.Spec)
+		p.b.openRun(t, vm, vm.Worker, p.now)
+		p.free[vm] = p.free[vm].Minus(t.needs)
+		p.b.output.Orders = append(p.b.output.Orders, StartOrder{
+			Agent: vm.Agent, Worker: vm.Worker, Session: vm.Session, Task: t.ID, Run: run, Payload: u.job.Spec.Payload, Checkpoint: checkpoint,
+		})
+		p.b.event(Event{
+			Kind: "taskPlaced", Job: t.ID.Job, Task: t.ID.String(), Run: run, VM: vm.Agent,
+			Reason: fmt.Sprintf("rack=%s freeGPUs=%d waitedMs=%d", vm.Rack, p.free[vm].GPUs, p.now.Sub(u.since).Milliseconds()),
+		})
+	}
+}
--- /dev/null
+++ b/stepplan/runs.go
@@ -0,0 +1,369 @@
+package stepplan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"celerypoint.example/celerypoint/lease"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/worker"
+)
+
+func (b *Board) vm(agent string) *VM {
+	vm := b.VMs[agent]
+	if vm == nil {
+		vm = &VM{Agent: agent, Open: map[steps.TaskID]*Task{}}
+		b.VMs[agent] = vm
+	}
+	return vm
+}
+
+// task finds a task by its name; it is nil for a job that is not known.
+func (b *Board) task(id steps.TaskID) (*Job, *Step, *Task) {
+	j := b.Jobs[id.Job]
+	if j == nil {
+		return nil, nil, nil
+	}
+	occurrence := j.Occurrences[id.Occurrence]
+	if id.Step >= len(occurrence) || id.Index >= len(occurrence[id.Step].Tasks) {
+		return j, nil, nil
+	}
+	return j, occurrence[id.Step], occurrence[id.Step].Tasks[id.Index]
+}
+
+func (b *Board) stepOf(t *Task) *Step {
+	return b.Jobs[t.ID.Job].Occurrences[t.ID.Occurrence][t.ID.Step]
+}
+
+// openRun marks the task's run as one that may be in progress.
+func (b *Board) openRun(t *Task, vm *VM, life string, now time.Time) {
+	t.Open, t.Agent, t.Worker = true, vm.Agent, life
+	t.Running, t.Concluded, t.StopAt = false, -1, time.Time{}
+	t.StartedAt, t.Progress, t.ProgressAt = now, 0, now
+	vm.Open[t.ID] = t
+	b.stepOf(t).Open++
+	b.dirty[t.ID.Job] = true
+}
+
+// closeRun marks the task's run as ended.
+func (b *Board) closeRun(t *Task, now time.Time) {
+	if !t.Open {
+		return
+	}
+	delete(b.VMs[t.Agent].Open, t.ID)
+	t.Open, t.WaitSince = false, now
+	b.stepOf(t).Open--
+	b.dirty[t.ID.Job] = true
+}
+
+// repeatStop is when a stop whose end is not listed is ordered again.
+const repeatStop = time.Second
+
+// stop orders the end of an open run; the run stays open until its end is
+// listed.
+func (b *Board) stop(t *Task, now time.Time, reason string) {
+	if !t.Open || t.Done || !t.StopAt.IsZero() && now.Sub(t.StopAt) < repeatStop {
+		return
+	}
+	if t.StopAt.IsZero() {
+		b.event(Event{Kind: "taskStopped", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: reason})
+	}
+	t.StopAt = now
+	vm := b.VMs[t.Agent]
+	if vm.Attached {
+		b.stops = append(b.stops, StopOrder{Agent: t.Agent, Worker: t.Worker, Session: vm.Session, Task: t.ID, Run: t.Run, Reason: reason})
+	}
+}
+
+// Attached begins a session with an agent. Orders of earlier sessions are void
+// from now on, so that the session's first report tells what became of them.
+func (b *Board) Attached(agent string, session int) {
+	vm := b.vm(agent)
+	vm.Session, vm.Attached = session, true
+	for _, t := range vm.Open {
+		t.Concluded, t.StopAt = 0, time.Time{}
+	}
+}
+
+// Detached says that the agent cannot be reached.
+func (b *Board) Detached(agent string, session int) {
+	if vm := b.VMs[agent]; vm != nil && vm.Session == session {
+		vm.Attached = false
+	}
+}
+
+// Granted says that a lease was granted for a question received at the time.
+func (b *Board) Granted(agent string, received time.Time) {
+	vm := b.vm(agent)
+	if until := lease.Until(received, b.Timing.Grant); until.After(vm.LeaseUntil) {
+		vm.LeaseUntil = until
+	}
+}
+
+// Started says that an agent carried out a start, or that its reports from the
+// version on tell whether the worker did.
+func (b *Board) Started(o StartOrder, version int, confirmed bool) {
+	if t := b.ordered(o); t != nil {
+		t.Running, t.Concluded = confirmed, version
+	}
+}
+
+// Withdrawn says that an order was never sent.
+func (b *Board) Withdrawn(o StartOrder, reason string, now time.Time) {
+	if t := b.ordered(o); t != nil {
+		b.lose(t, now, "withdrawn: "+reason)
+	}
+}
+
+// Wanted reports whether the run of an order is still to be started.
+func (b *Board) Wanted(o StartOrder) bool {
+	t := b.ordered(o)
+	return t != nil && t.StopAt.IsZero() && !b.Jobs[o.Task.Job].Phase.Over()
+}
+
+// Spans until a task or a VM is tried again after a refusal.
+const (
+	refusedTaskPause = 200 * time.Millisecond
+	unhealthyPause   = 1500 * time.Millisecond
+)
+
+// Refused says that a run was not started and never will be.
+func (b *Board) Refused(o StartOrder, reason string, now time.Time) {
+	t := b.ordered(o)
+	if t == nil {
+		return
+	}
+	b.VMs[o.Agent].UnhealthyUntil = now.Add(unhealthyPause)
+	b.lose(t, now, "refused: "+reason)
+	t.NotBefore = now.Add(refusedTaskPause)
+	if !slices.Contains(t.FailedOn, o.Agent) {
+		t.FailedOn = append(t.FailedOn, o.Agent)
+	}
+}
+
+// ordered finds the open run of an order.
+func (b *Board) ordered(o StartOrder) *Task {
+	_, _, t := b.task(o.Task)
+	if t == nil || !t.Open || t.Run != o.Run || t.Agent != o.Agent || b.VMs[o.Agent].Session != o.Session {
+		return nil
+	}
+	return t
+}
+
+// lose closes a run that has no end, and breaks its gang.
+func (b *Board) lose(t *Task, now time.Time, reason string) {
+	b.closeRun(t, now)
+	if t.Done {
+		return
+	}
+	b.event(Event{Kind: "runLost", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: reason})
+	b.breakGang(t, now, reason)
+}
+
+// breakGang stops the other members of a run, which cannot go on alone.
+func (b *Board) breakGang(t *Task, now time.Time, reason string) {
+	s := b.stepOf(t)
+	if !s.Spec.Gang {
+		return
+	}
+	for _, member := range s.Tasks {
+		if member != t && member.Open && member.Run == t.Run {
+			b.stop(member, now, "gang broken: "+reason)
+		}
+	}
+}
+
+// Report takes over what an agent knows.
+func (b *Board) Report(r Report, now time.Time) {
+	vm := b.vm(r.Agent)
+	if r.Session != vm.Session || !vm.Attached {
+		return
+	}
+	vm.ReportedAt, vm.Leaving = now, r.Leaving
+	if !r.Present {
+		return
+	}
+	if vm.Worker != r.Worker {
+		vm.Worker, vm.EndsSeen = r.Worker, 0
+		b.Faults.ForgetVM(r.Agent)
+		b.event(Event{Kind: "workerSeen", VM: r.Agent, Reason: fmt.Sprintf("worker=%s rack=%s", r.Worker, r.Rack)})
+	}
+	if r.Draining && !vm.Draining {
+		b.event(Event{Kind: "workerDraining", VM: r.Agent, Reason: fmt.Sprintf("remainingMs=%d", r.RemainingMs)})
+	}
+	vm.Service, vm.Zone, vm.Rack, vm.Labels, vm.Capacity = r.Service, r.Zone, r.Rack, r.Labels, r.Capacity
+	vm.Draining, vm.DrainedAt = r.Draining, now.Add(time.Duration(r.RemainingMs)*time.Millisecond)
+	if r.Unhealthy {
+		vm.UnhealthyUntil = now.Add(unhealthyPause)
+	}
+	for _, t := range b.openOn(vm) {
+		if t.Worker != r.Worker {
+			b.lose(t, now, "the worker started anew")
+		}
+	}
+	for _, e := range r.Ended {
+		b.ended(vm, e, now)
+	}
+	b.listed(vm, r, now)
+}
+
+// openOn lists the open runs of a VM, which closing changes.
+func (b *Board) openOn(vm *VM) []*Task {
+	all := make([]*Task, 0, len(vm.Open))
+	for _, t := range vm.Open {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(x, y *Task) int { return compareIDs(x.ID, y.ID) })
+	return all
+}
+
+// listed compares the runs that an agent lists with those that are open.
+func (b *Board) listed(vm *VM, r Report, now time.Time) {
+	present := map[steps.TaskID]RunningTask{}
+	vm.Foreign = 0
+	for _, run := range r.Running {
+		id, err := steps.ParseTaskID(run.Task)
+		if err != nil {
+			vm.Foreign++
+			continue
+		}
+		if t := vm.Open[id]; t != nil && t.Run == run.Number {
+			present[id] = run
+			b.seen(t, run, now)
+			continue
+		}
+		vm.Foreign++
+		if !run.Unsettled {
+			b.stops = append(b.stops, StopOrder{Agent: vm.Agent, Worker: r.Worker, Session: vm.Session, Task: id, Run: run.Number, Reason: "the planner does not know the run"})
+		}
+	}
+	for _, t := range b.openOn(vm) {
+		if _, found := present[t.ID]; !found && t.Concluded >= 0 && r.Version >= t.Concluded {
+			b.lose(t, now, "the worker does not list the run")
+		}
+	}
+}
+
+// seen takes over the newest news of an open run.
+func (b *Board) seen(t *Task, run RunningTask, now time.Time) {
+	if run.Unsettled {
+		return
+	}
+	t.Running = true
+	if run.Progress > t.Progress {
+		t.Progress, t.ProgressAt = run.Progress, now
+	}
+	if run.Checkpoint != "" && run.Checkpoint != t.Checkpoint {
+		t.Checkpoint = run.Checkpoint
+		if s := b.stepOf(t); s.Spec.Gang {
+			// A value of one member is valid for all, and all carry the same.
+			for _, member := range s.Tasks {
+				member.Checkpoint = run.Checkpoint
+			}
+		}
+	}
+	if !t.StopAt.IsZero() && now.Sub(t.StopAt) >= repeatStop || b.Jobs[t.ID.Job].Phase.Over() {
+		b.stop(t, now, "not ended yet")
+	}
+}
+
+// ended takes over one end. The worker may forget it once the job's progress
+// is stored.
+func (b *Board) ended(vm *VM, e worker.Ended, now time.Time) {
+	if e.Number > vm.EndsSeen {
+		vm.EndsSeen = e.Number
+		b.output.Orders = append(b.output.Orders, EndsStored{Agent: vm.Agent, Worker: vm.Worker, Through: e.Number})
+	}
+	id, err := steps.ParseTaskID(e.Task)
+	if err != nil {
+		return
+	}
+	j, s, t := b.task(id)
+	if t == nil || t.Run != e.Run.Number || t.Open && t.Agent != vm.Agent {
+		return
+	}
+	if t.Done {
+		// Another member of the gang reported the end for all; this one's
+		// capacity is free from now on.
+		b.closeRun(t, now)
+		return
+	}
+	if !t.Open && e.End != worker.EndDone {
+		// The run was given up before; only its success still counts.
+		return
+	}
+	b.event(Event{Kind: "taskEnded", Job: id.Job, Task: e.Task, Run: e.Run.Number, VM: vm.Agent, Reason: string(e.End)})
+	if e.Checkpoint != "" {
+		t.Checkpoint = e.Checkpoint
+		if s.Spec.Gang {
+			for _, member := range s.Tasks {
+				member.Checkpoint = e.Checkpoint
+			}
+		}
+	}
+	b.dirty[id.Job] = true
+	switch e.End {
+	case worker.EndDone:
+		b.done(j, s, t, vm, now)
+	case worker.EndFailed:
+		b.failed(j, s, t, vm, now)
+	default:
+		b.closeRun(t, now)
+		b.breakGang(t, now, string(e.End))
+	}
+}
+
+// done takes over a success. The members of a gang end together, so that one
+// end counts for all; the others hold their capacity until their own end is
+// listed.
+func (b *Board) done(j *Job, s *Step, t *Task, vm *VM, now time.Time) {
+	b.Faults.Succeeded(vm.Agent)
+	run := t.Run
+	b.closeRun(t, now)
+	if s.Spec.LongRunning {
+		b.breakGang(t, now, "a member ended")
+		return
+	}
+	for _, member := range s.Tasks {
+		if (member == t || s.Spec.Gang && member.Run == run) && !member.Done {
+			member.Done = true
+			s.Done++
+		}
+	}
+	b.settleOccurrences(j, now)
+}
+
+// failed counts a failure, and fails the job when the attempts are used up. A
+// gang fails as a whole, once for each of its runs.
+func (b *Board) failed(j *Job, s *Step, t *Task, vm *VM, now time.Time) {
+	verdict := b.Faults.Failed(vm.Agent, t.ID.Job, now)
+	if verdict.SetAside {
+		b.event(Event{Kind: "vmQuarantined", VM: vm.Agent, Reason: fmt.Sprintf("until %s", verdict.Until.Sub(now).Round(time.Millisecond))})
+	}
+	b.closeRun(t, now)
+	t.FailedOn = append(t.FailedOn, vm.Agent)
+	t.Failures++
+	b.breakGang(t, now, "a member failed")
+	if s.Spec.Gang {
+		for _, member := range s.Tasks {
+			member.Failures = max(member.Failures, t.Failures)
+		}
+	}
+	if t.Failures >= j.Queue.MaxAttempts && !s.Spec.LongRunning && !j.Phase.Over() {
+		b.end(j, stepfold.PhaseFailed, now)
+	}
+}
+
+// Expire closes the runs on VMs whose leases have all lapsed.
+func (b *Board) Expire(now time.Time) {
+	for _, vm := range b.VMs {
+		if len(vm.Open) == 0 || now.Before(vm.LeaseUntil) {
+			continue
+		}
+		for _, t := range b.openOn(vm) {
+			b.lose(t, now, "the lease lapsed")
+		}
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2,6 +2,18 @@
 
 package wire
 
+// Log record: an agent and where it listens.
+type AgentRecord struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// AtMs corresponds to the JSON schema field "atMs".
+	AtMs int `json:"atMs"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+}
+
 // What an agent announces.
 type AnnounceParams struct {
 	// Accelerators corresponds to the JSON schema field "accelerators".
@@ -134,6 +146,33 @@
 	Unmet []string `json:"unmet,omitempty,omitzero"`
 }
 
+// A planner takes an agent over.
+type AttachParams struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Planner corresponds to the JSON schema field "planner".
+	Planner string `json:"planner"`
+
+	// Session corresponds to the JSON schema field "session".
+	Session int `json:"session"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
+// The agent follows the planner, or names the higher term that it follows.
+type AttachResult struct {
+	// Refused corresponds to the JSON schema field "refused".
+	Refused bool `json:"refused,omitempty,omitzero"`
+
+	// Report corresponds to the JSON schema field "report".
+	Report *WorkerReport `json:"report,omitempty,omitzero"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term,omitempty,omitzero"`
+}
+
 // An accepted change.
 type ConfigAccepted struct {
 	// Offset corresponds to the JSON schema field "offset".
@@ -303,6 +342,24 @@
 	Holdings int `json:"holdings"`
 }
 
+// An end that the worker listed and the planner has not stored yet.
+type EndedTask struct {
+	// Checkpoint corresponds to the JSON schema field "checkpoint".
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// End corresponds to the JSON schema field "end".
+	End string `json:"end"`
+
+	// Number corresponds to the JSON schema field "number".
+	Number int `json:"number"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+}
+
 // Where an entry listens.
 type EntryInfo struct {
 	// Address corresponds to the JSON schema field "address".
@@ -834,6 +891,42 @@
 	Job *JobView `json:"job,omitempty,omitzero"`
 }
 
+// Asks a process whether it plans.
+type PlannerPing struct {
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
+// The boot and the term of the process; 0 when it does not plan.
+type PlannerPong struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
+// Log record: the planner, repeated while it is alive.
+type PlannerRecord struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Beat corresponds to the JSON schema field "beat".
+	Beat int `json:"beat"`
+
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot"`
+
+	// Entry corresponds to the JSON schema field "entry".
+	Entry string `json:"entry"`
+
+	// Resigned corresponds to the JSON schema field "resigned".
+	Resigned bool `json:"resigned,omitempty,omitzero"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
 // Records of a stream.
 type ReadResponse struct {
 	// Next corresponds to the JSON schema field "next".
@@ -918,6 +1011,21 @@
 	Renewed bool `json:"renewed"`
 }
 
+// The reply to a report: a lease and the ends that are stored.
+type ReportReply struct {
+	// LeaseMs corresponds to the JSON schema field "leaseMs".
+	LeaseMs int `json:"leaseMs"`
+
+	// StoredBoot corresponds to the JSON schema field "storedBoot".
+	StoredBoot string `json:"storedBoot,omitempty,omitzero"`
+
+	// StoredThrough corresponds to the JSON schema field "storedThrough".
+	StoredThrough int `json:"storedThrough,omitempty,omitzero"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
 // Asks an agent to hold accelerators.
 type ReserveParams struct {
 	// AcceleratorsPerTask corresponds to the JSON schema field "acceleratorsPerTask".
@@ -1003,6 +1111,24 @@
 const RunStatusRefused RunStatus = "refused"
 const RunStatusStopped RunStatus = "stopped"
 
+// A task that runs on a worker.
+type RunningTask struct {
+	// Checkpoint corresponds to the JSON schema field "checkpoint".
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// Progress corresponds to the JSON schema field "progress".
+	Progress int `json:"progress,omitempty,omitzero"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+
+	// Unsettled corresponds to the JSON schema field "unsettled".
+	Unsettled bool `json:"unsettled,omitempty,omitzero"`
+}
+
 // One change of a task that the stand-in runtime recorded for checkers.
 type RuntimeRecord struct {
 	// Accelerators corresponds to the JSON schema field "accelerators".
@@ -1104,6 +1230,42 @@
 	Term int `json:"term"`
 }
 
+// An order to start one run of a task.
+type StartRunParams struct {
+	// Checkpoint corresponds to the JSON schema field "checkpoint".
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// Payload corresponds to the JSON schema field "payload".
+	Payload string `json:"payload,omitempty,omitzero"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run"`
+
+	// Session corresponds to the JSON schema field "session".
+	Session int `json:"session"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+
+	// Worker corresponds to the JSON schema field "worker".
+	Worker string `json:"worker"`
+}
+
+// Whether the run was started; version is that of the first report which shows it.
+type StartRunResult struct {
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// Started corresponds to the JSON schema field "started".
+	Started bool `json:"started"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
 // The status screen of an entry.
 type StatusView struct {
 	// ConfigOffset corresponds to the JSON schema field "configOffset".
@@ -1140,6 +1302,147 @@
 	Zone string `json:"zone"`
 }
 
+// The tasks of one step of one occurrence that have been placed at least once.
+type StepProgress struct {
+	// Occurrence corresponds to the JSON schema field "occurrence".
+	Occurrence int `json:"occurrence"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step"`
+
+	// Tasks corresponds to the JSON schema field "tasks".
+	Tasks []TaskProgress `json:"tasks"`
+}
+
+// One step of a job of steps.
+type StepSpec struct {
+	// After corresponds to the JSON schema field "after".
+	After []int `json:"after,omitempty,omitzero"`
+
+	// Checkpointing corresponds to the JSON schema field "checkpointing".
+	Checkpointing bool `json:"checkpointing,omitempty,omitzero"`
+
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count"`
+
+	// Cpu corresponds to the JSON schema field "cpu".
+	Cpu int `json:"cpu,omitempty,omitzero"`
+
+	// EstimateMs corresponds to the JSON schema field "estimateMs".
+	EstimateMs int `json:"estimateMs,omitempty,omitzero"`
+
+	// Fills corresponds to the JSON schema field "fills".
+	Fills bool `json:"fills,omitempty,omitzero"`
+
+	// Gang corresponds to the JSON schema field "gang".
+	Gang bool `json:"gang,omitempty,omitzero"`
+
+	// Gpus corresponds to the JSON schema field "gpus".
+	Gpus int `json:"gpus,omitempty,omitzero"`
+
+	// Image corresponds to the JSON schema field "image".
+	Image string `json:"image,omitempty,omitzero"`
+
+	// Label corresponds to the JSON schema field "label".
+	Label string `json:"label,omitempty,omitzero"`
+
+	// LongRunning corresponds to the JSON schema field "longRunning".
+	LongRunning bool `json:"longRunning,omitempty,omitzero"`
+
+	// MaxMisses corresponds to the JSON schema field "maxMisses".
+	MaxMisses int `json:"maxMisses,omitempty,omitzero"`
+
+	// MemMB corresponds to the JSON schema field "memMB".
+	MemMB int `json:"memMB,omitempty,omitzero"`
+
+	// PerVM corresponds to the JSON schema field "perVM".
+	PerVM int `json:"perVM,omitempty,omitzero"`
+
+	// Rack corresponds to the JSON schema field "rack".
+	Rack string `json:"rack,omitempty,omitzero"`
+
+	// SameRack corresponds to the JSON schema field "sameRack".
+	SameRack bool `json:"sameRack,omitempty,omitzero"`
+
+	// Speculative corresponds to the JSON schema field "speculative".
+	Speculative bool `json:"speculative,omitempty,omitzero"`
+
+	// TargetMs corresponds to the JSON schema field "targetMs".
+	TargetMs int `json:"targetMs,omitempty,omitzero"`
+}
+
+// Log record: a job of steps is accepted. Retries of a submission repeat it.
+type StepsAccepted struct {
+	// AcceptedAtMs corresponds to the JSON schema field "acceptedAtMs".
+	AcceptedAtMs int `json:"acceptedAtMs"`
+
+	// IntervalMs corresponds to the JSON schema field "intervalMs".
+	IntervalMs int `json:"intervalMs,omitempty,omitzero"`
+
+	// Org corresponds to the JSON schema field "org".
+	Org string `json:"org"`
+
+	// Payload corresponds to the JSON schema field "payload".
+	Payload string `json:"payload"`
+
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue"`
+
+	// StartAtMs corresponds to the JSON schema field "startAtMs".
+	StartAtMs int `json:"startAtMs,omitempty,omitzero"`
+
+	// Steps corresponds to the JSON schema field "steps".
+	Steps []StepSpec `json:"steps"`
+
+	// Times corresponds to the JSON schema field "times".
+	Times int `json:"times,omitempty,omitzero"`
+}
+
+// Log record: a caller cancelled the job.
+type StepsCancelled struct {
+	// AtMs corresponds to the JSON schema field "atMs".
+	AtMs int `json:"atMs"`
+}
+
+// Log record: the progress of a job, written by the planner only.
+type StepsProgress struct {
+	// Begun corresponds to the JSON schema field "begun".
+	Begun bool `json:"begun,omitempty,omitzero"`
+
+	// EndedAtMs corresponds to the JSON schema field "endedAtMs".
+	EndedAtMs int `json:"endedAtMs,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State string `json:"state"`
+
+	// Steps corresponds to the JSON schema field "steps".
+	Steps []StepProgress `json:"steps,omitempty,omitzero"`
+}
+
+// An order to stop one run of a task.
+type StopRunParams struct {
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run"`
+
+	// Session corresponds to the JSON schema field "session".
+	Session int `json:"session"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+
+	// Worker corresponds to the JSON schema field "worker".
+	Worker string `json:"worker"`
+}
+
+// The order was carried out; the end follows in a report.
+type StopRunResult struct {
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
 // A job as a caller writes it.
 type SubmitRequest struct {
 	// AcceleratorsPerTask corresponds to the JSON schema field "acceleratorsPerTask".
@@ -1316,6 +1619,30 @@
 	Tasks []TaskInfo `json:"tasks"`
 }
 
+// What lasts of one task.
+type TaskProgress struct {
+	// Agent corresponds to the JSON schema field "agent".
+	Agent string `json:"agent,omitempty,omitzero"`
+
+	// Checkpoint corresponds to the JSON schema field "checkpoint".
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// Failures corresponds to the JSON schema field "failures".
+	Failures int `json:"failures,omitempty,omitzero"`
+
+	// Index corresponds to the JSON schema field "index".
+	Index int `json:"index"`
+
+	// Phase corresponds to the JSON schema field "phase".
+	Phase string `json:"phase,omitempty,omitzero"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run,omitempty,omitzero"`
+
+	// Worker corresponds to the JSON schema field "worker".
+	Worker string `json:"worker,omitempty,omitzero"`
+}
+
 type TaskResult string
 
 const TaskResultAnswered TaskResult = "answered"
@@ -1399,3 +1726,69 @@
 	// Zone corresponds to the JSON schema field "zone".
 	Zone string `json:"zone"`
 }
+
+// Everything that an agent knows of its worker.
+type WorkerReport struct {
+	// Agent corresponds to the JSON schema field "agent".
+	Agent string `json:"agent"`
+
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot"`
+
+	// Ended corresponds to the JSON schema field "ended".
+	Ended []EndedTask `json:"ended,omitempty,omitzero"`
+
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running []RunningTask `json:"running,omitempty,omitzero"`
+
+	// Session corresponds to the JSON schema field "session".
+	Session int `json:"session"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+
+	// Worker corresponds to the JSON schema field "worker".
+	Worker WorkerState `json:"worker"`
+}
+
+// What an agent knows of the worker beside it.
+type WorkerState struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot,omitempty,omitzero"`
+
+	// Cpu corresponds to the JSON schema field "cpu".
+	Cpu int `json:"cpu,omitempty,omitzero"`
+
+	// Draining corresponds to the JSON schema field "draining".
+	Draining bool `json:"draining,omitempty,omitzero"`
+
+	// Gpus corresponds to the JSON schema field "gpus".
+	Gpus int `json:"gpus,omitempty,omitzero"`
+
+	// Labels corresponds to the JSON schema field "labels".
+	Labels []string `json:"labels,omitempty,omitzero"`
+
+	// MemMB corresponds to the JSON schema field "memMB".
+	MemMB int `json:"memMB,omitempty,omitzero"`
+
+	// Present corresponds to the JSON schema field "present".
+	Present bool `json:"present"`
+
+	// Rack corresponds to the JSON schema field "rack".
+	Rack string `json:"rack,omitempty,omitzero"`
+
+	// RemainingMs corresponds to the JSON schema field "remainingMs".
+	RemainingMs int `json:"remainingMs,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service,omitempty,omitzero"`
+
+	// Unhealthy corresponds to the JSON schema field "unhealthy".
+	Unhealthy bool `json:"unhealthy,omitempty,omitzero"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone,omitempty,omitzero"`
+}
