Reload settings on SIGHUP and when the file changes

Change: the site commands watch the signal and the file, check the settings and put the bounds of an entry in force; a file that is not valid changes nothing.

--- a/cli/site.go
+++ b/cli/site.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -59,7 +61,8 @@
 			if err != nil {
 				return usageError{err}
 			}
-			return p.runSiteEntry(ctx, s)
+			load := func() (settings.SiteEntry, error) { return settings.LoadSiteEntry(*path, overrides()) }
+			return p.runSiteEntry(ctx, s, *path, load)
 		})
 }
 
@@ -76,7 +79,8 @@
 			if err != nil {
 				return usageError{err}
 			}
-			return p.runSiteAgent(ctx, s)
+			load := func() (settings.SiteAgent, error) { return settings.LoadSiteAgent(*path, overrides()) }
+			return p.runSiteAgent(ctx, s, *path, load)
 		})
 }
 
@@ -86,16 +90,23 @@
 	debug.SetMemoryLimit(int64(memoryMB) << 20 * memoryShare / 100)
 }
 
-func (p *program) runSiteEntry(ctx context.Context, s settings.SiteEntry) error {
-	limitProcess(s.MemoryMB)
-	d, err := stepentry.New(stepentry.Config{
+// siteEntryConfig translates the settings of an entry on the platform.
+func siteEntryConfig(s settings.SiteEntry) stepentry.Config {
+	return stepentry.Config{
 		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Topic: topicRecords, ConfigTopic: platform.TopicConfiguration,
 		Log: platform.NewStore(s.Store), DecodeConfig: platform.DecodeConfiguration,
 		Timing: stepplan.Timing{
 			Grant: s.Lease * grantShare / 100, KeepStatus: s.KeepStatus, StopTime: s.StopRun, FarFactor: s.FarFactor, Early: s.Early,
 		},
 		KeyGrace: s.KeyGrace * keyShare / 100, StopAfter: s.Stop - 2*killMargin,
-	}, stepentry.WithOutput(p.stdout))
+	}
+}
+
+func (p *program) runSiteEntry(ctx context.Context, s settings.SiteEntry, path string, load func() (settings.SiteEntry, error)) error {
+	limitProcess(s.MemoryMB)
+	// A hangup must not end the process while it starts.
+	signal.Ignore(syscall.SIGHUP)
+	d, err := stepentry.New(siteEntryConfig(s), stepentry.WithOutput(p.stdout))
 	if err != nil {
 		return err
 	}
@@ -108,14 +119,23 @@
 		d.Kill()
 		return err
 	}
-	<-ctx.Done()
+	watchSettings(ctx, path, func(cause string) {
+		next, err := load()
+		if err != nil {
+			d.Reloaded(cause, err)
+			return
+		}
+		d.Reload(siteEntryConfig(next), cause)
+	})
 	err = stop(ctx, s.Stop-killMargin, d.Stop)
 	closeAll(servers)
 	return err
 }
 
-func (p *program) runSiteAgent(ctx context.Context, s settings.SiteAgent) error {
+func (p *program) runSiteAgent(ctx context.Context, s settings.SiteAgent, path string, load func() (settings.SiteAgent, error)) error {
 	limitProcess(s.MemoryMB)
+	// A hangup must not end the process while it starts.
+	signal.Ignore(syscall.SIGHUP)
 	d, err := stepagent.New(stepagent.Config{
 		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Topic: topicRecords,
 		Log: platform.NewStore(s.Store), Worker: platform.NewWorker(s.WorkerAddress),
@@ -131,7 +151,10 @@
 		d.Kill()
 		return err
 	}
-	<-ctx.Done()
+	watchSettings(ctx, path, func(cause string) {
+		_, err := load()
+		d.Reloaded(cause, err)
+	})
 	err = stop(ctx, s.Stop-killMargin, d.Stop)
 	closeAll(servers)
 	return err
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -173,6 +173,17 @@
 	d.log.Add("workerLeft", eventlog.Fields{"worker": id})
 }
 
+// Reloaded records that the settings were read again. An agent's settings are
+// addresses, which are in force from the next start on.
+func (d *Daemon) Reloaded(cause string, err error) {
+	fields := eventlog.Fields{"cause": cause, "outcome": "valid"}
+	if err != nil {
+		fields["outcome"] = err.Error()
+	}
+	d.count("settingsReloaded")
+	d.log.Add("settingsReloaded", fields)
+}
+
 // handle takes the orders of planners.
 func (d *Daemon) handle(r *rpc.Request) {
 	var err error
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -152,7 +152,7 @@
 	// counts from now, which is later than the agent's question.
 	if lease.Grants(d.planner.checkedAt, now) {
 		d.planner.board.Granted(w.Agent, now)
-		reply.LeaseMs = int(d.c.Timing.Grant.Milliseconds())
+		reply.LeaseMs = int(d.planner.timing.Grant.Milliseconds())
 	}
 	r.Reply(reply)
 	d.sendStops()
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -105,7 +105,8 @@
 	d := &Daemon{
 		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), metrics: metrics.NewRegistry(), pool: workpool.New(poolWorkers, poolQueue),
 		records: recordTable{state: stepfold.New(), advanced: make(chan struct{}, 1)},
-		planner: plannerTable{links: map[string]*agentLink{}, due: make(chan struct{}, 1)},
+		config:  configTable{keyGrace: c.KeyGrace},
+		planner: plannerTable{timing: c.Timing, links: map[string]*agentLink{}, due: make(chan struct{}, 1)},
 	}
 	for _, o := range options {
 		o(d)
@@ -132,6 +133,32 @@
 
 func (d *Daemon) count(name string) { metrics.GetOrRegisterCounter(name, d.metrics).Inc(1) }
 
+// Reload puts new bounds in force. Addresses, names and the time for a stop are
+// in force from the next start on.
+func (d *Daemon) Reload(next Config, cause string) {
+	d.config.mu.Lock()
+	d.config.keyGrace = next.KeyGrace
+	d.config.mu.Unlock()
+	d.planner.mu.Lock()
+	d.planner.timing = next.Timing
+	if d.planner.board != nil {
+		d.planner.board.Timing = next.Timing
+	}
+	d.planner.mu.Unlock()
+	d.Reloaded(cause, nil)
+}
+
+// Reloaded records that the settings were read again; they stay as they are
+// after an error.
+func (d *Daemon) Reloaded(cause string, err error) {
+	fields := eventlog.Fields{"cause": cause, "outcome": "valid"}
+	if err != nil {
+		fields["outcome"] = err.Error()
+	}
+	d.count("settingsReloaded")
+	d.log.Add("settingsReloaded", fields)
+}
+
 // handle takes the messages of agents and entries.
 func (d *Daemon) handle(r *rpc.Request) {
 	var err error
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -178,18 +178,19 @@
 	if d.records.state.Planner.Term > self.Term || d.leaving.Load() {
 		return
 	}
-	board := stepplan.New(d.c.Timing)
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	timing := d.planner.timing
+	board := stepplan.New(timing)
 	if d.config.known {
 		board.Configure(d.config.table)
 	} else {
 		board.Configure(access.Table{})
 	}
-	inherited := lease.Inherited(now, d.c.Timing.Grant)
+	inherited := lease.Inherited(now, timing.Grant)
 	for _, e := range d.records.state.Jobs {
 		board.Recover(*e, inherited, now)
 	}
-	d.planner.mu.Lock()
-	defer d.planner.mu.Unlock()
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.planner.board, d.planner.term, d.planner.fence = board, self.Term, fence
 	d.planner.checkedAt, d.planner.cancel = checked, cancel
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -27,13 +27,13 @@
 // Admit decides which queue and organisation a request belongs to.
 func (d *Daemon) Admit(host, path, key string) access.Admission {
 	d.config.mu.Lock()
-	table, known, proven := d.config.table, d.config.known, d.config.provenAt
+	table, known, proven, grace := d.config.table, d.config.known, d.config.provenAt, d.config.keyGrace
 	d.config.mu.Unlock()
 	if !known {
 		return access.Admission{Denial: access.DeniedStale}
 	}
 	age := boottime.Now().Sub(proven)
-	a := access.Decide(table, access.Request{Host: host, Path: path, Key: key, Fresh: age < d.c.KeyGrace})
+	a := access.Decide(table, access.Request{Host: host, Path: path, Key: key, Fresh: age < grace})
 	if a.Denial != "" {
 		d.count("requestDenied." + string(a.Denial))
 		d.log.Add("requestDenied", eventlog.Fields{"path": path, "reason": a.Denial, "version": table.Version, "ageMs": age.Milliseconds()})
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -20,6 +20,8 @@
 	// provenAt is when the newest read began that showed no later version, on
 	// the boot-time clock.
 	provenAt time.Time
+	// keyGrace is the longest time that a key is honoured without such a read.
+	keyGrace time.Duration
 }
 
 // recordTable is the second in the lock order.
@@ -53,6 +55,8 @@
 	mu    sync.Mutex
 	board *stepplan.Board
 	term  int64
+	// timing holds the bounds of the newest settings.
+	timing stepplan.Timing
 	// fence orders the planner's appends.
 	fence recordlog.Fence
 	// checkedAt is when the newest successful append of the term began.
