--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -241,3 +241,20 @@
 	case <-timer.C:
 	}
 }
+
+// Planning is the number of agents in touch while this entry plans, and -1
+// while it does not.
+func (d *Daemon) Planning() int {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.board == nil {
+		return -1
+	}
+	n := 0
+	for _, vm := range d.planner.board.VMs {
+		if vm.Attached && vm.Worker != "" {
+			n++
+		}
+	}
+	return n
+}
