siteproof: wait until the version is in force before its history is dropped

Cause: the test dropped version 3 before any process had read it, so that an entry rightly took version 2; a version that nobody read cannot come back. Change: the test waits for the version. Tests run in parallel.

--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -80,6 +80,7 @@
 // newSite starts entries and agents, and waits until a planner knows all
 // agents.
 func newSite(t *testing.T, entries, agents int) *site {
+	t.Parallel()
 	c := qt.New(t)
 	store, err := standinstore.New("127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -138,7 +138,11 @@
 func TestHistoryDropped(t *testing.T) {
 	s := newSite(t, 1, 2)
 	s.submit(s.entries[0], "normal", id(1), s.jobOf(id(1), "run 1500", 1, 2, false))
-	s.configure(3, key)
+	s.configure(3, key, "second-key")
+	s.eventually("version 3 is in force", func() bool {
+		status, _ := s.request(s.entries[0], http.MethodGet, "/normal/"+id(1), "second-key", nil)
+		return status == http.StatusOK
+	})
 	s.store.Compact("keyed.op")
 	s.store.Compact("keyed." + topic)
 	s.configure(2, "an-older-version")
