--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -98,7 +98,7 @@
 	if !j.scheduled() {
 		b.open(j, 0, now)
 	}
-	b.event(Event{Kind: "jobTakenOver", Job: spec.ID, Reason: fmt.Sprintf("queue=%s org=%s steps=%d", spec.Queue, spec.Org, len(spec.Steps))})
+	b.event(Event{Kind: "jobTakenOver", Job: spec.ID, Reason: fmt.Sprintf("queue=%s priority=%d org=%s steps=%d tasks=%d gpus=%d", spec.Queue, j.Queue.Priority, spec.Org, len(spec.Steps), spec.Steps[0].Count, j.mostGPUs())})
 }
 
 // Cancel cancels a job unless it is over.
