stepplan: keep headroom for urgent units and order the others by their time left

Change: units that are owed come first; less urgent units leave 15 percent of the accelerators free while they have time, and start in the order of their latest start; tasks fill the fullest rack; stopping urgent runs costs more.

--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -41,7 +41,7 @@
 	}
 	j := &Job{
 		Spec: *e.Job, Queue: b.queue(e.Job.Queue), Phase: e.Phase(), Begun: e.Progress.Begun,
-		Occurrences: map[int][]*Step{}, EndedAt: e.Progress.EndedAt,
+		Occurrences: map[int][]*Step{}, EndedAt: e.Progress.EndedAt, TakenAt: now, Began: map[int]time.Time{},
 	}
 	b.Jobs[j.Spec.ID] = j
 	if !j.scheduled() {
@@ -93,7 +93,7 @@
 	if b.Jobs[spec.ID] != nil {
 		return
 	}
-	j := &Job{Spec: spec, Queue: b.queue(spec.Queue), Phase: stepfold.PhaseQueued, Occurrences: map[int][]*Step{}}
+	j := &Job{Spec: spec, Queue: b.queue(spec.Queue), Phase: stepfold.PhaseQueued, Occurrences: map[int][]*Step{}, TakenAt: now, Began: map[int]time.Time{}}
 	b.Jobs[spec.ID] = j
 	if !j.scheduled() {
 		b.open(j, 0, now)
@@ -122,6 +122,7 @@
 		all[i] = s
 	}
 	j.Occurrences[occurrence] = all
+	j.Began[occurrence] = now
 	j.NextOccurrence = max(j.NextOccurrence, occurrence+1)
 }
 
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -10,14 +10,6 @@
 	"celerypoint.example/celerypoint/steps"
 )
 
-// unit is what is placed together: a gang, or one task.
-type unit struct {
-	job   *Job
-	step  *Step
-	tasks []*Task
-	since time.Time
-}
-
 // reportFresh bounds the age of a report on which a start is based; agents
 // report several times as often.
 const reportFresh = 1500 * time.Millisecond
@@ -34,6 +26,9 @@
 	// guaranteed holds the organisations whose jobs of priority 0 need no more
 	// than their guarantee.
 	guaranteed map[string]bool
+	// headroom is the number of accelerators that less urgent units leave
+	// free while they have time.
+	headroom int
 }
 
 // Plan starts what fits, and stops what has to make room.
@@ -48,7 +43,8 @@
 		}
 	}
 	slices.SortFunc(p.usable, func(x, y *VM) int { return cmp.Compare(x.Agent, y.Agent) })
-	for _, u := range b.waiting(now) {
+	p.headroom = b.headroom(p.usable)
+	for _, u := range p.waiting() {
 		p.place(u)
 	}
 }
@@ -86,68 +82,11 @@
 	return most
 }
 
-// waiting lists what may start now, the most urgent first.
-func (b *Board) waiting(now time.Time) []unit {
-	var all []unit
-	for _, j := range b.Jobs {
-		if j.Phase.Over() {
-			continue
-		}
-		for _, occurrence := range j.Occurrences {
-			for _, s := range occurrence {
-				if s.Done < len(s.Tasks) && ready(occurrence, s) {
-					all = append(all, s.units(j, now)...)
-				}
-			}
-		}
-	}
-	slices.SortFunc(all, func(x, y unit) int {
-		return cmp.Or(
-			cmp.Compare(x.job.Queue.Priority, y.job.Queue.Priority),
-			x.job.Spec.AcceptedAt.Compare(y.job.Spec.AcceptedAt),
-			compareIDs(x.tasks[0].ID, y.tasks[0].ID),
-		)
-	})
-	return all
-}
-
-func ready(occurrence []*Step, s *Step) bool {
-	for _, a := range s.Spec.After {
-		if occurrence[a].Done < len(occurrence[a].Tasks) {
-			return false
-		}
-	}
-	return true
-}
-
-// units lists what of the step waits.
-func (s *Step) units(j *Job, now time.Time) []unit {
-	var all []unit
-	if s.Spec.Gang {
-		if s.Open > 0 {
-			return nil
-		}
-		u := unit{job: j, step: s, tasks: s.Tasks}
-		for _, t := range s.Tasks {
-			if now.Before(t.NotBefore) {
-				return nil
-			}
-			if t.WaitSince.After(u.since) {
-				u.since = t.WaitSince
-			}
-		}
-		return []unit{u}
-	}
-	for _, t := range s.Tasks {
-		if !t.Done && !t.Open && !now.Before(t.NotBefore) {
-			all = append(all, unit{job: j, step: s, tasks: []*Task{t}, since: t.WaitSince})
-		}
-	}
-	return all
-}
-
 // place starts the unit if it fits, or makes room for it if it may.
 func (p *pass) place(u unit) {
+	if p.defers(u) {
+		return
+	}
 	for _, set := range p.candidates(u) {
 		if chosen := p.fit(u, set); chosen != nil {
 			p.start(u, chosen)
@@ -159,6 +98,39 @@
 	}
 }
 
+// Headroom for urgent units, which cannot wait until others have been stopped.
+const (
+	// headroomPercent is the part of all accelerators that is kept free.
+	headroomPercent = 15
+	// headroomSlack is the part of a unit's time, in percent of its estimate,
+	// from which on it no longer waits for others.
+	headroomSlack = 40
+)
+
+func (b *Board) headroom(usable []*VM) int {
+	total := 0
+	for _, vm := range usable {
+		total += vm.Capacity.GPUs
+	}
+	return total * headroomPercent / 100
+}
+
+// defers reports whether the unit leaves what is free to urgent ones, because
+// it has time.
+func (p *pass) defers(u unit) bool {
+	if u.job.Queue.Priority == 0 || u.late {
+		return false
+	}
+	if u.latest.Sub(p.now) < u.step.Spec.Estimate*headroomSlack/100 {
+		return false
+	}
+	free := 0
+	for _, vm := range p.usable {
+		free += max(0, p.free[vm].GPUs)
+	}
+	return free-len(u.tasks)*u.step.Spec.Needs.GPUs < p.headroom
+}
+
 // candidates lists the sets of VMs to try in turn: those that are near first,
 // all of them once the unit has waited for about what the distance costs.
 func (p *pass) candidates(u unit) [][]*VM {
@@ -257,9 +229,16 @@
 }
 
 // fit chooses a VM for each task, or nil. The fullest VM that still holds the
-// task is taken, so that empty VMs are left for large tasks.
+// task is taken, of the fullest rack among equals, so that empty VMs and racks
+// are left for large gangs.
 func (p *pass) fit(u unit, vms []*VM) []*VM {
 	need := counted(u.step.Spec)
+	vms = slices.Clone(vms)
+	rackFree := map[string]int{}
+	for _, vm := range p.usable {
+		rackFree[vm.Rack] += p.free[vm].GPUs
+	}
+	slices.SortStableFunc(vms, func(x, y *VM) int { return cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]) })
 	left := map[*VM]steps.Resources{}
 	placed := map[*VM]int{}
 	for _, vm := range vms {
--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -178,8 +178,16 @@
 		// A checkpoint is made at a stop; little is lost.
 		since = p.now.Add(-min(p.now.Sub(since), checkpointLoss))
 	}
-	return float64(len(p.together(t))) * cores(t.needs) * p.now.Sub(since).Seconds()
+	cost := float64(len(p.together(t))) * cores(t.needs) * p.now.Sub(since).Seconds()
+	if p.b.Jobs[t.ID.Job].Queue.Priority == 0 {
+		cost *= urgentWaste
+	}
+	return cost
 }
 
+// urgentWaste weighs the work of urgent runs, whose jobs become late when they
+// start again.
+const urgentWaste = 8
+
 // checkpointLoss is the time that a stop and a resumption cost.
 const checkpointLoss = 500 * time.Millisecond
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -77,6 +77,10 @@
 	Begun bool
 	// Occurrences holds the steps of those that have begun and not ended.
 	Occurrences map[int][]*Step
+	// TakenAt is when the board took the job over; Began is when each
+	// occurrence of a scheduled job began.
+	TakenAt time.Time
+	Began   map[int]time.Time
 	// NextOccurrence is the first that has not begun.
 	NextOccurrence int
 	EndedAt        time.Time
