stepplan: wait for a near rack within the bound for reclaiming, and rescue runs

Change: an owed unit waits for a near rack as long as the bound for reclaiming allows, others by what the distance costs; runs that stall, or that their worker will not live to finish, are stopped; an agent marks what it knows as old when the worker does not answer.

--- a/settings/site.go
+++ b/settings/site.go
@@ -18,6 +18,8 @@
 	Lease time.Duration
 	// StopRun is the longest that a worker takes to stop a run.
 	StopRun time.Duration
+	// Reclaim is the longest time in which a guarantee has to be reclaimed.
+	Reclaim time.Duration
 	// KeyGrace is how long a key may be honoured after it was taken away.
 	KeyGrace time.Duration
 	// FarFactor is how much slower a task is away from its rack.
@@ -93,6 +95,8 @@
 		span(func(e *SiteEntry) *time.Duration { return &e.Lease })},
 	{Key{Section: "entry", Name: "stopRunMs", Allowed: spanAllowed, Help: "longest time in which a worker stops a run"},
 		span(func(e *SiteEntry) *time.Duration { return &e.StopRun })},
+	{Key{Section: "entry", Name: "reclaimMs", Allowed: spanAllowed, Help: "longest time in which a guarantee is reclaimed"},
+		span(func(e *SiteEntry) *time.Duration { return &e.Reclaim })},
 	{Key{Section: "entry", Name: "keyGraceMs", Allowed: spanAllowed, Help: "how long a key may be honoured after it was taken away"},
 		span(func(e *SiteEntry) *time.Duration { return &e.KeyGrace })},
 	{Key{Section: "entry", Name: "earlyMs", Allowed: spanAllowed, Help: "how long before its time an occurrence may begin at most"},
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -51,6 +51,7 @@
 			return
 		}
 		d.count("workerCallFailed")
+		d.doubt()
 		failures++
 		if !errors.Is(err, errNoListener) {
 			failures = 0
@@ -62,6 +63,16 @@
 	}
 }
 
+// doubt marks what is known of the worker as old.
+func (d *Daemon) doubt() {
+	d.table.mu.Lock()
+	defer d.table.mu.Unlock()
+	if !d.table.unhealthy {
+		d.table.unhealthy = true
+		d.table.touch()
+	}
+}
+
 func (d *Daemon) workerDown(cause error) {
 	t := d.table
 	t.mu.Lock()
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -160,15 +160,15 @@
 
 // patience is how long a unit waits for VMs that are near.
 func (p *pass) patience(u unit) time.Duration {
-	if u.job.Queue.Priority == 0 {
-		return urgentPatience
+	if u.owed {
+		return p.b.Timing.Reclaim - p.b.Timing.StopTime - reclaimMargin
 	}
 	return time.Duration(float64(u.step.Spec.Estimate) * (p.b.Timing.FarFactor - 1) / 2)
 }
 
-// urgentPatience leaves an urgent unit time to start within the bound for
-// reclaiming, which is 2.7 s at least, after others were stopped.
-const urgentPatience = 800 * time.Millisecond
+// reclaimMargin is left of the bound for reclaiming for the orders to stop and
+// to start.
+const reclaimMargin = 600 * time.Millisecond
 
 func (p *pass) allows(u unit, vm *VM) bool {
 	spec := u.step.Spec
--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -32,9 +32,6 @@
 			best = e
 		}
 	}
-	if best == nil {
-		best = p.evict(u, p.allowed(u))
-	}
 	if best == nil || !p.guaranteed[u.job.Spec.Org] && best.cost > p.work(u) {
 		return
 	}
@@ -46,10 +43,6 @@
 	}
 }
 
-func (p *pass) allowed(u unit) []*VM {
-	return slices.DeleteFunc(slices.Clone(p.usable), func(vm *VM) bool { return !p.allows(u, vm) })
-}
-
 // work is about what the unit does, in core-seconds.
 func (p *pass) work(u unit) float64 {
 	return float64(len(u.tasks)) * cores(counted(u.step.Spec)) * u.step.Spec.Estimate.Seconds()
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -207,6 +207,7 @@
 		b.ended(vm, e, now)
 	}
 	b.listed(vm, r, now)
+	b.rescue(vm, now)
 }
 
 // openOn lists the open runs of a VM, which closing changes.
@@ -251,6 +252,10 @@
 	if run.Unsettled {
 		return
 	}
+	if !t.Running || b.VMs[t.Agent].UnhealthyUntil.After(now) {
+		// What an unhealthy worker lists may be old.
+		t.ProgressAt = now
+	}
 	t.Running = true
 	if run.Progress > t.Progress {
 		t.Progress, t.ProgressAt = run.Progress, now
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -211,6 +211,9 @@
 	KeepStatus time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
+	// Reclaim is the longest time in which what is owed to an organisation has
+	// to start.
+	Reclaim time.Duration
 	// FarFactor is how much slower a task is away from its rack.
 	FarFactor float64
 	// Early is how long before its time an occurrence may begin at most.
