standinworker: report the progress of runs as the platform's workers do

Cause: the stand-in reported 50 percent for ever, which the planner rightly took for a stalled run; TestStoreDown and TestStartsInDoubt failed. Change: progress follows the run's work; two tests of stalled and failing workers.

--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -292,3 +292,31 @@
 	s.awaitState(s.entries[0], "batch", id(1), "completed")
 	s.checkRuns()
 }
+
+// Guards against a task that stays on a worker on which nothing makes
+// progress.
+func TestStalledRunMoves(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.agents[0].worker.Set(standinworker.Faults{Hang: true})
+	s.agents[1].worker.Set(standinworker.Faults{Hang: true})
+	s.submit(s.entries[0], "normal", id(1), s.jobOf(id(1), "run 300", 1, 1, false))
+	s.eventually("the task runs", func() bool { return len(s.starts(id(1))) == 1 })
+	for _, a := range s.agents {
+		if len(a.worker.History()) == 0 {
+			a.worker.Set(standinworker.Faults{})
+		}
+	}
+	s.awaitState(s.entries[0], "normal", id(1), "completed")
+	s.c.Check(s.starts(id(1)), qt.HasLen, 2)
+	s.checkRuns()
+}
+
+// Guards against a worker that fails everything using up the attempts of a job
+// that other workers can do.
+func TestFailingWorker(t *testing.T) {
+	s := newSite(t, 1, 3)
+	s.agents[0].worker.Set(standinworker.Faults{FailAll: true})
+	s.submit(s.entries[0], "normal", id(1), s.jobOf(id(1), "run 100", 2, 12, false))
+	s.awaitState(s.entries[0], "normal", id(1), "completed")
+	s.checkRuns()
+}
--- a/standinworker/standinworker.go
+++ b/standinworker/standinworker.go
@@ -64,6 +64,8 @@
 type running struct {
 	begun *Begun
 	work  *time.Timer
+	// length is how long the run works.
+	length time.Duration
 }
 
 type ended struct {
@@ -292,7 +294,7 @@
 	}
 	b := &Begun{Task: o.Task, Run: o.Run, Checkpoint: o.Checkpoint, At: time.Now()}
 	w.history = append(w.history, b)
-	w.running[o.Task] = &running{begun: b, work: time.AfterFunc(work(o.Spec), func() { w.finish(o.Task, o.Run, outcome(o.Spec)) })}
+	w.running[o.Task] = &running{begun: b, length: work(o.Spec), work: time.AfterFunc(work(o.Spec), func() { w.finish(o.Task, o.Run, outcome(o.Spec)) })}
 	w.checkCapacity()
 	w.signal()
 	return http.StatusOK, ""
@@ -421,7 +423,7 @@
 	for task, r := range w.running {
 		progress := 0
 		if !w.faults.Hang {
-			progress = 50
+			progress = min(99, int(100*time.Since(r.begun.At)/r.length))
 		}
 		runs = append(runs, []any{task, r.begun.Run, "", progress})
 	}
