--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,39 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// Guards against a planner that counts a VM's tasks as ended while a grant can
+// still keep them alive on the slowest clock, however late the grant arrives.
+func TestUntilBoundsEveryWorker(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		grant := time.Duration(rapid.Int64Range(1, 6000).Draw(rt, "grantMs")) * time.Millisecond
+		// The agent read the worker's clock readAgo before the planner received
+		// its question; the clock runs at a rate of 0.98 to 1.02.
+		readAgo := time.Duration(rapid.Int64Range(0, 5000).Draw(rt, "readAgoMs")) * time.Millisecond
+		rate := rapid.Float64Range(0.98, 1.02).Draw(rt, "rate")
+		received := time.Unix(1000, 0)
+		// The deadline is the clock at the reading and the grant; the worker
+		// reaches it after grant/rate from the reading on.
+		ends := received.Add(-readAgo).Add(time.Duration(float64(grant) / rate))
+		if ends.After(Until(received, grant)) {
+			rt.Fatalf("a run ends at %s, the bound is %s", ends.Sub(received), Until(received, grant).Sub(received))
+		}
+	})
+}
+
+// Guards against a successor that counts from its claim but forgets how long
+// the earlier planner may still grant.
+func TestInheritedCoversTheLastGrant(t *testing.T) {
+	c := qt.New(t)
+	claimed := time.Unix(1000, 0)
+	lastGrant := claimed.Add(Authority - time.Nanosecond)
+	c.Assert(Grants(claimed, lastGrant), qt.IsTrue)
+	c.Assert(Grants(claimed, claimed.Add(Authority)), qt.IsFalse)
+	c.Assert(Inherited(claimed, 5*time.Second).Before(Until(lastGrant, 5*time.Second)), qt.IsFalse)
+}
--- /dev/null
+++ b/settings/site_test.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const siteEntry = `[node]
+name = edge-a-1
+zone = a
+ip = 10.1.0.19
+ports = 7000,7015
+store = 10.200.1.7:8524
+stopSeconds = 6
+memoryMB = 284
+
+[entry]
+clientAddress = 10.1.0.19:8521
+readinessAddress = 10.1.0.19:8523
+keepStatusSeconds = 120
+leaseMs = 6000
+stopRunMs = 900
+reclaimMs = 3400
+keyGraceMs = 5000
+earlyMs = 250
+farFactor = 3
+`
+
+// Guards against settings that are wrong and start a process all the same, and
+// against an error that does not name the place.
+func TestLoadSiteEntry(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "entry.ini")
+	load := func(text string) (SiteEntry, error) {
+		c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+		return LoadSiteEntry(path, nil)
+	}
+	s, err := load(siteEntry)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Address(), qt.Equals, "10.1.0.19:7000")
+	c.Assert(s.MetricsAddress(), qt.Equals, "10.1.0.19:7001")
+	c.Assert(s.Stop, qt.Equals, 6*time.Second)
+	for _, test := range []struct{ from, to, want string }{
+		{"ports = 7000,7015", "ports = 7000", `.*: \[node\] ports: found "7000", allowed: FIRST,LAST with at least two ports`},
+		{"ip = 10.1.0.19", "ip = 0.0.0.0", `.*: \[node\] ip: found "0.0.0.0", allowed: an IP address of this VM`},
+		{"leaseMs = 6000\n", "", `.*: \[entry\] leaseMs: found none, allowed: .*`},
+		{"farFactor = 3", "farFactor = 0.5", `.*: \[entry\] farFactor: found "0.5", allowed: 1 to 1000`},
+		{"farFactor = 3", "farFactor = 3\nother = 1", `.*: \[entry\] other: found an unknown key, allowed: .*`},
+	} {
+		_, err := load(strings.Replace(siteEntry, test.from, test.to, 1))
+		c.Check(err, qt.ErrorMatches, test.want)
+	}
+}
--- /dev/null
+++ b/stepfold/stepfold_test.go
@@ -0,0 +1,78 @@
+package stepfold
+
+import (
+	"maps"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"celerypoint.example/celerypoint/steps"
+)
+
+func accepted(id string) Accepted { return Accepted{Job: steps.Job{ID: id}} }
+
+// Guards against a retried or delayed acceptance that takes progress or a
+// cancellation back.
+func TestRepeatedAcceptance(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	s.Apply(0, accepted("a"))
+	c.Assert(s.Jobs["a"].Phase(), qt.Equals, PhaseQueued)
+	s.Apply(1, Advanced{ID: "a", Progress: Progress{Phase: PhaseRunning, Begun: true}})
+	s.Apply(2, accepted("a"))
+	c.Assert(s.Jobs["a"].Phase(), qt.Equals, PhaseRunning)
+	s.Apply(3, Cancelled{ID: "a"})
+	s.Apply(4, accepted("a"))
+	c.Assert(s.Jobs["a"].Phase(), qt.Equals, PhaseCancelled)
+}
+
+// Guards against a job that is over changing its phase by a late cancellation.
+func TestCancelAfterEnd(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	s.Apply(0, accepted("a"))
+	s.Apply(1, Advanced{ID: "a", Progress: Progress{Phase: PhaseCompleted}})
+	s.Apply(2, Cancelled{ID: "a"})
+	c.Assert(s.Jobs["a"].Phase(), qt.Equals, PhaseCompleted)
+	for _, key := range JobKeys("a") {
+		s.Apply(3, Dropped{Key: key})
+	}
+	c.Assert(s.Jobs, qt.HasLen, 0)
+}
+
+// Guards against a recovery whose pages are no snapshot: whatever the order in
+// which the records of different keys are folded, the newest of each counts.
+func TestOrderOfKeysDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type stored struct {
+			offset int64
+			record Record
+		}
+		var log []stored
+		n := rapid.IntRange(1, 20).Draw(rt, "records")
+		for i := range n {
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "job")
+			record := rapid.SampledFrom([]Record{
+				accepted(id), Cancelled{ID: id}, Advanced{ID: id, Progress: Progress{Phase: PhaseRunning}},
+				Advanced{ID: id, Progress: Progress{Phase: PhaseCompleted}}, PlannerSeen{Planner{Term: int64(i)}}, AgentSeen{Name: id, Agent: Agent{Address: id}},
+			}).Draw(rt, "record")
+			log = append(log, stored{int64(i), record})
+		}
+		inOrder, shuffled := New(), New()
+		for _, s := range log {
+			inOrder.Apply(s.offset, s.record)
+		}
+		for _, s := range rapid.Permutation(log).Draw(rt, "order") {
+			shuffled.Apply(s.offset, s.record)
+		}
+		if shuffled.Planner != inOrder.Planner || !maps.Equal(shuffled.Agents, inOrder.Agents) {
+			rt.Fatalf("found %+v and %+v, want %+v and %+v", shuffled.Planner, shuffled.Agents, inOrder.Planner, inOrder.Agents)
+		}
+		for id, e := range inOrder.Jobs {
+			if shuffled.Jobs[id].Phase() != e.Phase() {
+				rt.Fatalf("job %s: found %s, want %s", id, shuffled.Jobs[id].Phase(), e.Phase())
+			}
+		}
+	})
+}
