stepplan: place the last attempt of a job with care; beats every 0.5 s

Change: a unit's last attempt avoids VMs on which anything failed lately, if the others can hold it; a planner counts as gone after 1.8 s without a beat.

--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -24,10 +24,11 @@
 	// electEvery is how often an entry looks at the planner's beats.
 	electEvery = 150 * time.Millisecond
 	// beatEvery is how often the planner writes a beat.
-	beatEvery = 800 * time.Millisecond
-	// beatLost is how long no beat is folded before another entry takes over;
-	// it allows for two lost beats of a slow store.
-	beatLost = 2500 * time.Millisecond
+	beatEvery = 500 * time.Millisecond
+	// beatLost is how long no beat is folded before another entry takes over.
+	// A slow store takes up to half a second for an append, so that beats are
+	// up to 1 s apart while the planner lives.
+	beatLost = 1800 * time.Millisecond
 	// pingEvery is how often the planner's process is asked whether it lives.
 	pingEvery = 500 * time.Millisecond
 	// pingTimeout bounds a ping; entries are a few milliseconds apart.
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -134,12 +134,7 @@
 // candidates lists the sets of VMs to try in turn: those that are near first,
 // all of them once the unit has waited for about what the distance costs.
 func (p *pass) candidates(u unit) [][]*VM {
-	var allowed []*VM
-	for _, vm := range p.usable {
-		if p.allows(u, vm) {
-			allowed = append(allowed, vm)
-		}
-	}
+	allowed := p.careful(u)
 	var sets [][]*VM
 	spec := u.step.Spec
 	switch {
@@ -170,17 +165,39 @@
 // to start.
 const reclaimMargin = 600 * time.Millisecond
 
+// allows reports whether the unit's tasks may run on the VM.
 func (p *pass) allows(u unit, vm *VM) bool {
 	spec := u.step.Spec
-	if u.job.Queue.Service != "" && vm.Service != u.job.Queue.Service || spec.Label != "" && !slices.Contains(vm.Labels, spec.Label) {
-		return false
-	}
-	return len(u.tasks) > 1 || len(p.usable) < 2 || !u.tasks[0].avoids(vm.Agent, len(p.usable))
+	return (u.job.Queue.Service == "" || vm.Service == u.job.Queue.Service) && (spec.Label == "" || slices.Contains(vm.Labels, spec.Label))
 }
 
-// avoids reports whether the task failed on the VM and others are left.
-func (t *Task) avoids(agent string, vms int) bool {
-	return len(t.FailedOn) < vms && slices.Contains(t.FailedOn, agent)
+// careful lists the allowed VMs. A task that failed avoids the VMs where it did;
+// the last attempt of a unit avoids all VMs on which anything failed lately.
+// Nothing is avoided unless the other VMs could hold the unit.
+func (p *pass) careful(u unit) []*VM {
+	failures := 0
+	for _, t := range u.tasks {
+		failures = max(failures, t.Failures)
+	}
+	last := failures > 0 && failures >= u.job.Queue.MaxAttempts-1
+	var allowed, careful []*VM
+	room := 0
+	for _, vm := range p.usable {
+		if !p.allows(u, vm) {
+			continue
+		}
+		allowed = append(allowed, vm)
+		failed := len(u.tasks) == 1 && slices.Contains(u.tasks[0].FailedOn, vm.Agent)
+		if failed || last && len(p.b.Faults.VMs[vm.Agent].Failed) > 0 {
+			continue
+		}
+		careful = append(careful, vm)
+		room += tasksThatFit(vm.Capacity, counted(u.step.Spec), u.step.Spec.PerVM, len(u.tasks))
+	}
+	if room < len(u.tasks) {
+		return allowed
+	}
+	return careful
 }
 
 func (p *pass) racks(vms []*VM) []string {
