--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -140,6 +140,12 @@
 	switch {
 	case spec.Rack != "" && (!spec.SameRack || p.rackHolds(u, spec.Rack)):
 		sets = append(sets, inRack(allowed, spec.Rack))
+	case spec.SameRack && !spec.Gang:
+		home := inRack(allowed, p.home(u, allowed))
+		if !u.owed || p.now.Sub(u.since) < p.patience(u) {
+			return [][]*VM{home}
+		}
+		sets = append(sets, home)
 	case spec.SameRack:
 		for _, rack := range p.racks(allowed) {
 			if p.rackHolds(u, rack) {
@@ -153,6 +159,32 @@
 	return sets
 }
 
+// home is the rack of a step whose tasks start one by one and are all slower
+// once they run on more than one: that of its open runs, or else the one where
+// the most of its tasks fit now, and the fullest among equals.
+func (p *pass) home(u unit, vms []*VM) string {
+	waiting := 0
+	for _, t := range u.step.Tasks {
+		switch {
+		case t.Open:
+			return p.b.VMs[t.Agent].Rack
+		case !t.Done:
+			waiting++
+		}
+	}
+	best, most := "", -1
+	for _, rack := range p.racks(vms) {
+		room := 0
+		for _, vm := range inRack(vms, rack) {
+			room += tasksThatFit(p.free[vm], counted(u.step.Spec), u.step.Spec.PerVM, waiting)
+		}
+		if room = min(room, waiting); room > most {
+			best, most = rack, room
+		}
+	}
+	return best
+}
+
 // patience is how long a unit waits for VMs that are near.
 func (p *pass) patience(u unit) time.Duration {
 	if u.owed {
