--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -84,7 +84,7 @@
 
 // place starts the unit if it fits, or makes room for it if it may.
 func (p *pass) place(u unit) {
-	if p.defers(u) {
+	if p.defers(u) || p.crowds(u) {
 		return
 	}
 	for _, set := range p.candidates(u) {
@@ -115,6 +115,28 @@
 	return total * headroomPercent / 100
 }
 
+// crowdPercent is the part of all accelerators that one job holds at most with
+// tasks that start one by one and are not owed to its organisation.
+const crowdPercent = 50
+
+// crowds reports whether the unit would give its job more than its part, so
+// that one wide job of long tasks does not hold up all others.
+func (p *pass) crowds(u unit) bool {
+	if u.owed || u.step.Spec.Gang {
+		return false
+	}
+	held, total := len(u.tasks)*u.step.Spec.Needs.GPUs, 0
+	for _, vm := range p.usable {
+		total += vm.Capacity.GPUs
+		for _, t := range vm.Open {
+			if t.ID.Job == u.job.Spec.ID {
+				held += t.needs.GPUs
+			}
+		}
+	}
+	return held > u.step.Spec.Needs.GPUs && held > total*crowdPercent/100
+}
+
 // defers reports whether the unit leaves what is free to urgent ones, because
 // it has time.
 func (p *pass) defers(u unit) bool {
