--- a/cli/cli.go
+++ b/cli/cli.go
@@ -87,7 +87,7 @@
 
 func (p *program) root() *ffcli.Command {
 	return p.group("celerypoint", "celerypoint schedules multi-accelerator jobs under organisation guarantees.",
-		p.entryCommand(), p.agentCommand(), p.siteCommand(), p.checkCommand(),
+		p.entryCommand(), p.agentCommand(), p.siteCommand(), p.traceCommand(), p.checkCommand(),
 		p.submitCommand(), p.statusCommand(), p.cancelCommand(),
 		p.orgCommand(), p.labelCommand(), p.configCommand(), p.drainCommand(), p.timelineCommand(),
 		p.explainCommand(), p.demoCommand(), p.loadCommand(),
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -277,39 +277,24 @@
 func (d *Daemon) handle(r *rpc.Request) {
 	switch r.Method {
 	case entry.MethodAnnounce:
-		d.submit(func() { serve(r, d.announced) })
+		d.submit(func() { rpc.Serve(r, d.announced) })
 	case entry.MethodTaskEnded:
-		d.submit(func() { serve(r, d.taskEnded) })
+		d.submit(func() { rpc.Serve(r, d.taskEnded) })
 	case entry.MethodPeerHello:
-		d.submit(func() { serve(r, d.peerHello) })
+		d.submit(func() { rpc.Serve(r, d.peerHello) })
 	case entry.MethodPeerConfig:
-		d.submit(func() { serve(r, d.peerConfig) })
+		d.submit(func() { rpc.Serve(r, d.peerConfig) })
 	case entry.MethodPeerJob:
 		d.submit(func() { d.peerJob(r) })
 	case entry.MethodPeerAdopt:
-		d.submit(func() { serve(r, d.peerAdopt) })
+		d.submit(func() { rpc.Serve(r, d.peerAdopt) })
 	case entry.MethodPeerEvents:
-		d.submit(func() { serve(r, d.peerEvents) })
+		d.submit(func() { rpc.Serve(r, d.peerEvents) })
 	default:
 		r.Fail(fmt.Errorf("unknown method %q", r.Method))
 	}
 }
 
-// serve decodes the parameters, calls f, and replies.
-func serve[P, R any](r *rpc.Request, f func(*rpc.Conn, P) (R, error)) {
-	var params P
-	if err := r.Decode(&params); err != nil {
-		r.Fail(err)
-		return
-	}
-	result, err := f(r.Conn, params)
-	if err != nil {
-		r.Fail(err)
-		return
-	}
-	r.Reply(result)
-}
-
 // send sends an order and runs done on the pool with the decoded result.
 func send[R any](d *Daemon, conn *rpc.Conn, method string, params any, deadline time.Time, done func(R, error)) {
 	conn.Send(method, params, deadline, func(raw []byte, err error) {
--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/pause"
 )
 
 // Shape of the reads of Follow.
@@ -54,7 +55,7 @@
 			f.Lost(err)
 		}
 		if err != nil {
-			sleep(ctx, retryPause/2+rand.N(retryPause/2))
+			pause.For(ctx, retryPause/2+rand.N(retryPause/2))
 		}
 	}
 }
@@ -116,12 +117,3 @@
 	t.f.Fresh(begun)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -361,3 +361,18 @@
 	defer cancel()
 	_ = e.nb.Shutdown(ctx)
 }
+
+// Serve decodes the parameters of a call, runs f, and replies.
+func Serve[P, R any](r *Request, f func(*Conn, P) (R, error)) {
+	var params P
+	if err := r.Decode(&params); err != nil {
+		r.Fail(err)
+		return
+	}
+	result, err := f(r.Conn, params)
+	if err != nil {
+		r.Fail(err)
+		return
+	}
+	r.Reply(result)
+}
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/wire"
 	"celerypoint.example/celerypoint/worker"
 )
@@ -39,7 +40,7 @@
 		known := d.table.known
 		d.table.mu.Unlock()
 		if !known {
-			sleep(ctx, failedPause)
+			pause.For(ctx, failedPause)
 			continue
 		}
 		err := d.hold(ctx, holdWait)
@@ -59,7 +60,7 @@
 		if failures == refusedConnections {
 			d.workerDown(err)
 		}
-		sleep(ctx, failedPause)
+		pause.For(ctx, failedPause)
 	}
 }
 
@@ -133,6 +134,8 @@
 // certain, or as unsettled once the time for it has passed.
 func (d *Daemon) startRun(ctx context.Context, p wire.StartRunParams) wire.StartRunResult {
 	key := worker.Run{Task: p.Task, Number: p.Run}
+	begun := time.Now()
+	defer func() { d.observe("startMs", time.Since(begun)) }()
 	if refused, done := d.openRun(p, key); done {
 		return refused
 	}
@@ -244,7 +247,7 @@
 	t := d.table
 	for ctx.Err() == nil {
 		if err := d.hold(ctx, 0); err != nil {
-			sleep(ctx, failedPause/2)
+			pause.For(ctx, failedPause/2)
 			continue
 		}
 		t.mu.Lock()
@@ -318,17 +321,8 @@
 		case errors.Is(err, worker.ErrOtherBoot):
 			return errOtherLife
 		case err != nil:
-			sleep(bounded, failedPause/2)
+			pause.For(bounded, failedPause/2)
 		}
 	}
 	return bounded.Err()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -29,6 +29,7 @@
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/stepfold"
@@ -136,6 +137,14 @@
 
 func (d *Daemon) count(name string) { metrics.GetOrRegisterCounter(name, d.metrics).Inc(1) }
 
+// sampleSize is the number of latencies that a histogram keeps.
+const sampleSize = 256
+
+// observe adds a latency, in milliseconds, to a histogram.
+func (d *Daemon) observe(name string, latency time.Duration) {
+	metrics.GetOrRegisterHistogram(name, d.metrics, metrics.NewUniformSample(sampleSize)).Update(latency.Milliseconds())
+}
+
 // registerPause is the wait after a failed try to register.
 const registerPause = 500 * time.Millisecond
 
@@ -151,7 +160,7 @@
 			d.log.Add("agentRegistered", eventlog.Fields{"address": d.rpc.Address()})
 			return
 		}
-		sleep(ctx, registerPause)
+		pause.For(ctx, registerPause)
 	}
 }
 
@@ -189,16 +198,16 @@
 	var err error
 	switch r.Method {
 	case agent.MethodAttach:
-		err = d.pool.Submit(func() { serve(r, d.attach) })
+		err = d.pool.Submit(func() { rpc.Serve(r, d.attach) })
 	case agent.MethodStartRun:
 		err = d.pool.Submit(func() {
-			serve(r, func(_ *rpc.Conn, p wire.StartRunParams) (wire.StartRunResult, error) {
+			rpc.Serve(r, func(_ *rpc.Conn, p wire.StartRunParams) (wire.StartRunResult, error) {
 				return d.startRun(d.ctx, p), nil
 			})
 		})
 	case agent.MethodStopRun:
 		err = d.pool.Submit(func() {
-			serve(r, func(_ *rpc.Conn, p wire.StopRunParams) (wire.StopRunResult, error) {
+			rpc.Serve(r, func(_ *rpc.Conn, p wire.StopRunParams) (wire.StopRunResult, error) {
 				return wire.StopRunResult{}, d.stopRun(d.ctx, p)
 			})
 		})
@@ -210,20 +219,6 @@
 	}
 }
 
-func serve[P, R any](r *rpc.Request, f func(*rpc.Conn, P) (R, error)) {
-	var params P
-	if err := r.Decode(&params); err != nil {
-		r.Fail(err)
-		return
-	}
-	result, err := f(r.Conn, params)
-	if err != nil {
-		r.Fail(err)
-		return
-	}
-	r.Reply(result)
-}
-
 // attach makes the agent follow a planner unless it follows a later one.
 func (d *Daemon) attach(conn *rpc.Conn, p wire.AttachParams) (wire.AttachResult, error) {
 	s := &d.session
@@ -340,7 +335,7 @@
 	d.report(bounded)
 	err := d.hold(bounded, 0)
 	d.Kill()
-	if err != nil && !errors.Is(err, errRefused) {
+	if err != nil && !errors.Is(err, errRefused) && !errors.Is(err, errNoListener) {
 		return fmt.Errorf("agent %s: extend the lease: %w", d.c.Name, err)
 	}
 	return nil
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -8,6 +8,7 @@
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/lease"
+	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
@@ -59,7 +60,7 @@
 			}
 		}
 		d.planner.mu.Unlock()
-		sleep(ctx, attachEvery)
+		pause.For(ctx, attachEvery)
 	}
 }
 
@@ -228,12 +229,14 @@
 		return
 	}
 	conn := l.conn
+	sent := time.Now()
 	d.count("startSent")
 	params := wire.StartRunParams{
 		Term: int(d.planner.term), Session: o.Session, Worker: o.Worker, Task: o.Task.String(), Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
 	}
 	conn.Send(agent.MethodStartRun, params, time.Now().Add(startTimeout), func(raw []byte, err error) {
 		var result wire.StartRunResult
+		d.observe("startAnswerMs", time.Since(sent))
 		if err == nil {
 			err = wire.Decode(raw, &result)
 		}
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -27,6 +27,7 @@
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/stepfold"
@@ -121,6 +122,7 @@
 		return nil, fmt.Errorf("entry %s: %w", c.Name, err)
 	}
 	d.rpc = engine
+	d.registerGauges()
 	d.log.Add("entryStarted", eventlog.Fields{"boot": d.boot, "listen": engine.Address()})
 	d.done.Go(func() { d.followConfig(d.ctx) })
 	d.done.Go(func() { d.followRecords(d.ctx) })
@@ -133,6 +135,29 @@
 
 func (d *Daemon) count(name string) { metrics.GetOrRegisterCounter(name, d.metrics).Inc(1) }
 
+// sampleSize is the number of latencies that a histogram keeps.
+const sampleSize = 512
+
+// observe adds a latency, in milliseconds, to a histogram.
+func (d *Daemon) observe(name string, latency time.Duration) {
+	metrics.GetOrRegisterHistogram(name, d.metrics, metrics.NewUniformSample(sampleSize)).Update(latency.Milliseconds())
+}
+
+// registerGauges registers what is read when metrics are asked for.
+func (d *Daemon) registerGauges() {
+	metrics.NewRegisteredFunctionalGauge("configurationAgeMs", d.metrics, func() int64 {
+		d.config.mu.Lock()
+		defer d.config.mu.Unlock()
+		return boottime.Now().Sub(d.config.provenAt).Milliseconds()
+	})
+	metrics.NewRegisteredFunctionalGauge("recordsAgeMs", d.metrics, func() int64 {
+		d.records.mu.Lock()
+		defer d.records.mu.Unlock()
+		return boottime.Now().Sub(d.records.provenAt).Milliseconds()
+	})
+	metrics.NewRegisteredFunctionalGauge("agentsInTouch", d.metrics, func() int64 { return int64(d.Planning()) })
+}
+
 // Reload puts new bounds in force. Addresses, names and the time for a stop are
 // in force from the next start on.
 func (d *Daemon) Reload(next Config, cause string) {
@@ -202,16 +227,16 @@
 	}
 	d.log.Add("entryStopping", eventlog.Fields{"boot": d.boot})
 	d.resign(ctx)
-	sleep(ctx, d.c.StopAfter-closeTime)
+	pause.For(ctx, d.c.StopAfter-closeTime)
 	d.closing.Store(true)
-	sleep(ctx, closeTime-quietTime)
+	pause.For(ctx, closeTime-quietTime)
 	quiet := time.Duration(0)
 	for quiet < quietTime && ctx.Err() == nil {
 		quiet += stopTick
 		if d.requests.Load() > 0 {
 			quiet = 0
 		}
-		sleep(ctx, stopTick)
+		pause.For(ctx, stopTick)
 	}
 	d.Kill()
 	if n := d.requests.Load(); n > 0 {
@@ -233,15 +258,6 @@
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Planning is the number of agents in touch while this entry plans, and -1
 // while it does not.
 func (d *Daemon) Planning() int {
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -13,6 +13,7 @@
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/lease"
+	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
@@ -52,7 +53,7 @@
 	var pinged time.Time
 	gone := false
 	for ctx.Err() == nil {
-		sleep(ctx, electEvery)
+		pause.For(ctx, electEvery)
 		if d.plans() || d.leaving.Load() {
 			continue
 		}
@@ -83,7 +84,7 @@
 		default:
 			continue
 		}
-		sleep(ctx, rand.N(claimSpread))
+		pause.For(ctx, rand.N(claimSpread))
 		d.records.mu.Lock()
 		same := d.records.state.Planner.Term == p.Term && d.records.state.Planner.Beat == p.Beat
 		d.records.mu.Unlock()
@@ -107,8 +108,9 @@
 	return d.planner.board != nil
 }
 
-// gone reports whether the planner's process is known to have ended or to have
-// stopped planning. A process that does not answer may live.
+// gone reports whether the planner's process is known to have ended. One that
+// does not answer may live, and one that does not plan yet may be reading the
+// records before its claim.
 func (d *Daemon) gone(ctx context.Context, p stepfold.Planner) bool {
 	if p.Entry == d.c.Name {
 		return p.Boot == d.boot
@@ -121,7 +123,7 @@
 	}
 	defer conn.Close()
 	pong, err := entry.Client{Conn: conn}.PingPlanner(bounded, wire.PlannerPing{Term: int(p.Term)})
-	return err == nil && (pong.Boot != p.Boot || int64(pong.Term) < p.Term)
+	return err == nil && pong.Boot != p.Boot
 }
 
 // claim begins a term.
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -8,6 +8,7 @@
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
@@ -47,7 +48,7 @@
 			return
 		case <-ticker.C:
 		case <-d.planner.due:
-			sleep(ctx, joinTime)
+			pause.For(ctx, joinTime)
 		}
 		output, fence, ok := d.pass(ctx)
 		if !ok {
@@ -154,6 +155,7 @@
 			return false
 		}
 		fence.Sequence++
+		d.observe("planAppendMs", boottime.Now().Sub(begun))
 		d.planner.mu.Lock()
 		d.planner.fence, d.planner.checkedAt = fence, begun
 		d.planner.mu.Unlock()
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -105,6 +105,7 @@
 	begun := time.Now()
 	_, err = recordlog.Settle(bounded, d.c.Log, d.c.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusedUntil(begun.Add(refusedTime)))
 	fields["storeMs"] = time.Since(begun).Milliseconds()
+	d.observe("storeMs", time.Since(begun))
 	switch {
 	case err == nil:
 		return steps.OutcomeOK
