--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -219,14 +219,14 @@
 func (d *Daemon) launch(a *attempt) {
 	d.ledger.Lock()
 	h := d.ledger.book.Holdings[a.id]
-	doomed := h == nil || h.Doom != ""
+	stopping := h == nil || h.StopReason != ""
 	var until time.Time
 	if h != nil {
 		until = h.Until
 	}
 	a.run.begun = time.Now()
 	d.ledger.Unlock()
-	if doomed {
+	if stopping {
 		d.notStarted(a, "stopped before it started")
 		return
 	}
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -207,12 +207,12 @@
 		d.step(a.ID, gang.CommitVoid{Reason: err.Error()})
 	default:
 		d.count("commitUnknown")
-		d.retakeTerm(a.Term)
+		d.takeNextTerm(a.Term)
 	}
 }
 
-// retakeTerm takes a new term until one newer than the given one is folded.
-func (d *Daemon) retakeTerm(term int64) {
+// takeNextTerm takes a new term until one newer than the given one is folded.
+func (d *Daemon) takeNextTerm(term int64) {
 	for d.ctx.Err() == nil {
 		d.jobs.mu.Lock()
 		newest := d.jobs.fold.Terms[d.c.Region].Number
--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -28,10 +28,10 @@
 	// assignDelay joins the announcements of VMs that arrive together into one
 	// new assignment.
 	assignDelay = 300 * time.Millisecond
-	// retakeDelay is the pause before a planner takes its term back from an
+	// nextTermDelay is the pause before a planner takes its term back from an
 	// entry that it cannot see, so that two entries that are partitioned from
 	// each other do not take turns.
-	retakeDelay = 15 * time.Second
+	nextTermDelay = 15 * time.Second
 	// settleDelay is how long an entry waits for VMs to announce themselves
 	// before it says that a job can never run.
 	settleDelay = 5 * time.Second
@@ -89,7 +89,7 @@
 	defer d.jobs.mu.Unlock()
 	holder, _, _ := strings.Cut(d.jobs.fold.Terms[d.c.Region].Entry, "/")
 	if slices.Contains(live, holder) {
-		d.jobs.retakeAt = time.Time{}
+		d.jobs.nextTermAt = time.Time{}
 	}
 }
 
@@ -99,7 +99,7 @@
 	d.jobs.mu.Lock()
 	newest := d.jobs.fold.Terms[d.c.Region]
 	mine := newest.Number != 0 && newest.Number == d.jobs.term
-	held := now.Before(d.jobs.retakeAt)
+	held := now.Before(d.jobs.nextTermAt)
 	take := !mine && d.jobs.caughtUp && !d.jobs.taking && !held
 	if take {
 		d.jobs.taking = true
@@ -152,7 +152,7 @@
 	if mine {
 		d.jobs.term = number
 	} else if held && !holderLive {
-		d.jobs.retakeAt = time.Now().Add(retakeDelay)
+		d.jobs.nextTermAt = time.Now().Add(nextTermDelay)
 	}
 	d.jobs.mu.Unlock()
 	d.logger.WithFields(logrus.Fields{"region": region, "planner": entryName, "offset": number}).Info("planner term taken")
--- a/entryd/tables.go
+++ b/entryd/tables.go
@@ -126,12 +126,12 @@
 	holders map[string]string
 	// term is the newest term that this process took, 0 for none; taking says
 	// that a term record is being appended.
-	term     int64
-	taking   bool
-	retakeAt time.Time
-	lastJob  int64
-	lastTry  int64
-	snapshot snapshotState
+	term       int64
+	taking     bool
+	nextTermAt time.Time
+	lastJob    int64
+	lastTry    int64
+	snapshot   snapshotState
 	// model, faults and budget are what this entry learned: run times, VMs and
 	// jobs that fail, and the credit for retries of short requests.
 	model  *estimate.Model
--- a/ledger/advance.go
+++ b/ledger/advance.go
@@ -11,7 +11,7 @@
 func (l *Ledger) reclaim(now time.Time, h *Holding) Decision {
 	accelerators, slots := l.free()
 	for _, o := range l.Holdings {
-		if o.Doom != "" {
+		if o.StopReason != "" {
 			l.callLoans(now, o)
 			accelerators += o.Accelerators() - o.loaned()
 			slots += o.Tasks
@@ -25,7 +25,7 @@
 	for _, v := range victims {
 		d.Victims = append(d.Victims, v.Attempt)
 		if v.State == StateReserved {
-			l.bury(v, RuleReservationExpired)
+			l.discard(v, RuleReservationExpired)
 			continue
 		}
 		l.evict(now, v)
@@ -39,7 +39,7 @@
 // has that time to end by itself.
 func (l *Ledger) evict(now time.Time, v *Holding) {
 	spared := l.spared(now, v)
-	v.Doom, v.StopAt = WhyEvicted, now.Add(l.Timing.Checkpoint)
+	v.StopReason, v.StopAt = WhyEvicted, now.Add(l.Timing.Checkpoint)
 	switch {
 	case v.Short:
 	case spared:
@@ -54,8 +54,8 @@
 // is being stopped; they would keep what the reclaim needs.
 func (l *Ledger) callLoans(now time.Time, lender *Holding) {
 	for _, s := range l.Holdings {
-		if s.Loans[lender.Attempt] > 0 && s.Doom == "" {
-			s.Doom, s.StopAt = WhyEvicted, now.Add(l.Timing.Checkpoint)
+		if s.Loans[lender.Attempt] > 0 && s.StopReason == "" {
+			s.StopReason, s.StopAt = WhyEvicted, now.Add(l.Timing.Checkpoint)
 		}
 	}
 }
@@ -71,7 +71,7 @@
 func (l *Ledger) victims(now time.Time, h *Holding, accelerators, slots int) []*Holding {
 	var candidates []*Holding
 	for _, v := range l.Holdings {
-		if v.Org != h.Org && v.Doom == "" && (v.Preemptible || v.Short) {
+		if v.Org != h.Org && v.StopReason == "" && (v.Preemptible || v.Short) {
 			candidates = append(candidates, v)
 		}
 	}
@@ -165,7 +165,7 @@
 	switch h.State {
 	case StateReserved:
 		if !now.Before(h.Until) {
-			l.bury(h, RuleReservationExpired)
+			l.discard(h, RuleReservationExpired)
 		}
 		return
 	case StateStarting:
@@ -175,26 +175,26 @@
 	if h.State == StateRunning {
 		l.expireRunning(now, h)
 	}
-	if h.Doom != "" && due(now, h.CheckpointAt) {
+	if h.StopReason != "" && due(now, h.CheckpointAt) {
 		h.CheckpointAt = time.Time{}
 		l.outbox = append(l.outbox, Checkpoint{h.Attempt})
 	}
-	if h.Doom != "" && due(now, h.StopAt) {
+	if h.StopReason != "" && due(now, h.StopAt) {
 		h.State = StateStopping
 		h.CheckpointAt, h.StopAt = time.Time{}, now.Add(l.Timing.StopRetry)
-		l.outbox = append(l.outbox, Stop{h.Attempt, h.Doom})
+		l.outbox = append(l.outbox, Stop{h.Attempt, h.StopReason})
 	}
 }
 
 func (l *Ledger) expireRunning(now time.Time, h *Holding) {
 	switch {
 	case !now.Before(h.Until):
-		if h.Doom != WhyReleased {
-			h.Doom = WhyLapsed
+		if h.StopReason != WhyReleased {
+			h.StopReason = WhyLapsed
 		}
 		h.StopAt = now
-	case h.Doom == "" && due(now, h.LoanUntil):
-		l.condemn(now, h, WhyLoanEnded, false)
+	case h.StopReason == "" && due(now, h.LoanUntil):
+		l.scheduleStop(now, h, WhyLoanEnded, false)
 	case h.Short && due(now, h.RenewAt) && !due(now, h.StopAt):
 		h.Until, h.RenewAt = now.Add(l.Timing.ShortLease), now.Add(l.Timing.RenewEvery)
 		l.outbox = append(l.outbox, Extend{h.Attempt, h.Until})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -56,11 +56,11 @@
 	// Queue holds the waiting short tasks, the next one first.
 	Queue []*Holding
 
-	round  int
-	outbox []Action
-	dead   map[string]tombstone
-	// deadOrder lists the keys of dead, oldest first.
-	deadOrder []string
+	round      int
+	outbox     []Action
+	tombstones map[string]tombstone
+	// tombstoneOrder lists the keys of tombstones, oldest first.
+	tombstoneOrder []string
 	// terms is the newest term of each job that is held or has a tombstone.
 	terms map[string]jobTerm
 }
@@ -69,7 +69,7 @@
 func New(accelerators, slots, maxQueue int, t Timing) *Ledger {
 	return &Ledger{
 		Accelerators: accelerators, Slots: slots, MaxQueue: maxQueue, Timing: t,
-		Holdings: map[string]*Holding{}, dead: map[string]tombstone{}, terms: map[string]jobTerm{},
+		Holdings: map[string]*Holding{}, tombstones: map[string]tombstone{}, terms: map[string]jobTerm{},
 	}
 }
 
@@ -106,7 +106,7 @@
 	l.Reclaims, l.Queue = nil, nil
 	for _, h := range l.Holdings {
 		if h.State == StateReserved {
-			l.bury(h, RuleVMDraining)
+			l.discard(h, RuleVMDraining)
 		}
 	}
 }
@@ -157,12 +157,12 @@
 		if h.State == StateReserved && !now.Before(h.Until) {
 			return Refused{RuleReservationExpired, "the reservation has expired"}, true
 		}
-		if h.Doom != "" {
+		if h.StopReason != "" {
 			return Refused{RuleAttemptReleased, "the attempt is being stopped"}, true
 		}
 		return Granted{Already: true}, true
 	}
-	if t, ok := l.dead[r.Attempt]; ok {
+	if t, ok := l.tombstones[r.Attempt]; ok {
 		return Refused{t.rule, "the attempt is over"}, true
 	}
 	if newest := l.terms[r.JobID].newest; r.Term < newest {
@@ -192,7 +192,7 @@
 func (l *Ledger) supersede(r Request) {
 	for _, h := range l.Holdings {
 		if h.JobID == r.JobID && h.Term < r.Term && h.State == StateReserved {
-			l.bury(h, RuleStaleTerm)
+			l.discard(h, RuleStaleTerm)
 		}
 	}
 	l.Reclaims = slices.DeleteFunc(l.Reclaims, func(h *Holding) bool {
@@ -217,15 +217,15 @@
 		return Granted{Already: true}
 	}
 	if !now.Before(h.Until) {
-		l.bury(h, RuleReservationExpired)
+		l.discard(h, RuleReservationExpired)
 		return Refused{RuleReservationExpired, "the reservation has expired"}
 	}
 	if newest := l.terms[h.JobID].newest; s.Term < newest {
-		l.bury(h, RuleStaleTerm)
+		l.discard(h, RuleStaleTerm)
 		return Refused{RuleStaleTerm, fmt.Sprintf("term %d, the newest is %d", s.Term, newest)}
 	}
 	if d, refused := l.closed(s.ConfigOffset); refused {
-		l.bury(h, d.Rule)
+		l.discard(h, d.Rule)
 		return d
 	}
 	h.State, h.Until, h.StartedAt, h.EndsAt = StateStarting, s.LeaseUntil, now, s.EndsAt
@@ -239,7 +239,7 @@
 		l.unqueue(h)
 		l.refuse(h, RuleReservationExpired, "it was started before it was granted")
 	}
-	t, ok := l.dead[s.Attempt]
+	t, ok := l.tombstones[s.Attempt]
 	switch {
 	case ok && t.started:
 		return Granted{Already: true}
@@ -269,7 +269,7 @@
 		return
 	}
 	h.Unsure = unsure
-	l.condemn(now, h, WhyStartFailed, false)
+	l.scheduleStop(now, h, WhyStartFailed, false)
 	h.State = StateStopping
 }
 
@@ -283,14 +283,14 @@
 	if h.Unsure && now.Before(h.Until) {
 		return false
 	}
-	l.bury(h, RuleAttemptReleased)
+	l.discard(h, RuleAttemptReleased)
 	return true
 }
 
 // Confirm answers whether the attempt runs, and in which round that was said.
 func (l *Ledger) Confirm(now time.Time, attempt string) (round int, running bool) {
 	h := l.Holdings[attempt]
-	if h == nil || h.State != StateRunning || h.Doom == WhyLapsed || h.Doom == WhyReleased || !now.Before(h.Until) {
+	if h == nil || h.State != StateRunning || h.StopReason == WhyLapsed || h.StopReason == WhyReleased || !now.Before(h.Until) {
 		return 0, false
 	}
 	l.round++
@@ -306,7 +306,7 @@
 // lease has expired or the round is not known.
 func (l *Ledger) Renew(now time.Time, attempt string, round int, lease time.Duration) (time.Time, bool) {
 	h := l.Holdings[attempt]
-	if h == nil || h.State != StateRunning || h.Doom == WhyLapsed || h.Doom == WhyReleased || !now.Before(h.Until) {
+	if h == nil || h.State != StateRunning || h.StopReason == WhyLapsed || h.StopReason == WhyReleased || !now.Before(h.Until) {
 		return time.Time{}, false
 	}
 	for _, r := range h.Rounds {
@@ -330,7 +330,7 @@
 func (l *Ledger) Release(now time.Time, jobID, attempt string, term int64, checkpoint bool) Decision {
 	h := l.find(attempt)
 	if h == nil {
-		t, ok := l.dead[attempt]
+		t, ok := l.tombstones[attempt]
 		if !ok {
 			l.remember(attempt, tombstone{rule: RuleAttemptReleased, job: jobID}, term)
 		}
@@ -345,10 +345,10 @@
 		l.refuse(h, RuleAttemptReleased, "released while it waited")
 		return Released{}
 	case StateReserved:
-		l.bury(h, RuleAttemptReleased)
+		l.discard(h, RuleAttemptReleased)
 		return Released{}
 	}
-	l.condemn(now, h, WhyReleased, checkpoint)
+	l.scheduleStop(now, h, WhyReleased, checkpoint)
 	return Stopping{}
 }
 
@@ -359,7 +359,7 @@
 		return
 	}
 	h.SavedAt = now
-	if h.Doom != "" && h.State == StateRunning && h.CheckpointAt.IsZero() {
+	if h.StopReason != "" && h.State == StateRunning && h.CheckpointAt.IsZero() {
 		h.StopAt = now
 	}
 }
@@ -369,28 +369,28 @@
 // reclaim.
 func (l *Ledger) Evict(now time.Time) {
 	for _, h := range l.Holdings {
-		if h.Preemptible && h.Doom == "" && h.State != StateReserved {
+		if h.Preemptible && h.StopReason == "" && h.State != StateReserved {
 			l.evict(now, h)
 		}
 	}
 }
 
-// condemn sets the deadlines of a stop; deadlines that are earlier stay.
-func (l *Ledger) condemn(now time.Time, h *Holding, why Why, checkpoint bool) {
+// scheduleStop sets the deadlines of a stop; deadlines that are earlier stay.
+func (l *Ledger) scheduleStop(now time.Time, h *Holding, why Why, checkpoint bool) {
 	stop := now
 	switch {
 	case !checkpoint || h.Short:
 		h.CheckpointAt = time.Time{}
 	default:
 		stop = now.Add(l.Timing.Checkpoint)
-		if h.Doom == "" {
+		if h.StopReason == "" {
 			h.CheckpointAt = now
 		}
 	}
 	if h.StopAt.IsZero() || stop.Before(h.StopAt) {
 		h.StopAt = stop
 	}
-	h.Doom = why
+	h.StopReason = why
 }
 
 // find returns the holding or the waiting request of the attempt, or nil.
@@ -433,14 +433,14 @@
 	}
 }
 
-// bury frees the place of an attempt, which never comes back.
-func (l *Ledger) bury(h *Holding, rule string) {
+// discard frees the place of an attempt, which never comes back.
+func (l *Ledger) discard(h *Holding, rule string) {
 	delete(l.Holdings, h.Attempt)
 	if h.State == StateReserved {
 		l.outbox = append(l.outbox, Dropped{h.Attempt, rule})
 	}
 	// A short task is idempotent, so only its release is worth a tombstone.
-	if !h.Short || h.Doom == WhyReleased {
+	if !h.Short || h.StopReason == WhyReleased {
 		l.remember(h.Attempt, tombstone{started: h.State != StateReserved, rule: rule, job: h.JobID}, h.Term)
 	}
 	for _, s := range l.Holdings {
@@ -452,14 +452,14 @@
 }
 
 func (l *Ledger) remember(attempt string, t tombstone, term int64) {
-	if _, ok := l.dead[attempt]; ok {
+	if _, ok := l.tombstones[attempt]; ok {
 		return
 	}
-	if len(l.deadOrder) >= maxTombstones {
+	if len(l.tombstoneOrder) >= maxTombstones {
 		l.forgetOldest()
 	}
-	l.dead[attempt] = t
-	l.deadOrder = append(l.deadOrder, attempt)
+	l.tombstones[attempt] = t
+	l.tombstoneOrder = append(l.tombstoneOrder, attempt)
 	j := l.terms[t.job]
 	l.terms[t.job] = jobTerm{newest: max(j.newest, term), tombstones: j.tombstones + 1}
 }
@@ -467,10 +467,10 @@
 // forgetOldest drops the oldest tombstone, and its job's term with the last
 // tombstone of the job.
 func (l *Ledger) forgetOldest() {
-	attempt := l.deadOrder[0]
-	l.deadOrder = l.deadOrder[1:]
-	name := l.dead[attempt].job
-	delete(l.dead, attempt)
+	attempt := l.tombstoneOrder[0]
+	l.tombstoneOrder = l.tombstoneOrder[1:]
+	name := l.tombstones[attempt].job
+	delete(l.tombstones, attempt)
 	j := l.terms[name]
 	j.tombstones--
 	l.terms[name] = j
@@ -504,7 +504,7 @@
 func (l *Ledger) used(org string) int {
 	n := 0
 	for _, h := range l.Holdings {
-		if h.Org == org && h.Doom == "" {
+		if h.Org == org && h.StopReason == "" {
 			n += h.Accelerators() - h.loaned()
 		}
 	}
--- a/ledger/short.go
+++ b/ledger/short.go
@@ -15,7 +15,7 @@
 	if h := l.find(r.Attempt); h != nil {
 		return Granted{Already: true}
 	}
-	if t, ok := l.dead[r.Attempt]; ok {
+	if t, ok := l.tombstones[r.Attempt]; ok {
 		return Refused{t.rule, "the attempt is over"}
 	}
 	// A short task takes nobody's share, so an older configuration is no
@@ -151,7 +151,7 @@
 	}
 	var candidates []candidate
 	for _, t := range l.Holdings {
-		if !t.Preemptible || t.Short || t.State != StateRunning || t.Doom != "" {
+		if !t.Preemptible || t.Short || t.State != StateRunning || t.StopReason != "" {
 			continue
 		}
 		c := candidate{attempt: t.Attempt, spare: t.Accelerators() - l.lent(t.Attempt), class: 3}
--- a/ledger/types.go
+++ b/ledger/types.go
@@ -156,8 +156,8 @@
 	RenewAt time.Time
 	// PausedAt is when its accelerators were lent, zero when they are not.
 	PausedAt time.Time
-	// Doom says why it is being stopped, empty when it is not.
-	Doom Why
+	// StopReason says why it is being stopped, empty when it is not.
+	StopReason Why
 	// CheckpointAt is when it is asked to save its progress; zero when it was
 	// or will not be.
 	CheckpointAt time.Time
--- a/placement/shelf.go
+++ b/placement/freeindex.go
@@ -2,48 +2,48 @@
 
 import "slices"
 
-// shelf sorts the VMs that can take a task by a key, so that the tightest one
+// freeList sorts the VMs that can take a task by a key, so that the tightest one
 // is found without looking at all of them: 10,000 jobs placed on 4,800 idle VMs took
 // 1.7 s by scanning.
-type shelf struct {
+type freeList struct {
 	// lowest is the key of the first list.
 	lowest int
 	// lists hold positions in order, one list for each key.
 	lists [][]int
 }
 
-func (s *shelf) list(key int) *[]int {
+func (s *freeList) list(key int) *[]int {
 	return &s.lists[min(max(key-s.lowest, 0), len(s.lists)-1)]
 }
 
-func (s *shelf) add(key, at int) {
+func (s *freeList) add(key, at int) {
 	l := s.list(key)
 	if k, ok := slices.BinarySearch(*l, at); !ok {
 		*l = slices.Insert(*l, k, at)
 	}
 }
 
-func (s *shelf) remove(key, at int) {
+func (s *freeList) remove(key, at int) {
 	l := s.list(key)
 	if k, ok := slices.BinarySearch(*l, at); ok {
 		*l = slices.Delete(*l, k, k+1)
 	}
 }
 
-// shelves holds a shelf for tasks with accelerators, by the free ones, and one
+// freeIndex holds a freeList for tasks with accelerators, by the free ones, and one
 // for tasks that need a slot only, which puts the VMs first whose slots are the
 // most beyond their free accelerators.
-type shelves struct{ byFree, bySpare shelf }
+type freeIndex struct{ byFree, bySpare freeList }
 
-func (p *pass) newShelves() *shelves {
+func (p *pass) newFreeIndex() *freeIndex {
 	accelerators, slots := 0, 0
 	for i := range p.index.VMs {
 		accelerators = max(accelerators, p.index.VMs[i].Accelerators)
 		slots = max(slots, p.index.VMs[i].Slots)
 	}
-	s := &shelves{
-		byFree:  shelf{lists: make([][]int, accelerators+1)},
-		bySpare: shelf{lowest: -slots, lists: make([][]int, accelerators+slots+1)},
+	s := &freeIndex{
+		byFree:  freeList{lists: make([][]int, accelerators+1)},
+		bySpare: freeList{lowest: -slots, lists: make([][]int, accelerators+slots+1)},
 	}
 	for i := range p.machines {
 		s.add(&p.machines[i], i)
@@ -51,7 +51,7 @@
 	return s
 }
 
-func (s *shelves) add(m *machine, at int) {
+func (s *freeIndex) add(m *machine, at int) {
 	if m.slots == 0 {
 		return
 	}
@@ -61,7 +61,7 @@
 	}
 }
 
-func (s *shelves) remove(m *machine, at int) {
+func (s *freeIndex) remove(m *machine, at int) {
 	s.bySpare.remove(m.free-m.slots, at)
 	s.byFree.remove(m.free, at)
 }
@@ -73,8 +73,8 @@
 	if r.Job.Accelerators() > p.largest {
 		return -1
 	}
-	if p.shelves == nil {
-		p.shelves = p.newShelves()
+	if p.freeIndex == nil {
+		p.freeIndex = p.newFreeIndex()
 	}
 	if at := p.fitHome(r); at >= 0 {
 		return at
@@ -112,9 +112,9 @@
 }
 
 func (p *pass) firstOnShelf(r *request, room func(*machine) int) int {
-	s, key := &p.shelves.byFree, r.Job.Accelerators()
+	s, key := &p.freeIndex.byFree, r.Job.Accelerators()
 	if r.size == 0 {
-		s, key = &p.shelves.bySpare, p.shelves.bySpare.lowest
+		s, key = &p.freeIndex.bySpare, p.freeIndex.bySpare.lowest
 	}
 	matches := p.matchingSet(r)
 	for _, l := range s.lists[key-s.lowest:] {
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -77,8 +77,8 @@
 	failed map[class]int
 	// failedOwn is the same for what fits on one VM without borrowing.
 	failedOwn map[class]int
-	// shelves is nil until it is needed.
-	shelves *shelves
+	// freeIndex is nil until it is needed.
+	freeIndex *freeIndex
 	// largest is the most accelerators of one VM.
 	largest int
 	// sets holds matchingSet for each selector.
@@ -244,9 +244,9 @@
 
 func (p *pass) take(r *request, m member) (reclaim bool) {
 	at := &p.machines[m.at]
-	if p.shelves != nil {
-		p.shelves.remove(at, m.at)
-		defer p.shelves.add(at, m.at)
+	if p.freeIndex != nil {
+		p.freeIndex.remove(at, m.at)
+		defer p.freeIndex.add(at, m.at)
 	}
 	return at.take(r, m.tasks)
 }
