stepentry: plan only in a term whose record is the entry's own

Change: a claim counts only if the planner's record that was folded is the entry's own; a resignation's epoch no longer coincides with a claim's.

--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -76,6 +76,8 @@
 	metrics metrics.Registry
 	rpc     *rpc.Engine
 	pool    *workpool.Pool
+	// drawTerm chooses the term of a claim after an earlier one.
+	drawTerm func(before int64) int64
 
 	config  configTable
 	records recordTable
@@ -105,9 +107,10 @@
 func New(c Config, options ...Option) (*Daemon, error) {
 	d := &Daemon{
 		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), metrics: metrics.NewRegistry(), pool: workpool.New(poolWorkers, poolQueue),
-		records: recordTable{state: stepfold.New(), advanced: make(chan struct{}, 1)},
-		config:  configTable{keyGrace: c.KeyGrace},
-		planner: plannerTable{timing: c.Timing, links: map[string]*agentLink{}, due: make(chan struct{}, 1)},
+		drawTerm: randomTerm,
+		records:  recordTable{state: stepfold.New(), advanced: make(chan struct{}, 1)},
+		config:   configTable{keyGrace: c.KeyGrace},
+		planner:  plannerTable{timing: c.Timing, links: map[string]*agentLink{}, due: make(chan struct{}, 1)},
 	}
 	for _, o := range options {
 		o(d)
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -126,9 +126,15 @@
 	return err == nil && pong.Boot != p.Boot
 }
 
+// randomTerm chooses a term above an earlier one. The number behind it is left
+// for a resignation.
+func randomTerm(before int64) int64 {
+	return (before/termSpread+1)*termSpread + rand.Int64N(termSpread-1)
+}
+
 // claim begins a term.
 func (d *Daemon) claim(ctx context.Context, before stepfold.Planner, reason string) {
-	term := (before.Term/termSpread+1)*termSpread + rand.Int64N(termSpread)
+	term := d.drawTerm(before.Term)
 	fence := recordlog.Fence{Producer: producer, Epoch: term}
 	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.rpc.Address(), Term: term, Beat: 1}
 	record, err := codec.EncodeStepRecord(stepfold.PlannerSeen{Planner: self})
@@ -178,7 +184,10 @@
 	defer d.config.mu.Unlock()
 	d.records.mu.Lock()
 	defer d.records.mu.Unlock()
-	if d.records.state.Planner.Term > self.Term || d.leaving.Load() {
+	// Another entry may have drawn the same term: the store takes the second
+	// claim for a repetition of the first, whose record is the one that counts.
+	if p := d.records.state.Planner; p.Term != self.Term || p.Entry != self.Entry || p.Boot != self.Boot || d.leaving.Load() {
+		d.log.Add("claimLost", eventlog.Fields{"term": self.Term, "planner": p.Entry, "newest": p.Term})
 		return
 	}
 	d.planner.mu.Lock()
