--- a/settings/site.go
+++ b/settings/site.go
@@ -24,8 +24,6 @@
 	KeyGrace time.Duration
 	// FarFactor is how much slower a task is away from its rack.
 	FarFactor float64
-	// Early is how long before its time an occurrence may begin at most.
-	Early time.Duration
 }
 
 // SiteAgent holds the settings of an agent on the users' platform.
@@ -99,8 +97,6 @@
 		span(func(e *SiteEntry) *time.Duration { return &e.Reclaim })},
 	{Key{Section: "entry", Name: "keyGraceMs", Allowed: spanAllowed, Help: "how long a key may be honoured after it was taken away"},
 		span(func(e *SiteEntry) *time.Duration { return &e.KeyGrace })},
-	{Key{Section: "entry", Name: "earlyMs", Allowed: spanAllowed, Help: "how long before its time an occurrence may begin at most"},
-		span(func(e *SiteEntry) *time.Duration { return &e.Early })},
 	{Key{Section: "entry", Name: "farFactor", Allowed: "1 to 1000", Help: "how much slower a task is away from its rack"},
 		func(e *SiteEntry, value string) bool {
 			f, err := strconv.ParseFloat(value, 64)
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -27,7 +27,6 @@
 stopRunMs = 900
 reclaimMs = 3400
 keyGraceMs = 5000
-earlyMs = 250
 farFactor = 3
 `
 
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -216,8 +216,6 @@
 	Reclaim time.Duration
 	// FarFactor is how much slower a task is away from its rack.
 	FarFactor float64
-	// Early is how long before its time an occurrence may begin at most.
-	Early time.Duration
 }
 
 // Board is what one planner knows.
--- a/steps/steps.go
+++ b/steps/steps.go
@@ -96,16 +96,6 @@
 	MaxOccurrences = 100_000
 )
 
-// LongRunning reports whether some step runs until the job is cancelled.
-func (j Job) LongRunning() bool {
-	for _, s := range j.Steps {
-		if s.LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // Check reports which field is wrong, or nil.
 func (j Job) Check() error {
 	if len(j.ID) != 16 || strings.Trim(j.ID, "0123456789abcdefABCDEF") != "" {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -77,12 +77,6 @@
 	Clock time.Duration
 }
 
-// Key names one life of the worker.
-type Key struct {
-	ID   string
-	Boot int64
-}
-
 // Run is one run of a task.
 type Run struct {
 	Task string
