stepagent: send no start again for a planner that has been replaced

Cause: a planner was killed while an order was in doubt. Change: a run stays in the table and in the reports while its order is being carried out; before each try the agent checks that the order's session is the current one.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -142,16 +142,15 @@
 	bounded, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
+		if bounded.Err() != nil {
+			return d.unsettled(key)
+		}
 		outcome, reason := d.tryStart(bounded, p, key)
 		switch {
 		case outcome == outcomeStarted:
 			return d.settle(key, true, "")
 		case outcome == outcomeRefused:
 			return d.settle(key, false, reason)
-		case bounded.Err() != nil:
-			d.table.mu.Lock()
-			defer d.table.mu.Unlock()
-			return wire.StartRunResult{Version: d.table.version, Reason: reasonUnsettled}
 		case outcome == outcomeUnknown:
 			d.count("startUnsettled")
 			if result, done := d.probe(bounded, key); done {
@@ -161,6 +160,17 @@
 	}
 }
 
+// unsettled leaves a start to later statuses, which list it or prove it void.
+func (d *Daemon) unsettled(key worker.Run) wire.StartRunResult {
+	t := d.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.runs[key]; r != nil {
+		r.active = false
+	}
+	return wire.StartRunResult{Version: t.version, Reason: reasonUnsettled}
+}
+
 // openRun enters the run in the table, or says why it may not start.
 func (d *Daemon) openRun(p wire.StartRunParams, key worker.Run) (wire.StartRunResult, bool) {
 	d.session.mu.Lock()
@@ -189,7 +199,7 @@
 		d.log.Add("startRefused", eventlog.Fields{"task": p.Task, "run": p.Run, "reason": reason})
 		return wire.StartRunResult{Version: t.version, Reason: reason}, true
 	}
-	t.runs[key] = &run{since: unsent}
+	t.runs[key] = &run{active: true, since: unsent}
 	t.version++
 	return wire.StartRunResult{}, false
 }
@@ -206,11 +216,19 @@
 
 func (d *Daemon) tryStart(ctx context.Context, p wire.StartRunParams, key worker.Run) (outcome, string) {
 	t := d.table
+	d.session.mu.Lock()
+	current := d.session.current(p.Term, p.Session)
 	t.mu.Lock()
+	d.session.mu.Unlock()
 	r := t.runs[key]
-	if r == nil || t.key() != p.Worker {
+	switch {
+	case r == nil || t.key() != p.Worker:
 		t.mu.Unlock()
 		return outcomeRefused, "otherWorker"
+	case !current:
+		// Reports to the successor name the run until here.
+		t.mu.Unlock()
+		return outcomeRefused, "supersededSession"
 	}
 	_, token := t.call()
 	r.since = token
@@ -242,36 +260,45 @@
 }
 
 // probe finds out what became of a start without an answer: once the worker
-// has seen the raised token, the start is either listed or void.
+// has seen the raised token, the start is either listed or void. It reports
+// false for a start that is void, or still unknown when ctx ends.
 func (d *Daemon) probe(ctx context.Context, key worker.Run) (wire.StartRunResult, bool) {
-	t := d.table
 	for ctx.Err() == nil {
 		if err := d.hold(ctx, 0); err != nil {
 			pause.For(ctx, failedPause/2)
 			continue
 		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		r := t.runs[key]
-		switch {
-		case r != nil && r.settled:
-			return wire.StartRunResult{Started: true, Version: t.version}, true
-		case r != nil && r.since >= t.token:
-			// The status answered an order that is older than the raised token.
-			return wire.StartRunResult{}, false
-		}
-		for _, e := range t.ends {
-			if e.Run == key {
-				return wire.StartRunResult{Started: true, Version: t.version}, true
-			}
+		if result, outcome := d.probed(key); outcome != outcomeUnknown {
+			return result, outcome == outcomeStarted
 		}
-		// The order is void: it is sent again under the raised token.
-		t.runs[key] = &run{since: unsent}
-		return wire.StartRunResult{}, false
 	}
 	return wire.StartRunResult{}, false
 }
 
+// probed looks up a start without an answer in the newest status.
+func (d *Daemon) probed(key worker.Run) (wire.StartRunResult, outcome) {
+	t := d.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.ends {
+		if e.Run == key {
+			return wire.StartRunResult{Started: true, Version: t.version}, outcomeStarted
+		}
+	}
+	switch r := t.runs[key]; {
+	case r == nil:
+		return wire.StartRunResult{}, outcomeAgain
+	case r.settled:
+		r.active = false
+		return wire.StartRunResult{Started: true, Version: t.version}, outcomeStarted
+	case r.void:
+		// It may be sent again under the raised token.
+		r.void, r.since = false, unsent
+		return wire.StartRunResult{}, outcomeAgain
+	}
+	return wire.StartRunResult{}, outcomeUnknown
+}
+
 // settle records the outcome of a start.
 func (d *Daemon) settle(key worker.Run, started bool, reason string) wire.StartRunResult {
 	t := d.table
@@ -279,7 +306,7 @@
 	defer t.mu.Unlock()
 	t.version++
 	if r := t.runs[key]; r != nil && started {
-		r.settled = true
+		r.settled, r.active = true, false
 		r.since = t.calls
 	} else if !started {
 		delete(t.runs, key)
--- /dev/null
+++ b/stepagent/calls_test.go
@@ -0,0 +1,71 @@
+package stepagent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/wire"
+	"celerypoint.example/celerypoint/worker"
+)
+
+// mute is a worker that answers no start and lists nothing.
+type mute struct{ starts chan worker.Start }
+
+func (m mute) Start(ctx context.Context, _ string, s worker.Start) (worker.Reply, error) {
+	m.starts <- s
+	<-ctx.Done()
+	return worker.Reply{}, worker.ErrUnknown
+}
+
+func (m mute) Stop(context.Context, string, worker.Run, int64) (worker.Reply, error) {
+	return worker.Reply{}, nil
+}
+
+func (m mute) Hold(context.Context, string, worker.Hold) (worker.Status, worker.Reply, error) {
+	return worker.Status{Boot: 1, Clock: time.Second, Complete: true}, worker.Reply{Clock: time.Second}, nil
+}
+
+// Guards against a start that is sent again for a planner that has been
+// replaced, after a report to its successor lacked the run (vordulit grown,
+// doubt-and-restart, seed 479788551740).
+func TestSupersededStart(t *testing.T) {
+	c := qt.New(t)
+	m := mute{make(chan worker.Start, 100)}
+	d := newDaemon(Config{Name: "vm", Worker: m})
+	defer d.log.Close()
+	defer d.pool.Close()
+	follow := func(term int) {
+		d.session.mu.Lock()
+		defer d.session.mu.Unlock()
+		d.session.follow(term, term, "planner", &rpc.Conn{})
+	}
+	d.table.announce(worker.Announcement{ID: "i", Boot: 1, Service: "s"})
+	d.table.listed, d.table.lease = true, time.Minute
+	c.Assert(d.hold(context.Background(), 0), qt.IsNil)
+	follow(1)
+	done := make(chan wire.StartRunResult, 1)
+	go func() {
+		done <- d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 1, Worker: "i/1", Task: "a.0.0.0", Run: 1})
+	}()
+	<-m.starts
+	follow(2)
+	lacked := false
+	for {
+		select {
+		case result := <-done:
+			c.Assert(result.Started, qt.IsFalse)
+			c.Assert(m.starts, qt.HasLen, 0)
+			return
+		case <-m.starts:
+			c.Fatalf("the start was sent again; a report lacked the run before: %v", lacked)
+		case <-time.After(time.Millisecond):
+			d.table.mu.Lock()
+			lacked = lacked || len(d.table.runs) == 0
+			d.table.mu.Unlock()
+		}
+	}
+}
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -74,6 +74,11 @@
 	conn    *rpc.Conn
 }
 
+// follow makes a session the current one. The caller holds the mutex.
+func (s *session) follow(term, number int, planner string, conn *rpc.Conn) {
+	s.term, s.number, s.planner, s.conn = term, number, planner, conn
+}
+
 // current reports whether an order belongs to the session. The caller holds
 // the mutex.
 func (s *session) current(term, number int) bool {
@@ -106,8 +111,8 @@
 	return func(d *Daemon) { d.log = eventlog.New(out, d.c.Name, d.metrics) }
 }
 
-// New starts an agent.
-func New(c Config, options ...Option) (*Daemon, error) {
+// newDaemon makes an agent without starting it.
+func newDaemon(c Config, options ...Option) *Daemon {
 	d := &Daemon{
 		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), metrics: metrics.NewRegistry(),
 		pool: workpool.New(orderWorkers, orderQueue), table: newTable(),
@@ -119,6 +124,12 @@
 		d.log = eventlog.New(io.Discard, c.Name, d.metrics)
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	return d
+}
+
+// New starts an agent.
+func New(c Config, options ...Option) (*Daemon, error) {
+	d := newDaemon(c, options...)
 	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen))
 	if err != nil {
 		d.pool.Close()
@@ -230,7 +241,7 @@
 	if s.conn != nil && s.conn != conn {
 		s.conn.Close()
 	}
-	s.term, s.number, s.planner, s.conn = p.Term, p.Session, p.Planner, conn
+	s.follow(p.Term, p.Session, p.Planner, conn)
 	d.log.Add("plannerFollowed", eventlog.Fields{"planner": p.Planner, "term": p.Term, "session": p.Session})
 	d.table.mu.Lock()
 	d.table.touch()
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -11,6 +11,9 @@
 
 // run is one run as the agent knows it.
 type run struct {
+	// active says that the order is still being carried out, and may be sent
+	// again; void says that the worker has fenced off what was sent so far.
+	active, void bool
 	// settled is false while an order to start it has no certain answer.
 	settled    bool
 	checkpoint string
@@ -194,7 +197,10 @@
 		}
 		// The worker has seen a higher token than the order's, or the run was
 		// settled before the status was asked for.
-		if r.settled && r.since < number || !r.settled && r.since < token {
+		switch {
+		case !r.settled && r.active:
+			r.void = r.void || r.since < token
+		case r.settled && r.since < number, !r.settled && r.since < token:
 			delete(t.runs, key)
 			changed = true
 		}
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -50,16 +50,16 @@
 	// session is the one that the agent follows, 0 for none.
 	session int
 	version int
-	// unsettled are orders that may be carried out at a later time, with the
-	// fence under which they were sent.
+	// unsettled are orders that may be carried out at a later time.
 	unsettled []simOrder
-	fence     int
 	draining  bool
 }
 
 type simOrder struct {
 	order StartOrder
-	fence int
+	// deadline is the lease at the time of the order; a worker refuses an order
+	// that it carries out later.
+	deadline time.Time
 }
 
 type sim struct {
@@ -190,7 +190,7 @@
 	switch rapid.IntRange(0, 5).Draw(s.t, "order") {
 	case 0:
 		// The order is on its way for long; the agent reports it as unsettled.
-		w.unsettled = append(w.unsettled, simOrder{o, w.fence})
+		w.unsettled = append(w.unsettled, simOrder{o, w.deadline})
 		w.version++
 		s.board.Started(o, w.version, false)
 	case 1:
@@ -368,7 +368,7 @@
 func (s *sim) settle(w *simWorker) {
 	w.version++
 	for _, o := range w.unsettled {
-		if rapid.Bool().Draw(s.t, "carriedOut") && o.order.Worker == w.lifeName() && !s.now.After(w.deadline) {
+		if rapid.Bool().Draw(s.t, "carriedOut") && o.order.Worker == w.lifeName() && !s.now.After(o.deadline) {
 			s.start(w, o.order)
 		}
 	}
