stepentry: tell stored records directly, and keep a planner that plans

Cause: between the compaction of the store's history and for as long as its reads are slow, entries read nothing for a second and more.

Change: an entry tells the planner what it stored, the planner tells the entries that ping it which jobs are over, and a ping over one lasting connection says how long ago the store last took a record of the planner. State.Learn folds what is told outside the order of offsets.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,8 @@
 	// Messages about jobs of steps.
 	MethodReport      = "report"
 	MethodPingPlanner = "pingPlanner"
+	// MethodRecordStored has no reply.
+	MethodRecordStored = "recordStored"
 )
 
 // Client speaks to one entry.
@@ -73,6 +75,12 @@
 	return call[wire.PlannerPong](ctx, c, MethodPingPlanner, p)
 }
 
+// RecordStored tells the entry of a record that is stored. It does not wait: a
+// message that is lost is made up for by the store's reads.
+func (c Client) RecordStored(p wire.RecordStored) error {
+	return c.Conn.Notify(MethodRecordStored, p)
+}
+
 func call[R any](ctx context.Context, c Client, method string, params any) (R, error) {
 	var result R
 	err := c.Conn.Call(ctx, method, params, &result)
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -213,6 +213,15 @@
 	return p.Wait(ctx, method, result)
 }
 
+// Notify sends a message that has no reply. Without an error it is queued;
+// whether the other side gets it is unknown.
+func (c *Conn) Notify(method string, params any) error {
+	if err := c.conn.Notify(context.Background(), method, params); err != nil {
+		return translate(method, err)
+	}
+	return nil
+}
+
 func translate(method string, err error) error {
 	var refused *jsonrpc2.Error
 	switch {
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -96,6 +96,34 @@
 	s.checkRuns()
 }
 
+// Guards against a job that waits for the store's reads, which can be silent
+// for a second while the store takes appends: it starts, and its end is shown
+// by the entry that accepted it, before any record of it can be read.
+func TestStoreReadsMute(t *testing.T) {
+	s := newSite(t, 2, 2)
+	i := slices.IndexFunc(s.entries, func(e *entryProcess) bool { return e.daemon.Planning() < 0 })
+	c := s.c
+	c.Assert(i >= 0, qt.IsTrue)
+	other, planner := s.entries[i], s.entries[1-i]
+	// One ping opens the connection to the planner.
+	time.Sleep(time.Second)
+	s.store.Set(standinstore.Faults{Mute: true})
+	s.submit(other, "urgent", id(1), s.jobOf(id(1), "run 200", 2, 2, true))
+	s.awaitState(other, "urgent", id(1), "completed")
+	// Longer than an entry waits for a beat of the planner.
+	time.Sleep(2500 * time.Millisecond)
+	c.Check(planner.daemon.Planning(), qt.Equals, 2)
+	s.submit(other, "normal", id(2), s.jobOf(id(2), "run 20000", 2, 2, true))
+	s.eventually("the gang runs", func() bool { return len(s.starts(id(2))) == 2 })
+	status, _ := s.request(other, http.MethodDelete, "/normal/"+id(2), key, nil)
+	c.Check(status, qt.Equals, http.StatusOK)
+	s.eventually("the runs have ended", func() bool {
+		return !slices.ContainsFunc(s.starts(id(2)), func(b standinworker.Begun) bool { return b.Until.IsZero() })
+	})
+	s.store.Set(standinstore.Faults{})
+	s.checkRuns()
+}
+
 // Guards against work that is lost with the store, and against an acceptance
 // or a refusal that is not true while it is away.
 func TestStoreDown(t *testing.T) {
--- a/standinstore/standinstore.go
+++ b/standinstore/standinstore.go
@@ -34,6 +34,9 @@
 	// answer.
 	ApplyLate int
 	Late      time.Duration
+	// Mute keeps new records from reads of topics: they are answered as if
+	// nothing had been appended.
+	Mute bool
 	// Delay is added to every answer.
 	Delay time.Duration
 }
@@ -305,7 +308,7 @@
 		t := s.topic(query.Get("topic"))
 		end, first, changed := int64(len(t.records)), t.first, t.changed
 		var page []record
-		if from >= first && from < end {
+		if from >= first && from < end && !s.faults.Mute {
 			page = slices.Clone(t.records[from:])
 		}
 		s.mu.Unlock()
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -7,8 +7,12 @@
 // The planner of a term is fenced by the store. It keeps the board of package
 // stepplan, and agents follow it through sessions.
 //
-// The package owns three tables. Lock order: config, records, planner; none is
-// held during a call to another process.
+// Records that are stored are also told directly: an entry tells the planner
+// what it accepted, and the planner tells all entries which jobs are over. The
+// store's reads may be slow or silent for a second.
+//
+// The package owns four tables. Lock order: config, records, planner, uplink;
+// none is held during a call to another process.
 package stepentry
 
 import (
@@ -32,7 +36,6 @@
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
-	"celerypoint.example/celerypoint/wire"
 	"celerypoint.example/celerypoint/workpool"
 )
 
@@ -82,6 +85,7 @@
 	config  configTable
 	records recordTable
 	planner plannerTable
+	uplink  uplinkTable
 
 	// requests counts the callers' requests in progress.
 	requests atomic.Int64
@@ -110,7 +114,9 @@
 		drawTerm: randomTerm,
 		records:  recordTable{state: stepfold.New(), advanced: make(chan struct{}, 1)},
 		config:   configTable{keyGrace: c.KeyGrace},
-		planner:  plannerTable{timing: c.Timing, links: map[string]*agentLink{}, due: make(chan struct{}, 1)},
+		planner: plannerTable{
+			timing: c.Timing, links: map[string]*agentLink{}, watchers: map[*rpc.Conn]struct{}{}, due: make(chan struct{}, 1),
+		},
 	}
 	for _, o := range options {
 		o(d)
@@ -195,15 +201,9 @@
 		received := boottime.Now()
 		err = d.pool.Submit(func() { d.reported(r, received) })
 	case entry.MethodPingPlanner:
-		err = d.pool.Submit(func() {
-			d.planner.mu.Lock()
-			pong := wire.PlannerPong{Boot: d.boot}
-			if d.planner.board != nil {
-				pong.Term = int(d.planner.term)
-			}
-			d.planner.mu.Unlock()
-			r.Reply(pong)
-		})
+		err = d.pool.Submit(func() { d.pinged(r) })
+	case entry.MethodRecordStored:
+		err = d.pool.Submit(func() { d.recordStored(r) })
 	default:
 		err = fmt.Errorf("unknown method %q", r.Method)
 	}
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -2,22 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"syscall"
 	"time"
 
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/codec"
-	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/lease"
 	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
-	"celerypoint.example/celerypoint/wire"
 )
 
 // Election of the planner.
@@ -51,7 +47,7 @@
 // elect watches the planner and takes over when it is gone.
 func (d *Daemon) elect(ctx context.Context) {
 	var pinged time.Time
-	gone := false
+	health := healthUnknown
 	for ctx.Err() == nil {
 		pause.For(ctx, electEvery)
 		if d.plans() || d.leaving.Load() {
@@ -67,7 +63,7 @@
 		}
 		if now.Sub(pinged) >= pingEvery && p.Term > 0 {
 			pinged = now
-			gone = d.gone(ctx, p)
+			health = d.ask(ctx, p)
 		}
 		reason := ""
 		switch {
@@ -77,9 +73,9 @@
 			reason = "the planner resigned"
 		case p.Entry == d.c.Name && p.Boot != d.boot:
 			reason = "this entry planned before its restart"
-		case gone:
+		case health == healthGone:
 			reason = "the planner's process is gone"
-		case quiet > beatLost:
+		case quiet > beatLost && health != healthPlans:
 			reason = "no beat of the planner"
 		default:
 			continue
@@ -91,7 +87,7 @@
 		if same {
 			d.claim(ctx, p, reason)
 		}
-		gone = false
+		health = healthUnknown
 	}
 }
 
@@ -108,24 +104,6 @@
 	return d.planner.board != nil
 }
 
-// gone reports whether the planner's process is known to have ended. One that
-// does not answer may live, and one that does not plan yet may be reading the
-// records before its claim.
-func (d *Daemon) gone(ctx context.Context, p stepfold.Planner) bool {
-	if p.Entry == d.c.Name {
-		return p.Boot == d.boot
-	}
-	bounded, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	conn, err := d.rpc.Dial(bounded, p.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	defer conn.Close()
-	pong, err := entry.Client{Conn: conn}.PingPlanner(bounded, wire.PlannerPing{Term: int(p.Term)})
-	return err == nil && pong.Boot != p.Boot
-}
-
 // randomTerm chooses a term above an earlier one. The number behind it is left
 // for a resignation.
 func randomTerm(before int64) int64 {
@@ -238,6 +216,7 @@
 		}
 	}
 	d.planner.links = map[string]*agentLink{}
+	clear(d.planner.watchers)
 }
 
 // resignTimeout bounds the last append of a term.
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -80,7 +80,17 @@
 	}
 }
 
+// foldRecords takes over records in the order of their offsets.
 func (d *Daemon) foldRecords(records []recordlog.Stored) {
+	d.takeOver(records, d.records.state.Apply)
+}
+
+// learn takes over a stored record before it is read.
+func (d *Daemon) learn(r recordlog.Stored) {
+	d.takeOver([]recordlog.Stored{r}, d.records.state.Learn)
+}
+
+func (d *Daemon) takeOver(records []recordlog.Stored, fold func(int64, stepfold.Record) bool) {
 	now := boottime.Now()
 	d.records.mu.Lock()
 	defer d.records.mu.Unlock()
@@ -91,7 +101,7 @@
 			d.log.Add("recordInvalid", eventlog.Fields{"offset": r.Offset, "cause": err.Error()})
 			continue
 		}
-		if !d.records.state.Apply(r.Offset, record) {
+		if !fold(r.Offset, record) {
 			continue
 		}
 		switch record := record.(type) {
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -141,7 +141,7 @@
 			n++
 		}
 		begun := boottime.Now()
-		_, err := recordlog.Settle(ctx, d.c.Log, d.c.Topic, &fence, records[:n])
+		first, err := recordlog.Settle(ctx, d.c.Log, d.c.Topic, &fence, records[:n])
 		switch {
 		case ctx.Err() != nil:
 			return false
@@ -159,6 +159,7 @@
 		d.planner.mu.Lock()
 		d.planner.fence, d.planner.checkedAt = fence, begun
 		d.planner.mu.Unlock()
+		d.tellOver(first, records[:n])
 		records = records[n:]
 	}
 	return true
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -103,11 +103,12 @@
 	bounded, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	begun := time.Now()
-	_, err = recordlog.Settle(bounded, d.c.Log, d.c.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusedUntil(begun.Add(refusedTime)))
+	offset, err := recordlog.Settle(bounded, d.c.Log, d.c.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusedUntil(begun.Add(refusedTime)))
 	fields["storeMs"] = time.Since(begun).Milliseconds()
 	d.observe("storeMs", time.Since(begun))
 	switch {
 	case err == nil:
+		d.tellStored(recordlog.Stored{Offset: offset, Record: record})
 		return steps.OutcomeOK
 	case errors.Is(err, recordlog.ErrNotAppended):
 		fields["cause"] = err.Error()
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -49,7 +49,16 @@
 	storedThrough int64
 }
 
-// plannerTable is the last in the lock order. board is nil while this entry
+// uplinkTable is the last in the lock order: this entry's connection to the one
+// that plans.
+type uplinkTable struct {
+	mu      sync.Mutex
+	address string
+	// conn is nil while there is no connection.
+	conn *rpc.Conn
+}
+
+// plannerTable is the third in the lock order. board is nil while this entry
 // does not plan.
 type plannerTable struct {
 	mu    sync.Mutex
@@ -64,6 +73,8 @@
 	// sessions numbers the sessions with agents.
 	sessions int
 	links    map[string]*agentLink
+	// watchers are the connections of entries that ask whether this one plans.
+	watchers map[*rpc.Conn]struct{}
 	// cancel ends the term.
 	cancel func()
 	// due is signalled when a planning pass is to run.
--- a/stepfold/stepfold.go
+++ b/stepfold/stepfold.go
@@ -200,11 +200,22 @@
 	return &State{Jobs: map[string]*Entry{}, Agents: map[string]Agent{}, offsets: map[string]int64{}, Through: -1}
 }
 
+// Learn folds a stored record that was told outside the order of offsets. One
+// that was read already, or may have been, changes nothing: its key can have
+// been dropped since.
+func (s *State) Learn(offset int64, r Record) bool {
+	return offset > s.Through && s.fold(offset, r)
+}
+
 // Apply folds one record and reports whether it is news: older records of a
 // key change nothing.
 func (s *State) Apply(offset int64, r Record) bool {
-	key := Key(r)
 	s.Through = max(s.Through, offset)
+	return s.fold(offset, r)
+}
+
+func (s *State) fold(offset int64, r Record) bool {
+	key := Key(r)
 	if old, found := s.offsets[key]; found && offset <= old {
 		return false
 	}
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"celerypoint.example/celerypoint/access"
@@ -98,7 +99,30 @@
 	if !j.scheduled() {
 		b.open(j, 0, now)
 	}
-	b.event(Event{Kind: "jobTakenOver", Job: spec.ID, Reason: fmt.Sprintf("queue=%s priority=%d org=%s steps=%d tasks=%d gpus=%d", spec.Queue, j.Queue.Priority, spec.Org, len(spec.Steps), spec.Steps[0].Count, j.mostGPUs())})
+	b.event(Event{Kind: "jobTakenOver", Job: spec.ID, Reason: fmt.Sprintf("queue=%s priority=%d org=%s gpus=%d steps=%s", spec.Queue, j.Queue.Priority, spec.Org, j.mostGPUs(), describe(spec.Steps))})
+}
+
+// describe names what decides where the tasks of the steps may start, for logs.
+func describe(all []steps.Step) string {
+	var text []string
+	for _, s := range all {
+		words := fmt.Sprintf("%dx%dgpu/%dcpu/%dMiB~%s", s.Count, s.Needs.GPUs, s.Needs.CPU, s.Needs.MemMB, s.Estimate)
+		for _, option := range []struct {
+			name string
+			set  bool
+		}{
+			{"gang", s.Gang}, {"sameRack", s.SameRack}, {"checkpointing", s.Checkpointing}, {"speculative", s.Speculative},
+			{"longRunning", s.LongRunning}, {"fills", s.Fills}, {"rack=" + s.Rack, s.Rack != ""}, {"label=" + s.Label, s.Label != ""},
+			{fmt.Sprintf("perVM=%d", s.PerVM), s.PerVM > 0}, {fmt.Sprintf("maxMisses=%d", s.MaxMisses), s.MaxMisses > 0},
+			{fmt.Sprintf("targetMs=%d", s.TargetMs), s.TargetMs > 0}, {fmt.Sprintf("after=%v", s.After), len(s.After) > 0},
+		} {
+			if option.set {
+				words += "+" + option.name
+			}
+		}
+		text = append(text, words)
+	}
+	return strings.Join(text, ",")
 }
 
 // Cancel cancels a job unless it is over.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -902,6 +902,9 @@
 	// Boot corresponds to the JSON schema field "boot".
 	Boot string `json:"boot"`
 
+	// How long ago the newest successful append of the term began.
+	StoreAgeMs int `json:"storeAgeMs"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term int `json:"term"`
 }
@@ -954,6 +957,18 @@
 	Version int `json:"version"`
 }
 
+// A record that is stored, told before the store's reads bring it.
+type RecordStored struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// Offset corresponds to the JSON schema field "offset".
+	Offset int `json:"offset"`
+
+	// The record's JSON text.
+	Value string `json:"value"`
+}
+
 // The newest planner term of a region.
 type RegionTerm struct {
 	// Entry corresponds to the JSON schema field "entry".
