--- a/cli/site.go
+++ b/cli/site.go
@@ -93,7 +93,7 @@
 // siteEntryConfig translates the settings of an entry on the platform.
 func siteEntryConfig(s settings.SiteEntry) stepentry.Config {
 	return stepentry.Config{
-		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Topic: topicRecords, ConfigTopic: platform.TopicConfiguration,
+		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.Advertise, Topic: topicRecords, ConfigTopic: platform.TopicConfiguration,
 		Log: platform.NewStore(s.Store), DecodeConfig: platform.DecodeConfiguration,
 		Timing: stepplan.Timing{
 			Grant: s.Lease * grantShare / 100, KeepStatus: s.KeepStatus, StopTime: s.StopRun, Reclaim: s.Reclaim, FarFactor: s.FarFactor,
@@ -137,7 +137,7 @@
 	// A hangup must not end the process while it starts.
 	signal.Ignore(syscall.SIGHUP)
 	d, err := stepagent.New(stepagent.Config{
-		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Topic: topicRecords,
+		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.Advertise, Topic: topicRecords,
 		Log: platform.NewStore(s.Store), Worker: platform.NewWorker(s.WorkerAddress),
 	}, stepagent.WithOutput(p.stdout))
 	if err != nil {
--- a/settings/site.go
+++ b/settings/site.go
@@ -41,6 +41,9 @@
 	// first port for messages, the second for metrics.
 	IP    string
 	Ports []int
+	// Advertise is the address that others are told instead of Address, for
+	// example that of a proxy; empty for Address itself.
+	Advertise string
 	// Store is the IP address and port of the platform's store.
 	Store string
 	// Stop is how long after SIGTERM the process is killed.
@@ -73,6 +76,8 @@
 			}},
 		{Key{Section: "node", Name: "ports", Allowed: "FIRST,LAST with at least two ports", Help: "ports for the system's own processes"},
 			func(s *S, value string) bool { return ports(value, &node(s).Ports) }},
+		{Key{Section: "node", Name: "advertiseAddress", Optional: true, Allowed: "IP:PORT", Help: "address that other processes are told, when it is not the first port"},
+			target(func(s *S) *string { return &node(s).Advertise })},
 		{Key{Section: "node", Name: "store", Allowed: "IP:PORT", Help: "the platform's store"},
 			target(func(s *S) *string { return &node(s).Store })},
 		{Key{Section: "node", Name: "stopSeconds", Allowed: "0.5 to 86400", Help: "time from SIGTERM to SIGKILL"},
--- a/standinworker/standinworker.go
+++ b/standinworker/standinworker.go
@@ -57,8 +57,12 @@
 	Task       string
 	Run        int
 	Checkpoint string
-	At, Until  time.Time
-	End        string
+	// Spec is the payload.
+	Spec      string
+	At, Until time.Time
+	End       string
+	// Noted says that the end may be forgotten: it counts for good.
+	Noted bool
 }
 
 type running struct {
@@ -73,6 +77,7 @@
 	task   string
 	run    int
 	end    string
+	begun  *Begun
 }
 
 // Worker is a running stand-in.
@@ -93,16 +98,21 @@
 	highest  map[string]int
 	sequence int64
 	draining bool
-	changed  chan struct{}
-	history  []*Begun
-	broken   []string
-	closed   bool
+	// leftAt is when an announcement of that was first acknowledged.
+	leftAt  time.Time
+	changed chan struct{}
+	history []*Begun
+	broken  []string
+	closed  bool
 }
 
 const (
 	handlers = 64
 	// lapseTick is how often leases are looked at.
 	lapseTick = 10 * time.Millisecond
+	// drainBound is how long after the acknowledgement that it drains a worker
+	// may still get new work, from the platform's bounds.
+	drainBound = 2 * time.Second
 	// silence is how long a call without an answer is kept open.
 	silence = 2 * time.Second
 )
@@ -253,24 +263,25 @@
 		time.AfterFunc(w.faults.Late, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.begin(o)
+			w.begin(o, true)
 		})
 	case lost:
 		w.faults.LoseAnswers--
-		w.begin(o)
+		w.begin(o, false)
 	}
 	if late || lost {
 		w.mu.Unlock()
 		w.hang(rw)
 		return
 	}
-	status, reason := w.begin(o)
+	status, reason := w.begin(o, false)
 	w.mu.Unlock()
 	w.reply(rw, status, reason)
 }
 
-// begin starts a run. The caller holds the mutex.
-func (w *Worker) begin(o order) (int, string) {
+// begin starts a run; late says that the order waited here. The caller holds
+// the mutex.
+func (w *Worker) begin(o order, late bool) (int, string) {
 	deadline := time.Duration(o.DeadlineMs) * time.Millisecond
 	switch r := w.running[o.Task]; {
 	case w.closed:
@@ -289,10 +300,10 @@
 	if r := w.running[o.Task]; r != nil {
 		w.broken = append(w.broken, fmt.Sprintf("two runs of %s at once", o.Task))
 	}
-	if w.draining {
+	if !late && !w.leftAt.IsZero() && time.Since(w.leftAt) > drainBound {
 		w.broken = append(w.broken, fmt.Sprintf("%s was started while the worker drains", o.Task))
 	}
-	b := &Begun{Task: o.Task, Run: o.Run, Checkpoint: o.Checkpoint, At: time.Now()}
+	b := &Begun{Task: o.Task, Run: o.Run, Checkpoint: o.Checkpoint, Spec: o.Spec, At: time.Now()}
 	w.history = append(w.history, b)
 	w.running[o.Task] = &running{begun: b, length: work(o.Spec), work: time.AfterFunc(work(o.Spec), func() { w.finish(o.Task, o.Run, outcome(o.Spec)) })}
 	w.checkCapacity()
@@ -360,7 +371,7 @@
 	delete(w.running, task)
 	w.highest[task] = max(w.highest[task], r.begun.Run)
 	w.last++
-	w.ends = append(w.ends, ended{w.last, task, r.begun.Run, how})
+	w.ends = append(w.ends, ended{w.last, task, r.begun.Run, how, r.begun})
 	w.signal()
 }
 
@@ -402,6 +413,7 @@
 	}
 	w.hold1(o)
 	for len(w.ends) > 0 && w.ends[0].number <= o.AckCursor {
+		w.ends[0].begun.Noted = true
 		w.ends = w.ends[1:]
 	}
 	changed, listed := w.changed, len(w.ends)
@@ -494,4 +506,11 @@
 		return
 	}
 	_ = response.Body.Close()
+	if state == "draining" && response.StatusCode == http.StatusOK {
+		w.mu.Lock()
+		if w.leftAt.IsZero() {
+			w.leftAt = time.Now()
+		}
+		w.mu.Unlock()
+	}
 }
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -12,6 +12,7 @@
 package stepagent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -58,6 +59,8 @@
 	Zone string
 	// Listen is the IP address and port where planners connect.
 	Listen string
+	// Advertise is the address that others are told, when it is not Listen.
+	Advertise string
 	// Topic is where the system's records are.
 	Topic  string
 	Log    recordlog.Log
@@ -143,6 +146,9 @@
 	return d, nil
 }
 
+// address is where others connect.
+func (d *Daemon) address() string { return cmp.Or(d.c.Advertise, d.rpc.Address()) }
+
 // Metrics is the registry of counters.
 func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
 
@@ -161,14 +167,14 @@
 
 // register names the agent in the store, so that planners find it.
 func (d *Daemon) register(ctx context.Context) {
-	record, err := codec.EncodeStepRecord(stepfold.AgentSeen{Name: d.c.Name, Agent: stepfold.Agent{Address: d.rpc.Address(), Zone: d.c.Zone}})
+	record, err := codec.EncodeStepRecord(stepfold.AgentSeen{Name: d.c.Name, Agent: stepfold.Agent{Address: d.address(), Zone: d.c.Zone}})
 	if err != nil {
 		d.log.Add("agentUnregistered", eventlog.Fields{"cause": err.Error()})
 		return
 	}
 	for ctx.Err() == nil {
 		if _, err = recordlog.Settle(ctx, d.c.Log, d.c.Topic, nil, []recordlog.Record{record}); err == nil {
-			d.log.Add("agentRegistered", eventlog.Fields{"address": d.rpc.Address()})
+			d.log.Add("agentRegistered", eventlog.Fields{"address": d.address()})
 			return
 		}
 		pause.For(ctx, registerPause)
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -91,7 +91,7 @@
 	if err == nil {
 		// The first report may come before the reply.
 		d.opened(name, conn, session)
-		result, err = agent.Client{Conn: conn}.Attach(bounded, wire.AttachParams{Term: int(term), Session: session, Planner: d.c.Name, Address: d.rpc.Address()})
+		result, err = agent.Client{Conn: conn}.Attach(bounded, wire.AttachParams{Term: int(term), Session: session, Planner: d.c.Name, Address: d.address()})
 	}
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -16,6 +16,7 @@
 package stepentry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -46,6 +47,8 @@
 	Zone string
 	// Listen is the IP address and port where agents and entries connect.
 	Listen string
+	// Advertise is the address that others are told, when it is not Listen.
+	Advertise string
 	// Topic is where the system's records are; ConfigTopic is where operators
 	// write.
 	Topic, ConfigTopic string
@@ -139,6 +142,9 @@
 	return d, nil
 }
 
+// address is where others connect.
+func (d *Daemon) address() string { return cmp.Or(d.c.Advertise, d.rpc.Address()) }
+
 // Metrics is the registry of counters.
 func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
 
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -114,7 +114,7 @@
 func (d *Daemon) claim(ctx context.Context, before stepfold.Planner, reason string) {
 	term := d.drawTerm(before.Term)
 	fence := recordlog.Fence{Producer: producer, Epoch: term}
-	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.rpc.Address(), Term: term, Beat: 1}
+	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.address(), Term: term, Beat: 1}
 	record, err := codec.EncodeStepRecord(stepfold.PlannerSeen{Planner: self})
 	if err != nil {
 		d.log.Add("claimFailed", eventlog.Fields{"cause": err.Error()})
@@ -229,7 +229,7 @@
 		d.planner.mu.Unlock()
 		return
 	}
-	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.rpc.Address(), Term: d.planner.term, Resigned: true}
+	self := stepfold.Planner{Entry: d.c.Name, Boot: d.boot, Address: d.address(), Term: d.planner.term, Resigned: true}
 	d.endTerm("the entry stops")
 	d.planner.mu.Unlock()
 	record, err := codec.EncodeStepRecord(stepfold.PlannerSeen{Planner: self})
