stepplan: count one failed run of a gang once

A worker that failed all that it started ended four members of a gang as failed in one run, and each of them counted as an attempt of the whole gang, so that the job was given up after one run.

Change: a step remembers the newest run that was counted. The soak starts its programs through a process without sockets (inherited ones kept connections open), which outlives the signal of a closed pipe, and takes ports from below the kernel's own range. The stand-in store keeps the query of an append that it carries out late.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -13,25 +14,40 @@
 	"time"
 )
 
-// program is the celerypoint program, which TestMain builds once.
-var program string
+var (
+	// program is the celerypoint program, which TestMain builds once.
+	program string
+	// programs starts it.
+	programs *spawner
+)
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+func TestMain(m *testing.M) {
+	if os.Getenv(spawnerVariable) != "" {
+		os.Exit(serveSpawner())
+	}
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+	}
+	os.Exit(code)
+}
 
-func buildAndRun(m *testing.M) int {
+func buildAndRun(m *testing.M) (int, error) {
 	dir, err := os.MkdirTemp("", "celerypoint-soak")
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "soak:", err)
-		return 1
+		return 1, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	program = filepath.Join(dir, "celerypoint")
 	build := exec.Command("go", "build", "-o", program, "../cmd/celerypoint")
 	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "soak: %v: %v\n%s", build.Args, err, out)
-		return 1
+		return 1, fmt.Errorf("%v: %w\n%s", build.Args, err, out)
+	}
+	if programs, err = startSpawner(); err != nil {
+		return 1, err
 	}
-	return m.Run()
+	defer programs.close()
+	return m.Run(), nil
 }
 
 const (
@@ -51,9 +67,8 @@
 	// memoryMB bounds its peak.
 	memoryMB int
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
+	mu  sync.Mutex
+	run *spawned
 	// wanted says that the end of the process was ordered, and retired that it
 	// is not started again.
 	wanted, retired bool
@@ -62,47 +77,23 @@
 
 // start starts the process. The caller holds the mutex.
 func (p *process) start() error {
-	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	run, err := programs.start(p.log, program, "site", p.role, "--settings", p.settings)
 	if err != nil {
 		return err
 	}
-	p.cmd = exec.Command(program, "site", p.role, "--settings", p.settings)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	closeOnExec()
-	if err := p.cmd.Start(); err != nil {
-		_ = out.Close()
-		return err
-	}
-	p.exited, p.wanted = make(chan struct{}), false
-	go p.await(p.cmd, p.exited, out)
+	p.run, p.wanted = run, false
+	go p.await(run)
 	return nil
 }
 
-// closeOnExec keeps the sockets of this process from the programs that it
-// starts. nbio duplicates the descriptors of its connections without the flag;
-// one that a program inherits stays open when this side closes it.
-func closeOnExec() {
-	all, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		return
-	}
-	for _, entry := range all {
-		if fd, err := strconv.Atoi(entry.Name()); err == nil && fd > 2 {
-			syscall.CloseOnExec(fd)
-		}
-	}
-}
-
 // await starts the process again once it has ended.
-func (p *process) await(cmd *exec.Cmd, exited chan struct{}, out *os.File) {
-	err := cmd.Wait()
-	_ = out.Close()
-	close(exited)
+func (p *process) await(run *spawned) {
+	<-run.exited
 	p.mu.Lock()
 	wanted := p.wanted
 	p.mu.Unlock()
 	if !wanted {
-		p.broken("%s ended by itself: %v", p.name, err)
+		p.broken("%s ended by itself: %v", p.name, run.err)
 	}
 	time.Sleep(restartPause)
 	p.mu.Lock()
@@ -120,18 +111,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.wanted = p.wanted || s == syscall.SIGKILL || s == syscall.SIGTERM
-	_ = p.cmd.Process.Signal(s)
+	select {
+	case <-p.run.exited:
+		// Its number may belong to another process by now.
+		return
+	default:
+	}
+	if err := syscall.Kill(p.run.pid, s); err != nil && !errors.Is(err, syscall.ESRCH) {
+		p.broken("%s: %s: %v", p.name, s, err)
+	}
 }
 
 // stop ends the process gracefully; one that takes longer than the grace is
 // killed.
 func (p *process) stop() {
 	p.mu.Lock()
-	exited := p.exited
+	run := p.run
 	p.mu.Unlock()
 	p.signal(syscall.SIGTERM)
 	select {
-	case <-exited:
+	case <-run.exited:
 	case <-time.After(stopGrace):
 		p.signal(syscall.SIGKILL)
 	}
@@ -141,17 +140,17 @@
 func (p *process) retire() {
 	p.mu.Lock()
 	p.retired = true
-	exited := p.exited
+	run := p.run
 	p.mu.Unlock()
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
-	<-exited
+	<-run.exited
 }
 
 // checkMemory compares the peak with the bound.
 func (p *process) checkMemory() {
 	p.mu.Lock()
-	pid := p.cmd.Process.Pid
+	pid := p.run.pid
 	p.mu.Unlock()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,34 +158,32 @@
 	return p
 }
 
-// freePorts finds free ports of loopback that a process can take again after a
-// restart.
+// nextPort is the next port to try. Ports that a process takes again after a
+// restart are below the range from which the kernel chooses (32768 and up), so
+// that no connection takes them meanwhile.
+var nextPort atomic.Int64
+
+const firstPort, lastPort = 20000, 32000
+
+// freePorts finds adjacent free ports of loopback.
 func freePorts(t *testing.T, n int) []int {
-	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for range 1000 {
+		first := firstPort + int(nextPort.Add(int64(n)))%(lastPort-firstPort)
+		var ports []int
+		for port := first; port < first+n; port++ {
+			l, err := net.Listen("tcp", local(port))
+			if err != nil {
+				break
+			}
+			_ = l.Close()
+			ports = append(ports, port)
 		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
-}
-
-// freePair finds two adjacent free ports.
-func freePair(t *testing.T) [2]int {
-	for range 100 {
-		first := freePorts(t, 1)[0]
-		l, err := net.Listen("tcp", local(first+1))
-		if err != nil {
-			continue
+		if len(ports) == n {
+			return ports
 		}
-		_ = l.Close()
-		return [2]int{first, first + 1}
 	}
-	t.Fatal("no two adjacent free ports")
-	return [2]int{}
+	t.Fatalf("no %d adjacent free ports", n)
+	return nil
 }
 
 func local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
@@ -208,26 +207,26 @@
 }
 
 // node is the part of the settings that all roles have.
-func node(name string, ports [2]int, advertise, store string, memoryMB int) string {
+func node(name string, ports []int, advertise, store string, memoryMB int) string {
 	return fmt.Sprintf("[node]\nname = %s\nzone = a\nip = 127.0.0.1\nports = %d,%d\nadvertiseAddress = %s\nstore = %s\nstopSeconds = %g\nmemoryMB = %d\n",
 		name, ports[0], ports[1], advertise, store, stopGrace.Seconds(), memoryMB)
 }
 
 func (s *system) startEntry(t *testing.T, i int) {
-	ports, own := freePair(t), freePorts(t, 2)
+	ports := freePorts(t, 4)
 	name := fmt.Sprintf("entry-%d", i)
-	e := &entryNode{clients: s.proxy(t, local(own[0])), peers: s.proxy(t, local(ports[0])), store: s.proxy(t, s.store.Address())}
+	e := &entryNode{clients: s.proxy(t, local(ports[2])), peers: s.proxy(t, local(ports[0])), store: s.proxy(t, s.store.Address())}
 	e.process = s.newProcess(t, "entry", name, entryMB, node(name, ports, e.peers.Address(), e.store.Address(), entryMB)+
 		fmt.Sprintf("[entry]\nclientAddress = %s\nreadinessAddress = %s\nkeepStatusSeconds = 120\nleaseMs = %d\nstopRunMs = %d\nreclaimMs = 2700\nkeyGraceMs = %d\nfarFactor = 3\n",
-			local(own[0]), local(own[1]), maxLease.Milliseconds(), stopTime.Milliseconds(), revokeMs))
+			local(ports[2]), local(ports[3]), maxLease.Milliseconds(), stopTime.Milliseconds(), revokeMs))
 	s.entries = append(s.entries, e)
 }
 
 func (s *system) startAgent(t *testing.T, i int) {
-	ports, own := freePair(t), freePorts(t, 2)
+	ports := freePorts(t, 4)
 	name := fmt.Sprintf("agent-%d", i)
 	a := &agentNode{
-		peers: s.proxy(t, local(ports[0])), store: s.proxy(t, s.store.Address()), workerAt: local(own[0]), heartbeatsAt: local(own[1]),
+		peers: s.proxy(t, local(ports[0])), store: s.proxy(t, s.store.Address()), workerAt: local(ports[2]), heartbeatsAt: local(ports[3]),
 		rack: fmt.Sprintf("r%d", i/2),
 	}
 	if err := s.startWorker(a, i); err != nil {
--- a/standinstore/standinstore.go
+++ b/standinstore/standinstore.go
@@ -227,12 +227,14 @@
 		s.faults.LoseAnswers--
 	}
 	s.mu.Unlock()
+	// nbhttp uses the request again once it is answered.
+	query := r.URL.Query()
 	if late {
-		time.AfterFunc(wait, func() { s.apply(r.URL.Query().Get, records) })
+		time.AfterFunc(wait, func() { s.apply(query.Get, records) })
 		s.hang(w)
 		return
 	}
-	status, reply := s.apply(r.URL.Query().Get, records)
+	status, reply := s.apply(query.Get, records)
 	if lost {
 		s.hang(w)
 		return
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -8,7 +8,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/worker"
 )
 
 // newCluster makes a board with idle VMs of 8 accelerators, two to a rack.
@@ -89,3 +91,23 @@
 	}
 	c.Assert(open, qt.Equals, 3)
 }
+
+// Guards against a gang whose members all fail in one run being counted as
+// failed once for each of them (soak seed 512476121: a worker that fails all
+// that it starts).
+func TestGangFailsOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := newCluster(1, now)
+	b.Accept(jobOf("gang", "urgent", now, steps.Step{Count: 4, Needs: steps.Resources{GPUs: 2}, Gang: true}), now)
+	b.Plan(now)
+	r := Report{Agent: "vm0", Session: 1, Present: true, Worker: "vm0", Rack: "r0", Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}}
+	for i := range 4 {
+		r.Ended = append(r.Ended, worker.Ended{Number: int64(i + 1), Run: worker.Run{Task: fmt.Sprintf("gang.0.0.%d", i), Number: 1}, End: worker.EndFailed})
+	}
+	b.Report(r, now)
+	c.Check(b.Jobs["gang"].Phase, qt.Equals, stepfold.PhaseRunning)
+	for _, task := range b.Jobs["gang"].Occurrences[0][0].Tasks {
+		c.Check(task.Failures, qt.Equals, 1)
+	}
+}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -349,8 +349,12 @@
 	}
 	b.closeRun(t, now)
 	t.FailedOn = append(t.FailedOn, vm.Agent)
-	t.Failures++
 	b.breakGang(t, now, "a member failed")
+	if s.Spec.Gang && s.FailedRun == t.Run {
+		return
+	}
+	s.FailedRun = t.Run
+	t.Failures++
 	if s.Spec.Gang {
 		for _, member := range s.Tasks {
 			member.Failures = max(member.Failures, t.Failures)
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -65,6 +65,8 @@
 	Tasks []*Task
 	// Open counts the tasks with an open run, Done those that are done.
 	Open, Done int
+	// FailedRun is the newest run of a gang that was counted as failed.
+	FailedRun int
 }
 
 // Job is a job that is not over, or whose runs have not all ended.
