--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,10 @@
 	MethodStopRun  = "stopRun"
 )
 
+// ReasonUnsettled is the reason of a start whose outcome is not known yet: it
+// may still happen, and a report of the result's version or later tells.
+const ReasonUnsettled = "unsettled"
+
 // Client sends orders to one agent. An *rpc.Error means that the agent
 // refused to handle the order; any other error leaves open whether it acted.
 type Client struct{ Conn *rpc.Conn }
@@ -83,7 +87,7 @@
 }
 
 // StartRun starts one run of a task of a step. A result that does not say
-// started, without a reason of unsettled, is certain.
+// started, without ReasonUnsettled, is certain.
 func (c Client) StartRun(ctx context.Context, p wire.StartRunParams) (wire.StartRunResult, error) {
 	return call[wire.StartRunResult](ctx, c, MethodStartRun, p)
 }
--- a/cli/check.go
+++ b/cli/check.go
@@ -39,11 +39,16 @@
 }
 
 func (p *program) printDefaults(asJSON bool) error {
-	keys := map[string][]settings.Key{"entry": settings.EntryKeys(), "agent": settings.AgentKeys()}
+	keys := map[string][]settings.Key{
+		"entry": settings.EntryKeys(), "agent": settings.AgentKeys(),
+		"siteEntry": settings.SiteEntryKeys(), "siteAgent": settings.SiteAgentKeys(),
+	}
 	return p.print(asJSON, keys, func() {
 		writeKeys(p.stdout, "entry.ini", keys["entry"])
-		fmt.Fprintln(p.stdout)
-		writeKeys(p.stdout, "agent.ini", keys["agent"])
+		for _, f := range []struct{ name, keys string }{{"agent.ini", "agent"}, {"entry.ini on the platform", "siteEntry"}, {"agent.ini on the platform", "siteAgent"}} {
+			fmt.Fprintln(p.stdout)
+			writeKeys(p.stdout, f.name, keys[f.keys])
+		}
 	})
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -7,16 +7,21 @@
 )
 
 // Check reads a settings file whole and reports what is wrong with it, or nil.
-// Its section [entry] or [agent] says whose file it is.
+// Its section [entry] or [agent] says whose file it is, and [node] that it is
+// for the users' platform.
 func Check(path string) error {
 	file, err := ini.Load(path)
 	if err != nil {
 		return fmt.Errorf("settings: %s: %w", path, err)
 	}
-	entry, agent := file.HasSection("entry"), file.HasSection("agent")
+	entry, agent, site := file.HasSection("entry"), file.HasSection("agent"), file.HasSection("node")
 	switch {
 	case entry == agent:
 		return fmt.Errorf("settings: %s: section: found [entry] %t and [agent] %t, allowed: one of the two", path, entry, agent)
+	case entry && site:
+		_, err = LoadSiteEntry(path, nil)
+	case site:
+		_, err = LoadSiteAgent(path, nil)
 	case entry:
 		_, err = LoadEntry(path, nil)
 	default:
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -20,9 +20,12 @@
 		qt.Assert(t, ok, qt.IsTrue)
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join("testdata", "bad", name)
-			if strings.HasPrefix(name, "entry") {
+			switch {
+			case strings.HasPrefix(name, "site-"):
+				err = Check(path)
+			case strings.HasPrefix(name, "entry"):
 				_, err = LoadEntry(path, nil)
-			} else {
+			default:
 				_, err = LoadAgent(path, nil)
 			}
 			qt.Assert(t, err, qt.ErrorMatches, path+": "+want)
@@ -30,6 +33,16 @@
 	}
 }
 
+// TestGoodFiles guards against a kind of settings that check does not know.
+func TestGoodFiles(t *testing.T) {
+	files, err := filepath.Glob("testdata/good/*.ini")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.HasLen, 4)
+	for _, path := range files {
+		qt.Check(t, Check(path), qt.IsNil)
+	}
+}
+
 // TestExamples guards against examples that the program no longer accepts.
 func TestExamples(t *testing.T) {
 	entries, err := filepath.Glob("../examples/*/entry.ini")
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/wire"
@@ -29,9 +30,6 @@
 	refusedConnections = 2
 )
 
-// reasonUnsettled is the reason of a start whose outcome is not known yet.
-const reasonUnsettled = "unsettled"
-
 // poll reads the status of the worker until ctx ends, and extends leases.
 func (d *Daemon) poll(ctx context.Context) {
 	failures := 0
@@ -51,7 +49,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		d.count("workerCallFailed")
+		d.counters.Count("workerCallFailed")
 		d.doubt()
 		failures++
 		if !errors.Is(err, errNoListener) {
@@ -135,7 +133,7 @@
 func (d *Daemon) startRun(ctx context.Context, p wire.StartRunParams) wire.StartRunResult {
 	key := worker.Run{Task: p.Task, Number: p.Run}
 	begun := time.Now()
-	defer func() { d.observe("startMs", time.Since(begun)) }()
+	defer func() { d.counters.Observe("startMs", time.Since(begun)) }()
 	if refused, done := d.openRun(p, key); done {
 		return refused
 	}
@@ -152,7 +150,7 @@
 		case outcome == outcomeRefused:
 			return d.settle(key, false, reason)
 		case outcome == outcomeUnknown:
-			d.count("startUnsettled")
+			d.counters.Count("startUnsettled")
 			if result, done := d.probe(bounded, key); done {
 				return result
 			}
@@ -168,7 +166,7 @@
 	if r := t.runs[key]; r != nil {
 		r.active = false
 	}
-	return wire.StartRunResult{Version: t.version, Reason: reasonUnsettled}
+	return wire.StartRunResult{Version: t.version, Reason: agent.ReasonUnsettled}
 }
 
 // openRun enters the run in the table, or says why it may not start.
@@ -193,7 +191,7 @@
 	case t.lease == 0:
 		reason = "noLease"
 	case t.runs[key] != nil:
-		return wire.StartRunResult{Started: t.runs[key].settled, Version: t.version, Reason: reasonUnsettled}, true
+		return wire.StartRunResult{Started: t.runs[key].settled, Version: t.version, Reason: agent.ReasonUnsettled}, true
 	}
 	if reason != "" {
 		d.log.Add("startRefused", eventlog.Fields{"task": p.Task, "run": p.Run, "reason": reason})
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -28,6 +28,7 @@
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/pause"
@@ -90,15 +91,15 @@
 
 // Daemon is a running agent.
 type Daemon struct {
-	c       Config
-	boot    string
-	log     *eventlog.Log
-	metrics metrics.Registry
-	rpc     *rpc.Engine
-	pool    *workpool.Pool
-	table   *table
-	session session
-	leaving atomic.Bool
+	c        Config
+	boot     string
+	log      *eventlog.Log
+	counters counters.Counters
+	rpc      *rpc.Engine
+	pool     *workpool.Pool
+	table    *table
+	session  session
+	leaving  atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -111,20 +112,20 @@
 
 // WithOutput sets where log lines go; by default they are discarded.
 func WithOutput(out io.Writer) Option {
-	return func(d *Daemon) { d.log = eventlog.New(out, d.c.Name, d.metrics) }
+	return func(d *Daemon) { d.log = eventlog.New(out, d.c.Name, d.counters.Registry) }
 }
 
 // newDaemon makes an agent without starting it.
 func newDaemon(c Config, options ...Option) *Daemon {
 	d := &Daemon{
-		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), metrics: metrics.NewRegistry(),
+		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(),
 		pool: workpool.New(orderWorkers, orderQueue), table: newTable(),
 	}
 	for _, o := range options {
 		o(d)
 	}
 	if d.log == nil {
-		d.log = eventlog.New(io.Discard, c.Name, d.metrics)
+		d.log = eventlog.New(io.Discard, c.Name, d.counters.Registry)
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
@@ -150,17 +151,7 @@
 func (d *Daemon) address() string { return cmp.Or(d.c.Advertise, d.rpc.Address()) }
 
 // Metrics is the registry of counters.
-func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
-
-func (d *Daemon) count(name string) { metrics.GetOrRegisterCounter(name, d.metrics).Inc(1) }
-
-// sampleSize is the number of latencies that a histogram keeps.
-const sampleSize = 256
-
-// observe adds a latency, in milliseconds, to a histogram.
-func (d *Daemon) observe(name string, latency time.Duration) {
-	metrics.GetOrRegisterHistogram(name, d.metrics, metrics.NewUniformSample(sampleSize)).Update(latency.Milliseconds())
-}
+func (d *Daemon) Metrics() metrics.Registry { return d.counters.Registry }
 
 // registerPause is the wait after a failed try to register.
 const registerPause = 500 * time.Millisecond
@@ -206,7 +197,7 @@
 	if err != nil {
 		fields["outcome"] = err.Error()
 	}
-	d.count("settingsReloaded")
+	d.counters.Count("settingsReloaded")
 	d.log.Add("settingsReloaded", fields)
 }
 
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -74,7 +74,7 @@
 	if d.planner.board != nil {
 		d.planner.board.Detached(name, l.session)
 	}
-	d.count("agentLost")
+	d.counters.Count("agentLost")
 	d.log.Add("agentLost", eventlog.Fields{"vm": name, "session": l.session, "reason": reason})
 }
 
@@ -205,12 +205,12 @@
 		if l == nil || l.conn == nil || l.session != o.Session {
 			continue
 		}
-		d.count("stopSent")
+		d.counters.Count("stopSent")
 		params := wire.StopRunParams{Term: int(d.planner.term), Session: o.Session, Worker: o.Worker, Task: o.Task.String(), Run: o.Run}
 		l.conn.Send(agent.MethodStopRun, params, time.Now().Add(stopTimeout), func(_ []byte, err error) {
 			if err != nil {
 				// The stop is ordered again while the run is listed.
-				d.count("stopFailed")
+				d.counters.Count("stopFailed")
 			}
 		})
 	}
@@ -230,13 +230,13 @@
 	}
 	conn := l.conn
 	sent := time.Now()
-	d.count("startSent")
+	d.counters.Count("startSent")
 	params := wire.StartRunParams{
 		Term: int(d.planner.term), Session: o.Session, Worker: o.Worker, Task: o.Task.String(), Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
 	}
 	conn.Send(agent.MethodStartRun, params, time.Now().Add(startTimeout), func(raw []byte, err error) {
 		var result wire.StartRunResult
-		d.observe("startAnswerMs", time.Since(sent))
+		d.counters.Observe("startAnswerMs", time.Since(sent))
 		if err == nil {
 			err = wire.Decode(raw, &result)
 		}
@@ -245,9 +245,6 @@
 	})
 }
 
-// reasonUnsettled is the agent's reason for a start that may still happen.
-const reasonUnsettled = "unsettled"
-
 func (d *Daemon) startAnswered(o stepplan.StartOrder, conn *rpc.Conn, result wire.StartRunResult, err error) {
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
@@ -261,7 +258,7 @@
 		if l := d.planner.links[o.Agent]; l != nil && l.conn == conn {
 			d.closeSession(o.Agent, l, "no answer to a start: "+err.Error())
 		}
-	case result.Started || result.Reason == reasonUnsettled:
+	case result.Started || result.Reason == agent.ReasonUnsettled:
 		b.Started(o, result.Version, result.Started)
 	default:
 		b.Refused(o, result.Reason, boottime.Now())
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -30,6 +30,7 @@
 
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/pause"
@@ -76,12 +77,12 @@
 
 // Daemon is a running entry.
 type Daemon struct {
-	c       Config
-	boot    string
-	log     *eventlog.Log
-	metrics metrics.Registry
-	rpc     *rpc.Engine
-	pool    *workpool.Pool
+	c        Config
+	boot     string
+	log      *eventlog.Log
+	counters counters.Counters
+	rpc      *rpc.Engine
+	pool     *workpool.Pool
 	// drawTerm chooses the term of a claim after an earlier one.
 	drawTerm func(before int64) int64
 
@@ -107,13 +108,13 @@
 
 // WithOutput sets where log lines go; by default they are discarded.
 func WithOutput(out io.Writer) Option {
-	return func(d *Daemon) { d.log = eventlog.New(out, d.c.Name, d.metrics) }
+	return func(d *Daemon) { d.log = eventlog.New(out, d.c.Name, d.counters.Registry) }
 }
 
 // New starts an entry; see Ready for when it takes requests.
 func New(c Config, options ...Option) (*Daemon, error) {
 	d := &Daemon{
-		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), metrics: metrics.NewRegistry(), pool: workpool.New(poolWorkers, poolQueue),
+		c: c, boot: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(), pool: workpool.New(poolWorkers, poolQueue),
 		drawTerm: randomTerm,
 		records:  recordTable{state: stepfold.New(), advanced: make(chan struct{}, 1)},
 		config:   configTable{keyGrace: c.KeyGrace},
@@ -125,7 +126,7 @@
 		o(d)
 	}
 	if d.log == nil {
-		d.log = eventlog.New(io.Discard, c.Name, d.metrics)
+		d.log = eventlog.New(io.Discard, c.Name, d.counters.Registry)
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen))
@@ -146,31 +147,21 @@
 func (d *Daemon) address() string { return cmp.Or(d.c.Advertise, d.rpc.Address()) }
 
 // Metrics is the registry of counters.
-func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
-
-func (d *Daemon) count(name string) { metrics.GetOrRegisterCounter(name, d.metrics).Inc(1) }
-
-// sampleSize is the number of latencies that a histogram keeps.
-const sampleSize = 512
-
-// observe adds a latency, in milliseconds, to a histogram.
-func (d *Daemon) observe(name string, latency time.Duration) {
-	metrics.GetOrRegisterHistogram(name, d.metrics, metrics.NewUniformSample(sampleSize)).Update(latency.Milliseconds())
-}
+func (d *Daemon) Metrics() metrics.Registry { return d.counters.Registry }
 
 // registerGauges registers what is read when metrics are asked for.
 func (d *Daemon) registerGauges() {
-	metrics.NewRegisteredFunctionalGauge("configurationAgeMs", d.metrics, func() int64 {
+	d.counters.Gauge("configurationAgeMs", func() int64 {
 		d.config.mu.Lock()
 		defer d.config.mu.Unlock()
 		return boottime.Now().Sub(d.config.provenAt).Milliseconds()
 	})
-	metrics.NewRegisteredFunctionalGauge("recordsAgeMs", d.metrics, func() int64 {
+	d.counters.Gauge("recordsAgeMs", func() int64 {
 		d.records.mu.Lock()
 		defer d.records.mu.Unlock()
 		return boottime.Now().Sub(d.records.provenAt).Milliseconds()
 	})
-	metrics.NewRegisteredFunctionalGauge("agentsInTouch", d.metrics, func() int64 { return int64(d.Planning()) })
+	d.counters.Gauge("agentsInTouch", func() int64 { return int64(d.Planning()) })
 }
 
 // Reload puts new bounds in force. Addresses, names and the time for a stop are
@@ -195,7 +186,7 @@
 	if err != nil {
 		fields["outcome"] = err.Error()
 	}
-	d.count("settingsReloaded")
+	d.counters.Count("settingsReloaded")
 	d.log.Add("settingsReloaded", fields)
 }
 
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -29,7 +29,7 @@
 	for _, r := range records {
 		t, found, err := d.c.DecodeConfig(r.Record)
 		if err != nil {
-			d.count("configurationInvalid")
+			d.counters.Count("configurationInvalid")
 			d.log.Add("configurationInvalid", eventlog.Fields{"offset": r.Offset, "cause": err.Error()})
 			continue
 		}
@@ -97,7 +97,7 @@
 	for _, r := range records {
 		record, err := codec.DecodeStepRecord(r.Record)
 		if err != nil {
-			d.count("recordInvalid")
+			d.counters.Count("recordInvalid")
 			d.log.Add("recordInvalid", eventlog.Fields{"offset": r.Offset, "cause": err.Error()})
 			continue
 		}
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -88,7 +88,7 @@
 
 func (d *Daemon) logEvents(events []stepplan.Event) {
 	for _, e := range events {
-		d.count(e.Kind)
+		d.counters.Count(e.Kind)
 		fields := eventlog.Fields{"term": d.planner.term, "reason": e.Reason}
 		for name, value := range map[string]string{"job": e.Job, "task": e.Task, "vm": e.VM} {
 			if value != "" {
@@ -150,12 +150,12 @@
 			d.endTerm(err.Error())
 			d.planner.mu.Unlock()
 			if !errors.Is(err, recordlog.ErrFenced) {
-				d.count("planAppendFailed")
+				d.counters.Count("planAppendFailed")
 			}
 			return false
 		}
 		fence.Sequence++
-		d.observe("planAppendMs", boottime.Now().Sub(begun))
+		d.counters.Observe("planAppendMs", boottime.Now().Sub(begun))
 		d.planner.mu.Lock()
 		d.planner.fence, d.planner.checkedAt = fence, begun
 		d.planner.mu.Unlock()
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -35,7 +35,7 @@
 	age := boottime.Now().Sub(proven)
 	a := access.Decide(table, access.Request{Host: host, Path: path, Key: key, Fresh: age < grace})
 	if a.Denial != "" {
-		d.count("requestDenied." + string(a.Denial))
+		d.counters.Count("requestDenied." + string(a.Denial))
 		d.log.Add("requestDenied", eventlog.Fields{"path": path, "reason": a.Denial, "version": table.Version, "ageMs": age.Milliseconds()})
 	}
 	return a
@@ -62,7 +62,7 @@
 	d.records.mu.Unlock()
 	fields := eventlog.Fields{"job": j.ID, "queue": j.Queue, "org": j.Org}
 	if known {
-		d.count("submitRepeated")
+		d.counters.Count("submitRepeated")
 		return steps.OutcomeOK
 	}
 	outcome := steps.OutcomeRefused
@@ -87,7 +87,7 @@
 }
 
 func (d *Daemon) finish(request string, outcome steps.Outcome, fields eventlog.Fields) {
-	d.count(request + "." + string(outcome))
+	d.counters.Count(request + "." + string(outcome))
 	fields["outcome"] = outcome
 	d.log.Add(request, fields)
 }
@@ -105,7 +105,7 @@
 	begun := time.Now()
 	offset, err := recordlog.Settle(bounded, d.c.Log, d.c.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusedUntil(begun.Add(refusedTime)))
 	fields["storeMs"] = time.Since(begun).Milliseconds()
-	d.observe("storeMs", time.Since(begun))
+	d.counters.Observe("storeMs", time.Since(begun))
 	switch {
 	case err == nil:
 		d.tellStored(recordlog.Stored{Offset: offset, Record: record})
--- a/stepentry/uplink.go
+++ b/stepentry/uplink.go
@@ -112,7 +112,7 @@
 func (d *Daemon) recordStored(r *rpc.Request) {
 	var w wire.RecordStored
 	if err := r.Decode(&w); err != nil {
-		d.count("recordStoredInvalid")
+		d.counters.Count("recordStoredInvalid")
 		d.log.Add("recordStoredInvalid", eventlog.Fields{"peer": r.Conn.Remote(), "cause": err.Error()})
 		return
 	}
@@ -172,7 +172,7 @@
 func (d *Daemon) tell(conn *rpc.Conn, r recordlog.Stored) {
 	if err := (entry.Client{Conn: conn}).RecordStored(wire.RecordStored{Offset: int(r.Offset), Key: r.Key, Value: string(r.Value)}); err != nil {
 		// The store's reads bring the record.
-		d.count("recordNotTold")
+		d.counters.Count("recordNotTold")
 		d.log.Add("recordNotTold", eventlog.Fields{"key": r.Key, "peer": conn.Remote(), "cause": err.Error()})
 	}
 }
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -26,35 +26,46 @@
 	// guaranteed holds the organisations whose jobs of priority 0 need no more
 	// than their guarantee.
 	guaranteed map[string]bool
-	// headroom is the number of accelerators that less urgent units leave
-	// free while they have time.
-	headroom int
+	// total is the number of accelerators of the usable VMs, idle that of those
+	// which are free, and held what each job holds of them.
+	total, idle int
+	held        map[string]int
 }
 
 // Plan starts what fits, and stops what has to make room.
 func (b *Board) Plan(now time.Time) {
-	p := pass{b: b, now: now, free: map[*VM]steps.Resources{}, guaranteed: b.withinGuarantee()}
+	p := pass{b: b, now: now, free: map[*VM]steps.Resources{}, guaranteed: b.withinGuarantee(), held: map[string]int{}}
 	for _, vm := range b.VMs {
 		if vm.Attached && vm.Worker != "" && !vm.Draining && !vm.Leaving && vm.Foreign == 0 &&
 			now.Sub(vm.ReportedAt) < reportFresh && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !b.Faults.Until(vm.Agent).After(now) {
-			p.usable = append(p.usable, vm)
-			p.free[vm] = vm.free()
+			p.add(vm)
 		}
 	}
 	slices.SortFunc(p.usable, func(x, y *VM) int { return cmp.Compare(x.Agent, y.Agent) })
-	p.headroom = b.headroom(p.usable)
 	for _, u := range p.waiting() {
 		p.place(u)
 	}
 }
 
-func (vm *VM) free() steps.Resources {
+// add takes a usable VM into the pass.
+func (p *pass) add(vm *VM) {
 	free := vm.Capacity
 	for _, t := range vm.Open {
 		free = free.Minus(t.needs)
+		p.held[t.ID.Job] += t.needs.GPUs
 	}
-	return free
+	p.usable = append(p.usable, vm)
+	p.free[vm] = free
+	p.total += vm.Capacity.GPUs
+	p.idle += max(0, free.GPUs)
+}
+
+// claim takes an amount of what is free on the VM.
+func (p *pass) claim(vm *VM, needs steps.Resources) {
+	before := max(0, p.free[vm].GPUs)
+	p.free[vm] = p.free[vm].Minus(needs)
+	p.idle += max(0, p.free[vm].GPUs) - before
 }
 
 // withinGuarantee finds the organisations whose jobs of priority 0 need no
@@ -107,14 +118,6 @@
 	headroomSlack = 40
 )
 
-func (b *Board) headroom(usable []*VM) int {
-	total := 0
-	for _, vm := range usable {
-		total += vm.Capacity.GPUs
-	}
-	return total * headroomPercent / 100
-}
-
 // crowdPercent is the part of all accelerators that one job holds at most with
 // tasks that start one by one and are not owed to its organisation.
 const crowdPercent = 50
@@ -125,16 +128,9 @@
 	if u.owed || u.step.Spec.Gang {
 		return false
 	}
-	held, total := len(u.tasks)*u.step.Spec.Needs.GPUs, 0
-	for _, vm := range p.usable {
-		total += vm.Capacity.GPUs
-		for _, t := range vm.Open {
-			if t.ID.Job == u.job.Spec.ID {
-				held += t.needs.GPUs
-			}
-		}
-	}
-	return held > u.step.Spec.Needs.GPUs && held > total*crowdPercent/100
+	wants := u.step.Spec.Needs.GPUs
+	held := p.held[u.job.Spec.ID]
+	return held > 0 && held+wants > p.total*crowdPercent/100
 }
 
 // defers reports whether the unit leaves what is free to urgent ones, because
@@ -146,11 +142,7 @@
 	if u.latest.Sub(p.now) < u.step.Spec.Estimate*headroomSlack/100 {
 		return false
 	}
-	free := 0
-	for _, vm := range p.usable {
-		free += max(0, p.free[vm].GPUs)
-	}
-	return free-len(u.tasks)*u.step.Spec.Needs.GPUs < p.headroom
+	return p.idle-len(u.tasks)*u.step.Spec.Needs.GPUs < p.total*headroomPercent/100
 }
 
 // candidates lists the sets of VMs to try in turn: those that are near first,
@@ -371,7 +363,8 @@
 		t.Run = run
 		t.needs = counted(u.step.Spec)
 		p.b.openRun(t, vm, vm.Worker, p.now)
-		p.free[vm] = p.free[vm].Minus(t.needs)
+		p.claim(vm, t.needs)
+		p.held[t.ID.Job] += t.needs.GPUs
 		p.b.output.Orders = append(p.b.output.Orders, StartOrder{
 			Agent: vm.Agent, Worker: vm.Worker, Session: vm.Session, Task: t.ID, Run: run, Payload: u.job.Spec.Payload, Checkpoint: checkpoint,
 		})
--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -39,7 +39,7 @@
 		p.b.stop(t, p.now, "room for "+u.tasks[0].ID.String())
 	}
 	for _, vm := range best.chosen {
-		p.free[vm] = p.free[vm].Minus(counted(u.step.Spec))
+		p.claim(vm, counted(u.step.Spec))
 	}
 }
 
