--- /dev/null
+++ b/sitedemo/sitedemo_test.go
@@ -0,0 +1,20 @@
+package sitedemo
+
+import (
+	"bytes"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a demonstration that hides a job that did not complete, or a
+// rule that was broken.
+func TestRun(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	report, err := Run(t.Context(), &out)
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", &out))
+	c.Check(report.JobsCompleted, qt.Equals, report.JobsAsked)
+	c.Check(report.JobsAsked, qt.Equals, 6)
+	c.Check(report.RulesBroken, qt.Equals, 0)
+}
