Log the end of a stop

Their own stops end in time; the log did not show it.

Change: entryStopped and agentStopped as the last lines of a process.

--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -357,6 +357,7 @@
 		d.rpc.Close()
 		d.done.Wait()
 		d.pool.Close()
+		d.log.Add("agentStopped", eventlog.Fields{"boot": d.boot})
 		d.log.Close()
 	})
 }
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -254,6 +254,7 @@
 		d.rpc.Close()
 		d.done.Wait()
 		d.pool.Close()
+		d.log.Add("entryStopped", eventlog.Fields{"boot": d.boot})
 		d.log.Close()
 	})
 }
