--- a/stepfold/stepfold_test.go
+++ b/stepfold/stepfold_test.go
@@ -76,3 +76,23 @@
 		}
 	})
 }
+
+// Guards against a record that is told late bringing back a job that has been
+// dropped since, and against a fold that counts a told record as proof that all
+// before it was read.
+func TestLearn(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	c.Check(s.Learn(7, Accepted{steps.Job{ID: "a"}}), qt.IsTrue)
+	c.Check(s.Through, qt.Equals, int64(-1))
+	c.Check(s.Apply(7, Accepted{steps.Job{ID: "a"}}), qt.IsFalse, qt.Commentf("the read brings nothing new"))
+	c.Check(s.Through, qt.Equals, int64(7))
+	c.Check(s.Learn(9, Advanced{"a", Progress{Phase: PhaseCompleted}}), qt.IsTrue)
+	c.Check(s.Apply(8, Advanced{"a", Progress{Phase: PhaseRunning}}), qt.IsFalse, qt.Commentf("an older record of the key"))
+	c.Check(s.Jobs["a"].Phase(), qt.Equals, PhaseCompleted)
+	for i, key := range JobKeys("a") {
+		s.Apply(int64(10+i), Dropped{key})
+	}
+	c.Check(s.Learn(9, Advanced{"a", Progress{Phase: PhaseCompleted}}), qt.IsFalse)
+	c.Check(s.Jobs, qt.HasLen, 0)
+}
