stepentry: store the cancellation of a job that is not known before denying it

A client that cancels takes the denial for an acknowledgement, and the job would run.

Change: Cancel stores the cancellation in any case; the board keeps those of jobs that it does not know, cancels such a job when it is accepted, and drops them after the time for which phases stay known. A failed ping is tried once more on a new connection. The soak does not count denials while its store hides new records: the store denies them itself.

--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -140,6 +140,14 @@
 	s.eventually("the runs have ended", func() bool {
 		return !slices.ContainsFunc(s.starts(id(2)), func(b standinworker.Begun) bool { return b.Until.IsZero() })
 	})
+	// An entry that cannot read the acceptance denies the job, and cancels it.
+	s.submit(planner, "normal", id(3), s.jobOf(id(3), "run 20000", 2, 2, true))
+	s.eventually("the gang runs", func() bool { return len(s.starts(id(3))) == 2 })
+	status, _ = s.request(other, http.MethodDelete, "/normal/"+id(3), key, nil)
+	c.Check(status, qt.Equals, http.StatusGone)
+	s.eventually("the runs have ended", func() bool {
+		return !slices.ContainsFunc(s.starts(id(3)), func(b standinworker.Begun) bool { return b.Until.IsZero() })
+	})
 	s.store.Set(standinstore.Faults{})
 	s.checkRuns()
 }
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -74,6 +74,8 @@
 	keys     map[string]time.Time
 	timeline []string
 	begun    time.Time
+	// muted says that the store's reads show nothing new.
+	muted atomic.Bool
 }
 
 // fail records a broken promise.
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -178,7 +178,11 @@
 		board.Configure(access.Table{})
 	}
 	inherited := lease.Inherited(now, timing.Grant)
-	for _, e := range d.records.state.Jobs {
+	for id, e := range d.records.state.Jobs {
+		if e.Job == nil && e.Cancelled {
+			board.Cancel(id, now)
+			continue
+		}
 		board.Recover(*e, inherited, now)
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -140,8 +140,7 @@
 	}
 }
 
-// applyToBoard hands a new record to the board, if this entry plans. The caller
-// holds the records' mutex.
+// applyToBoard hands a new record to the board, if this entry plans.
 func (d *Daemon) applyToBoard(record stepfold.Record, now time.Time) {
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
@@ -151,10 +150,6 @@
 	switch record := record.(type) {
 	case stepfold.Accepted:
 		d.planner.board.Accept(record.Job, now)
-		if d.records.state.Jobs[record.Job.ID].Cancelled {
-			// The cancellation was told before the acceptance.
-			d.planner.board.Cancel(record.Job.ID, now)
-		}
 	case stepfold.Cancelled:
 		d.planner.board.Cancel(record.ID, now)
 	case stepfold.AgentSeen:
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -74,14 +74,19 @@
 	return outcome
 }
 
-// Cancel cancels a job once its record is stored.
+// Cancel cancels a job once its record is stored. That of a job that is not
+// known is stored too before the job is denied: clients take the denial for the
+// acknowledgement, and the store's reads can lag behind an acceptance.
 func (d *Daemon) Cancel(ctx context.Context, id string) steps.Outcome {
-	phase, outcome := d.State(ctx, id)
-	if outcome != steps.OutcomeOK || phase.Over() {
-		return outcome
+	phase, known := d.State(ctx, id)
+	if known == steps.OutcomeRefused || known == steps.OutcomeOK && phase.Over() {
+		return known
 	}
 	fields := eventlog.Fields{"job": id, "phase": phase}
-	outcome = d.store(ctx, fields, stepfold.Cancelled{ID: id})
+	outcome := d.store(ctx, fields, stepfold.Cancelled{ID: id})
+	if outcome == steps.OutcomeOK {
+		outcome = known
+	}
 	d.finish("cancel", outcome, fields)
 	return outcome
 }
--- a/stepentry/uplink.go
+++ b/stepentry/uplink.go
@@ -38,18 +38,16 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	conn, err := d.plannerConn(bounded, p.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return healthGone
-	}
-	if err != nil {
-		return healthUnknown
+	pong, err := d.pingPlanner(bounded, p)
+	if err != nil && bounded.Err() == nil {
+		// The connection was older than this call and has ended; a new one tells
+		// whether the process has too.
+		pong, err = d.pingPlanner(bounded, p)
 	}
-	pong, err := entry.Client{Conn: conn}.PingPlanner(bounded, wire.PlannerPing{Term: int(p.Term)})
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return healthGone
 	case err != nil:
-		// A connection can be silent for good while new ones work.
-		d.dropPlannerConn(conn)
 		return healthUnknown
 	case pong.Boot != p.Boot:
 		return healthGone
@@ -59,6 +57,20 @@
 	return healthUnknown
 }
 
+// pingPlanner asks over the connection to the planner. One that fails is not
+// used again: a connection can be silent for good while new ones work.
+func (d *Daemon) pingPlanner(ctx context.Context, p stepfold.Planner) (wire.PlannerPong, error) {
+	conn, err := d.plannerConn(ctx, p.Address)
+	if err != nil {
+		return wire.PlannerPong{}, err
+	}
+	pong, err := entry.Client{Conn: conn}.PingPlanner(ctx, wire.PlannerPing{Term: int(p.Term)})
+	if err != nil {
+		d.dropPlannerConn(conn)
+	}
+	return pong, err
+}
+
 // plannerConn returns the connection to the planner, and opens it if there is
 // none.
 func (d *Daemon) plannerConn(ctx context.Context, address string) (*rpc.Conn, error) {
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -100,6 +100,10 @@
 		b.open(j, 0, now)
 	}
 	b.event(Event{Kind: "jobTakenOver", Job: spec.ID, Reason: fmt.Sprintf("queue=%s priority=%d org=%s gpus=%d steps=%s", spec.Queue, j.Queue.Priority, spec.Org, j.mostGPUs(), describe(spec.Steps))})
+	if _, found := b.Cancelled[spec.ID]; found {
+		delete(b.Cancelled, spec.ID)
+		b.Cancel(spec.ID, now)
+	}
 }
 
 // describe names what decides where the tasks of the steps may start, for logs.
@@ -125,9 +129,13 @@
 	return strings.Join(text, ",")
 }
 
-// Cancel cancels a job unless it is over.
+// Cancel cancels a job unless it is over. One that is not known yet is
+// cancelled when it is accepted.
 func (b *Board) Cancel(id string, now time.Time) {
-	if j := b.Jobs[id]; j != nil && !j.Phase.Over() {
+	switch j := b.Jobs[id]; {
+	case j == nil:
+		b.Cancelled[id] = now
+	case !j.Phase.Over():
 		b.end(j, stepfold.PhaseCancelled, now)
 	}
 }
@@ -236,8 +244,15 @@
 	return p
 }
 
-// Forget drops jobs that have been over for long enough.
+// Forget drops jobs that have been over for long enough, and cancellations of
+// jobs that were never accepted.
 func (b *Board) Forget(now time.Time) {
+	for id, at := range b.Cancelled {
+		if now.Sub(at) >= b.Timing.KeepStatus {
+			delete(b.Cancelled, id)
+			b.output.Forget = append(b.output.Forget, id)
+		}
+	}
 	for id, j := range b.Jobs {
 		if !j.Phase.Over() || now.Sub(j.EndedAt) < b.Timing.KeepStatus || j.open() {
 			continue
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -224,7 +224,10 @@
 type Board struct {
 	Timing Timing
 	Jobs   map[string]*Job
-	VMs    map[string]*VM
+	// Cancelled holds cancellations of jobs that are not known, by when they
+	// came: they can come before the acceptance.
+	Cancelled map[string]time.Time
+	VMs       map[string]*VM
 	// Queues and Orgs are from the newest configuration. A queue that was
 	// removed stays, for the jobs that it holds.
 	Queues map[string]access.Queue
@@ -247,7 +250,7 @@
 // New returns an empty board.
 func New(t Timing) *Board {
 	return &Board{
-		Timing: t, Jobs: map[string]*Job{}, VMs: map[string]*VM{}, Queues: map[string]access.Queue{}, Orgs: map[string]access.Org{},
+		Timing: t, Jobs: map[string]*Job{}, Cancelled: map[string]time.Time{}, VMs: map[string]*VM{}, Queues: map[string]access.Queue{}, Orgs: map[string]access.Org{},
 		Faults: quarantine.New(quarantine.WithSpans(quarantineFirst, quarantineLongest)), dirty: map[string]bool{},
 	}
 }
