stepagent: never go back to an earlier session; start only where a session has reported

An agent was paused for 4 s. Its planner opened one session after the other, and placed tasks in one of them although no report had come. When the agent woke, it followed the last session, whose report lacked the runs, so that they were placed elsewhere; then it followed the earlier one, which is of the same term, and carried out its orders.

Change: an agent refuses a session below the one that it follows in the same term. The planner places tasks on a VM only after a report of the session.

Result: TestEarlierSession and TestSessionWithoutReport fail before and pass after.

--- a/stepagent/calls_test.go
+++ b/stepagent/calls_test.go
@@ -69,3 +69,27 @@
 		}
 	}
 }
+
+// Guards against an agent that goes back to an earlier session of a planner
+// after a pause, and carries out its orders: the planner has given them up
+// (soak seed 537077370: two runs of a task at once).
+func TestEarlierSession(t *testing.T) {
+	c := qt.New(t)
+	m := mute{make(chan worker.Start, 100)}
+	d := newDaemon(Config{Name: "vm", Worker: m})
+	defer d.log.Close()
+	defer d.pool.Close()
+	d.table.announce(worker.Announcement{ID: "i", Boot: 1, Service: "s"})
+	d.table.listed, d.table.lease = true, time.Minute
+	c.Assert(d.hold(context.Background(), 0), qt.IsNil)
+	result, err := d.attach(&rpc.Conn{}, wire.AttachParams{Term: 1, Session: 9})
+	c.Assert(err, qt.IsNil)
+	c.Check(result.Refused, qt.IsFalse)
+	result, err = d.attach(nil, wire.AttachParams{Term: 1, Session: 7})
+	c.Assert(err, qt.IsNil)
+	c.Check(result.Refused, qt.IsTrue)
+	c.Check(d.session.number, qt.Equals, 9)
+	started := d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 7, Worker: "i/1", Task: "a.0.0.0", Run: 1})
+	c.Check(started.Started, qt.IsFalse)
+	c.Check(m.starts, qt.HasLen, 0)
+}
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -227,12 +227,14 @@
 	}
 }
 
-// attach makes the agent follow a planner unless it follows a later one.
+// attach makes the agent follow a planner unless it follows a later one, or a
+// later session of the same. After a pause, several wait to be followed, and
+// the planner has given up the orders of all but the last.
 func (d *Daemon) attach(conn *rpc.Conn, p wire.AttachParams) (wire.AttachResult, error) {
 	s := &d.session
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.Term < s.term {
+	if p.Term < s.term || p.Term == s.term && p.Session < s.number {
 		return wire.AttachResult{Refused: true, Term: s.term}, nil
 	}
 	if s.conn != nil && s.conn != conn {
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -109,7 +109,9 @@
 			d.closeSession(name, l, err.Error())
 		}
 	case result.Refused:
-		d.closeSession(name, l, "the agent follows a later term")
+		if l.conn == conn {
+			d.closeSession(name, l, "the agent follows a later term or session")
+		}
 		if int64(result.Term) > d.planner.term {
 			d.endTerm("an agent follows a later term")
 		}
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -36,7 +36,7 @@
 func (b *Board) Plan(now time.Time) {
 	p := pass{b: b, now: now, free: map[*VM]steps.Resources{}, guaranteed: b.withinGuarantee(), held: map[string]int{}}
 	for _, vm := range b.VMs {
-		if vm.Attached && vm.Worker != "" && !vm.Draining && !vm.Leaving && vm.Foreign == 0 &&
+		if vm.Attached && vm.Reported && vm.Worker != "" && !vm.Draining && !vm.Leaving && vm.Foreign == 0 &&
 			now.Sub(vm.ReportedAt) < reportFresh && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !b.Faults.Until(vm.Agent).After(now) {
 			p.add(vm)
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -111,3 +111,19 @@
 		c.Check(task.Failures, qt.Equals, 1)
 	}
 }
+
+// Guards against a start on a VM whose agent has not reported in the session
+// that was opened with it; it may be paused (soak seed 537077370).
+func TestSessionWithoutReport(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := newCluster(1, now)
+	b.Detached("vm0", 1)
+	b.Attached("vm0", 2)
+	b.Accept(jobOf("job", "urgent", now, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}}), now)
+	b.Plan(now)
+	c.Check(b.placedAt("job"), qt.HasLen, 0)
+	b.Report(Report{Agent: "vm0", Session: 2, Present: true, Worker: "vm0", Rack: "r0", Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}}, now)
+	b.Plan(now)
+	c.Check(b.placedAt("job"), qt.HasLen, 1)
+}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -81,7 +81,7 @@
 // from now on, so that the session's first report tells what became of them.
 func (b *Board) Attached(agent string, session int) {
 	vm := b.vm(agent)
-	vm.Session, vm.Attached = session, true
+	vm.Session, vm.Attached, vm.Reported = session, true, false
 	for _, t := range vm.Open {
 		t.Concluded, t.StopAt = 0, time.Time{}
 	}
@@ -181,7 +181,7 @@
 	if r.Session != vm.Session || !vm.Attached {
 		return
 	}
-	vm.ReportedAt, vm.Leaving = now, r.Leaving
+	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
 	if !r.Present {
 		return
 	}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -95,6 +95,9 @@
 	// that it is in use.
 	Session  int
 	Attached bool
+	// Reported says that a report of the session has come. Before, the agent
+	// may be paused, and nothing starts there.
+	Reported bool
 	// ReportedAt is when the newest report came.
 	ReportedAt time.Time
 	// LeaseUntil is when everything on the VM has ended unless a lease is
