entryd, agentd: make cancellations last, and find events after a runtime's restart

Cause: entryd remoteJob read the job from any peer when it had no connection to the entry that accepted it, so a cancellation was told as success and dropped. At the owner it was kept in memory only. agentd pollEvents asked a restarted runtime from the sequence number of the earlier process, and the end of a short task with a lower number was never seen.

The runtime names its process in TaskEvents, and the agent reads from the first event after a restart.

--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -22,12 +22,12 @@
 	pollTimeout = 25 * time.Second
 )
 
-// pollEvents reads the runtime's events, from the sequence number next on, until
+// pollEvents reads the runtime's events, from the position of the cursor on, until
 // the agent ends.
-func (d *Daemon) pollEvents(next int) {
+func (d *Daemon) pollEvents(c eventCursor) {
 	for d.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(d.ctx, pollTimeout+d.cfg.RuntimeTimeout)
-		events, err := d.runtime.Events(ctx, next, pollTimeout)
+		events, err := d.runtime.Events(ctx, c.next, pollTimeout)
 		cancel()
 		if err != nil {
 			if d.ctx.Err() == nil {
@@ -36,12 +36,12 @@
 			}
 			continue
 		}
-		for _, e := range events.Events {
+		if c.restarted(events) {
+			d.count("runtimeRestarted")
+		}
+		for _, e := range c.take(events) {
 			d.handleTaskEvent(e)
 		}
-		// Next can be lower than before, because a runtime that restarted counts
-		// from 1 again.
-		next = events.Next
 	}
 }
 
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -304,6 +304,45 @@
 	s.waitFor("no VM holds a reservation", func() bool { return len(s.agents[0].Holdings()) == 0 })
 }
 
+// TestCancelWithoutOwner guards against a cancellation that is told as success and
+// dropped. It reaches an entry that has not read the job's acceptance yet and has no
+// connection to the entry that accepted it, while another peer knows the job.
+func TestCancelWithoutOwner(t *testing.T) {
+	s := startCluster(t, 3, 1)
+	s.putOrg("paint", shape.Shape{})
+	v, err := s.entries[0].Submit(s.context(), gangJob("paint", 1, 8, `{"runMs":60000}`))
+	qt.Assert(t, err, qt.IsNil)
+	late := s.entries[2]
+	s.waitFor("the last entry knows the job", func() bool { _, ok := late.localView(v.ID); return ok })
+	late.peers.mu.Lock()
+	late.peers.byID["e1"].conn, late.peers.byID["e1"].dialing = nil, true
+	late.peers.mu.Unlock()
+	late.jobs.mu.Lock()
+	delete(late.jobs.byID, v.ID)
+	late.jobs.mu.Unlock()
+	_, found, err := late.Cancel(s.context(), v.ID)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found, qt.IsTrue)
+	end := s.wait(v.ID, 0)
+	failed, isFailed := end.Outcome.(outcome.Failed)
+	notRun, isNotRun := end.Outcome.(outcome.NotRun)
+	qt.Assert(t, isFailed && failed.Cancelled || isNotRun && notRun.Rule == "cancelledBeforeStart", qt.IsTrue, qt.Commentf("%#v", end.Outcome))
+}
+
+// TestCancelUnconfirmed guards against a cancellation that is told as success although
+// it is in no log and no entry that could carry it out has it.
+func TestCancelUnconfirmed(t *testing.T) {
+	s := startCluster(t, 2, 1)
+	_, _, err := s.entries[1].Cancel(s.context(), "1~boot~gone")
+	qt.Assert(t, err, qt.ErrorIs, ErrCancelUnconfirmed)
+	_, found, err := s.entries[1].Cancel(s.context(), "no such job")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found, qt.IsFalse)
+	s.log.SetFaults(wire.LogFaults{Down: true})
+	_, _, err = s.entries[1].Cancel(s.context(), "1~boot~e1")
+	qt.Assert(t, err, qt.ErrorIs, ErrCancelUnconfirmed)
+}
+
 // TestLogDown guards against a log outage that stops short requests or running
 // gangs, and against refusing a job that must be recorded in the log with another rule
 // than logUnavailable.
--- a/entryd/service.go
+++ b/entryd/service.go
@@ -40,29 +40,27 @@
 func (d *Daemon) Job(ctx context.Context, jobID string) (job.View, bool, error) {
 	v, ok := d.localView(jobID)
 	if !ok {
-		return d.remoteJob(ctx, ownerOf(jobID), jobID, wire.PeerJobOpGet)
+		return d.remoteJob(ctx, ownerOf(jobID), jobID)
 	}
 	if planner := d.planner(time.Now()); v.Phase == job.PhaseStarting && planner != d.cfg.ID {
 		// The log says that the attempt was committed. Only the planner knows
 		// whether it runs. The view of another peer, which remoteJob returns when
 		// the planner cannot be reached, says no more than the local one.
-		if remote, found, err := d.remoteJob(ctx, planner, jobID, wire.PeerJobOpGet); err == nil && found {
+		if remote, found, err := d.remoteJob(ctx, planner, jobID); err == nil && found {
 			return remote, true, nil
 		}
 	}
 	return v, true, nil
 }
 
-// remoteJob reads or cancels a job at another entry. When that entry cannot be
-// reached, it only reads the job, from any peer that knows it.
-func (d *Daemon) remoteJob(ctx context.Context, entryID, jobID string, op wire.PeerJobOp) (job.View, bool, error) {
+// remoteJob reads a job at another entry or, when that entry cannot be reached, from
+// any peer that knows it.
+func (d *Daemon) remoteJob(ctx context.Context, entryID, jobID string) (job.View, bool, error) {
 	conn := d.peerConn(entryID)
 	if conn == nil {
 		return d.jobFromAnyPeer(ctx, jobID)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	r, err := entry.Client{Conn: conn}.PeerJob(callCtx, wire.PeerJobParams{ID: jobID, Op: op})
+	v, found, err := d.peerJob(ctx, conn, jobID, wire.PeerJobOpGet)
 	if err != nil {
 		// The entry may have stopped a moment ago and handed its ended short
 		// requests over to a peer.
@@ -71,8 +69,16 @@
 		}
 		return job.View{}, false, fmt.Errorf("job %s: entry %s: %w", jobID, entryID, err)
 	}
-	if !r.Found || r.Job == nil {
-		return job.View{}, false, nil
+	return v, found, nil
+}
+
+// peerJob reads or cancels a job at the peer that the connection leads to.
+func (d *Daemon) peerJob(ctx context.Context, conn *rpc.Conn, jobID string, op wire.PeerJobOp) (job.View, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := entry.Client{Conn: conn}.PeerJob(ctx, wire.PeerJobParams{ID: jobID, Op: op})
+	if err != nil || !r.Found || r.Job == nil {
+		return job.View{}, false, err
 	}
 	v, err := codec.DecodeJobView(*r.Job)
 	return v, true, err
@@ -94,7 +100,7 @@
 		if r != nil {
 			done = r.done
 		} else {
-			v, ok, err := d.remoteJob(ctx, ownerOf(jobID), jobID, wire.PeerJobOpGet)
+			v, ok, err := d.remoteJob(ctx, ownerOf(jobID), jobID)
 			if err != nil || !ok || v.Phase == job.PhaseEnded {
 				return v, ok, err
 			}
@@ -112,21 +118,27 @@
 	}
 }
 
+// ErrCancelUnconfirmed means that it is unknown whether a cancellation takes effect.
+// The caller can cancel again.
+var ErrCancelUnconfirmed = fmt.Errorf("it is unknown whether the job will be cancelled")
+
 // Cancel requests the cancellation of a job. It does not wait until the job has
-// ended. Whether the job was cancelled in time is known from its outcome.
+// ended. Whether the job was cancelled in time is known from its outcome. Without an
+// error, the cancellation lasts: its record is in the log, or the entry that runs the
+// short request has received it.
 func (d *Daemon) Cancel(ctx context.Context, jobID string) (job.View, bool, error) {
 	d.jobs.mu.Lock()
 	r := d.jobs.byID[jobID]
 	d.jobs.mu.Unlock()
-	if r == nil {
-		return d.remoteJob(ctx, ownerOf(jobID), jobID, wire.PeerJobOpCancel)
-	}
-	if !r.recorded {
+	switch {
+	case r != nil && !r.recorded:
 		d.cancelLocally(jobID)
 		return d.Job(ctx, jobID)
+	case r == nil && ownerOf(jobID) == "":
+		return job.View{}, false, nil
 	}
 	record := platformlog.Record{ID: d.recordID("cancel"), Body: platformlog.JobBody(jobfold.CancelRequested{JobID: jobID})}
-	_, err := d.log.Append(ctx, platformlog.StreamJobs, record)
+	offsets, err := d.log.Append(ctx, platformlog.StreamJobs, record)
 	if err != nil {
 		// The record is not known to be in the log. One of the peers may be the
 		// planner, which can stop the job without the record.
@@ -134,8 +146,35 @@
 		for _, conn := range d.peerConns() {
 			send(d, conn, entry.MethodPeerJob, wire.PeerJobParams{ID: jobID, Op: wire.PeerJobOpCancel}, time.Now().Add(callTimeout), func(wire.PeerJobResult, error) {})
 		}
+		return job.View{}, false, fmt.Errorf("job %s: %w: %w", jobID, ErrCancelUnconfirmed, err)
+	}
+	if r != nil {
+		return d.Job(ctx, jobID)
+	}
+	return d.cancelUnknown(ctx, jobID, offsets[0])
+}
+
+// cancelUnknown ends the cancellation of a job that this entry did not know when it
+// appended the record at the offset. The acceptance of a recorded job is in the log
+// before it. Any other job is a short request, which only the entry that accepted it
+// can cancel.
+func (d *Daemon) cancelUnknown(ctx context.Context, jobID string, offset int64) (job.View, bool, error) {
+	if err := d.waitJobsApplied(ctx, offset); err != nil {
+		return job.View{}, false, fmt.Errorf("job %s: %w: %w", jobID, ErrCancelUnconfirmed, err)
+	}
+	if v, ok := d.localView(jobID); ok {
+		return v, true, nil
+	}
+	owner := ownerOf(jobID)
+	conn := d.peerConn(owner)
+	if conn == nil {
+		return job.View{}, false, fmt.Errorf("job %s: %w: no connection to entry %s", jobID, ErrCancelUnconfirmed, owner)
+	}
+	v, found, err := d.peerJob(ctx, conn, jobID, wire.PeerJobOpCancel)
+	if err != nil {
+		return job.View{}, false, fmt.Errorf("job %s: entry %s: %w: %w", jobID, owner, ErrCancelUnconfirmed, err)
 	}
-	return d.Job(ctx, jobID)
+	return v, found, nil
 }
 
 // cancelLocally marks a job as cancelled at this entry. It stops the attempt of the
--- a/entryd/submit.go
+++ b/entryd/submit.go
@@ -158,23 +158,33 @@
 // the ID of the accepted job. That is the ID of the job itself, or of an earlier job
 // of the organisation with the same idempotency key.
 func (d *Daemon) waitAccepted(ctx context.Context, j job.Job, offset int64) (string, error) {
+	if err := d.waitJobsApplied(ctx, offset); err != nil {
+		return "", err
+	}
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	if d.jobs.logState.Jobs[j.ID] == nil {
+		return d.jobs.logState.Claims[jobfold.Claim{Org: j.Org, Key: j.IdempotencyKey}], nil
+	}
+	return j.ID, nil
+}
+
+// waitJobsApplied waits until the record of the jobs stream at the offset has been
+// applied. It fails when ctx or this entry ends first.
+func (d *Daemon) waitJobsApplied(ctx context.Context, offset int64) error {
 	for {
 		d.jobs.mu.Lock()
 		lastApplied, changed := d.jobs.logState.LastApplied, d.jobs.changed
-		acceptedID := j.ID
-		if lastApplied >= offset && d.jobs.logState.Jobs[j.ID] == nil {
-			acceptedID = d.jobs.logState.Claims[jobfold.Claim{Org: j.Org, Key: j.IdempotencyKey}]
-		}
 		d.jobs.mu.Unlock()
 		if lastApplied >= offset {
-			return acceptedID, nil
+			return nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return "", ctx.Err()
+			return ctx.Err()
 		case <-d.ctx.Done():
-			return "", d.ctx.Err()
+			return d.ctx.Err()
 		}
 	}
 }
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -81,6 +81,9 @@
 // Option configures a Client.
 type Option func(*Client)
 
+// defaultTimeout is the maximum duration of a request unless WithTimeout sets another.
+const defaultTimeout = 5 * time.Second
+
 // WithTimeout sets the maximum duration of a request, to which the wait of a long
 // poll is added. The default is 5 s.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
@@ -101,7 +104,7 @@
 func New(baseURL string, options ...Option) *Client {
 	c := &Client{
 		baseURL:           baseURL,
-		timeout:           5 * time.Second,
+		timeout:           defaultTimeout,
 		minAppendInterval: 20 * time.Millisecond,
 		seed:              rand.Uint64(),
 		queues:            map[string]*queue{},
--- a/standinruntime/standinruntime.go
+++ b/standinruntime/standinruntime.go
@@ -10,7 +10,9 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,6 +64,8 @@
 // Runtime is a running stand-in.
 type Runtime struct {
 	config Config
+	// boot identifies this process among those that listened at the address.
+	boot string
 	server *httpserver.Server
 
 	mu sync.Mutex
@@ -100,7 +104,7 @@
 
 // New listens on c.Listen and serves the runtime protocol to the agent of the VM.
 func New(c Config) (*Runtime, error) {
-	r := &Runtime{config: c, tasks: map[string]*task{}, changed: make(chan struct{})}
+	r := &Runtime{config: c, boot: strconv.FormatUint(rand.Uint64(), 36), tasks: map[string]*task{}, changed: make(chan struct{})}
 	server, err := httpserver.New(c.Listen, maxConcurrentRequests, r.routes())
 	if err != nil {
 		return nil, fmt.Errorf("standinruntime: %w", err)
@@ -367,5 +371,5 @@
 	defer r.mu.Unlock()
 	first := r.sequence - len(r.events) + 1
 	from = min(max(from, first), r.sequence+1)
-	return wire.TaskEvents{Events: slices.Clone(r.events[from-first:]), Next: r.sequence + 1}, r.changed
+	return wire.TaskEvents{Boot: r.boot, Events: slices.Clone(r.events[from-first:]), Next: r.sequence + 1}, r.changed
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1585,6 +1585,9 @@
 
 // Events from a sequence number on.
 type TaskEvents struct {
+	// Identifies the process of the runtime. Sequence numbers begin with 1 in each.
+	Boot string `json:"boot,omitempty,omitzero"`
+
 	// Events corresponds to the JSON schema field "events".
 	Events []TaskEvent `json:"events"`
 
