--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -1,8 +1,8 @@
 // Package eventlog writes structured log lines about events without blocking
 // the goroutine that reports the event. The lines of each kind are rate-limited.
 // A line that exceeds the rate, or that finds the queue full, is dropped and
-// counted. The next line of the same kind within the rate tells how many lines
-// the rate limit dropped. This number is lost if that line finds the queue full.
+// counted. The next line of the same kind that is written tells how many lines were
+// dropped before it.
 //
 // A Log owns its queue and the rate limiters. One mutex guards the rate limiters
 // and is taken last.
@@ -26,7 +26,7 @@
 	// maxQueuedLines limits the number of lines that wait to be written.
 	maxQueuedLines = 1024
 	// droppedField is the field with the number of lines of the same kind that
-	// the rate limit dropped since the previous line of that kind.
+	// were dropped since the previous line of that kind.
 	droppedField = "leftOut"
 	// kindField is the field with the kind of the event.
 	kindField = "event"
@@ -37,7 +37,7 @@
 type Fields = logrus.Fields
 
 // rateLimiter is the token bucket of one kind of line. dropped counts the lines
-// that it has dropped since the previous line that it let pass.
+// dropped since the previous line of the kind that was queued.
 type rateLimiter struct {
 	tokens    float64
 	updatedAt time.Time
@@ -111,6 +111,9 @@
 	case l.queue <- entry:
 	default:
 		l.droppedLines.Inc(1)
+		l.mu.Lock()
+		b.dropped += dropped + 1
+		l.mu.Unlock()
 	}
 }
 
--- a/recordlog/recordlog.go
+++ b/recordlog/recordlog.go
@@ -42,6 +42,10 @@
 	Records []StoredRecord
 	// Next is the offset to read from next.
 	Next int64
+	// End is the offset that the next record to be appended would have had when the
+	// page was read. It is higher than Next if more records were waiting than the
+	// store puts into one page, or while the store hides new records.
+	End int64
 }
 
 // NewestPage holds the newest records of consecutive keys, ordered by key.
--- a/recordlog/recordlog_test.go
+++ b/recordlog/recordlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -100,7 +101,7 @@
 		p.expired = true
 		return Page{}, ExpiredError{First: 9}
 	}
-	return Page{Next: from + 2}, nil
+	return Page{Next: from + 2, End: from + 2}, nil
 }
 
 // TestFollow guards against missing records that are appended between the pages of
@@ -110,13 +111,11 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &pagedLog{}
-	loads := 0
+	var loads []Load
 	Follow(ctx, p, "t", Handler{
-		OnRecords: func(r []StoredRecord) {
-			if r[0].Key == "a" {
-				loads++
-			}
-		},
+		OnRecords: func([]StoredRecord) {},
+		OnNewest:  func([]StoredRecord) {},
+		OnLoaded:  func(l Load) { loads = append(loads, l) },
 		OnUpToDate: func(time.Time) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -127,7 +126,38 @@
 		OnReadFailing:   func(error) {},
 		OnReadRecovered: func() {},
 	})
-	c.Assert(loads, qt.Equals, 2)
+	want := Load{Keys: map[string]bool{"a": true, "b": true}, End: 3}
+	c.Assert(loads, qt.DeepEquals, []Load{want, want})
 	// Reading continues from the topic's end as of the first page.
 	c.Assert(p.reads, qt.DeepEquals, []int64{3, 5, 3, 5})
 }
+
+// limitedLog returns one record a page, of which it has three.
+type limitedLog struct {
+	scriptedLog
+	log *[]string
+}
+
+func (l *limitedLog) Newest(_ context.Context, _, after string) (NewestPage, error) {
+	*l.log = append(*l.log, "newest")
+	return NewestPage{Records: []StoredRecord{{Record: Record{Key: "k"}}}, More: after == ""}, nil
+}
+
+func (l *limitedLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (Page, error) {
+	return Page{Records: []StoredRecord{{Offset: from}}, Next: from + 1, End: 3}, nil
+}
+
+// TestFollowSizeLimitedPage guards against a reader that counts as up to date although
+// the store put only a part of the waiting records into the page.
+func TestFollowSizeLimitedPage(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var events []string
+	Follow(ctx, &limitedLog{log: &events}, "t", Handler{
+		OnRecords:  func(r []StoredRecord) { events = append(events, fmt.Sprint("record ", r[0].Offset)) },
+		OnNewest:   func([]StoredRecord) {},
+		OnLoaded:   func(Load) { events = append(events, "loaded") },
+		OnUpToDate: func(time.Time) { events = append(events, "up to date"); cancel() },
+	})
+	c.Assert(events, qt.DeepEquals, []string{"newest", "newest", "loaded", "record 0", "record 1", "record 2", "up to date"})
+}
--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -12,10 +12,6 @@
 
 // Timing of the reads of Follow.
 const (
-	// readWait is how long the store delays its reply while there is no new
-	// record. It bounds the time between calls of OnUpToDate while the store
-	// works normally.
-	readWait = 700 * time.Millisecond
 	// readMargin is the time that a read may take in addition to its wait. The
 	// bound is needed because a connection can stop delivering data without an
 	// error.
@@ -24,31 +20,59 @@
 	// between half of it and all of it, so that processes do not retry at the
 	// same time.
 	retryPause = 250 * time.Millisecond
-	// batchPause is the wait after a read that returned records, so that the
-	// next read returns the records of several appends. Every call to the store
-	// is billed, and entries (package stepentry) send urgent records to each other
-	// directly.
-	batchPause = 80 * time.Millisecond
 )
 
 // Handler is the set of functions that Follow calls.
 type Handler struct {
-	// OnRecords receives records in the order of their offsets. The exception is
-	// the load of the newest records, where an older record may follow a newer
-	// one of another key. OnRecords must ignore a record that is older than the
-	// one that it already has for the same key.
+	// OnRecords receives all records from an offset on, in the order of their
+	// offsets.
 	OnRecords func([]StoredRecord)
-	// OnUpToDate is called after each successful read, once its records have been
-	// passed to OnRecords. begun, on CLOCK_BOOTTIME, is when the read began.
-	// OnRecords has then received all records appended before begun, except when
-	// more of them were waiting than the store puts into one page.
+	// OnNewest receives the newest records of consecutive keys during a load, in the
+	// order of the keys. Records of lower offsets may still be missing. OnNewest must
+	// ignore a record that is older than the one that it already has for the key.
+	OnNewest func([]StoredRecord)
+	// OnLoaded is called at the end of a load, after which OnRecords gets the records
+	// from Load.End on.
+	OnLoaded func(Load)
+	// OnUpToDate is called after a successful read when OnRecords and OnNewest have
+	// received all records that were appended before begun, which is when the read
+	// began, on CLOCK_BOOTTIME.
 	OnUpToDate func(begun time.Time)
 	// OnReadFailing is called when the first read or a read after a successful
 	// one fails, and OnReadRecovered when the first read after that succeeds.
 	OnReadFailing   func(error)
 	OnReadRecovered func()
+	// Pace returns how Follow paces the next read. DefaultPace is used if it is nil.
+	Pace func() Pace
 }
 
+// Load describes a completed load of the newest record of each key.
+type Load struct {
+	// Keys holds the keys that the topic had. A key that is not among them and whose
+	// newest known record has an offset below End has been deleted; its tombstone may
+	// no longer be retained.
+	Keys map[string]bool
+	// End is the offset that the next record to be appended would have had when the
+	// load began.
+	End int64
+}
+
+// Pace determines how often Follow reads. Every call to the store is billed, and all
+// processes share the calls that the store accepts in a second.
+type Pace struct {
+	// Wait is how long the store delays its reply while there is no new record. It
+	// bounds the time between calls of OnUpToDate while the store works normally and
+	// there are no records.
+	Wait time.Duration
+	// Pause is the wait after a read that returned records, so that the next read
+	// returns the records of several appends.
+	Pause time.Duration
+}
+
+// DefaultPace is the pace of a reader to whom records matter as soon as they are
+// stored.
+var DefaultPace = Pace{Wait: 700 * time.Millisecond, Pause: 80 * time.Millisecond}
+
 // Follow loads the newest record of each key of a topic, and then reads new
 // records until ctx ends.
 func Follow(ctx context.Context, log Log, topic string, handler Handler) {
@@ -72,23 +96,32 @@
 	}
 }
 
-// logReader is the read position of Follow. nextOffset is -1 until the newest
-// records have been loaded.
+// logReader is the read position of Follow.
 type logReader struct {
-	log        Log
-	topic      string
-	handler    Handler
+	log     Log
+	topic   string
+	handler Handler
+	// nextOffset is -1 until the newest records have been loaded.
 	nextOffset int64
+	// behind says that records are known to wait, so that the next read does not.
+	behind bool
 }
 
 func (r *logReader) readPage(ctx context.Context) error {
 	if r.nextOffset < 0 {
 		return r.loadNewest(ctx)
 	}
+	pace := DefaultPace
+	if r.handler.Pace != nil {
+		pace = r.handler.Pace()
+	}
+	if r.behind {
+		pace.Wait = 0
+	}
 	begun := boottime.Now()
-	bounded, cancel := context.WithTimeout(ctx, readWait+readMargin)
+	bounded, cancel := context.WithTimeout(ctx, pace.Wait+readMargin)
 	defer cancel()
-	page, err := r.log.Read(bounded, r.topic, r.nextOffset, readWait)
+	page, err := r.log.Read(bounded, r.topic, r.nextOffset, pace.Wait)
 	var expired ExpiredError
 	if errors.As(err, &expired) {
 		// Records expire, but the newest record of each key never does.
@@ -98,22 +131,29 @@
 		return err
 	}
 	r.nextOffset = page.Next
-	if len(page.Records) == 0 {
-		r.handler.OnUpToDate(begun)
+	if len(page.Records) > 0 {
+		r.handler.OnRecords(page.Records)
+	}
+	// A page without records is never limited by its size. The store can hide new
+	// records for a while although its end includes them.
+	if r.behind = len(page.Records) > 0 && page.Next < page.End; r.behind {
 		return nil
 	}
-	r.handler.OnRecords(page.Records)
 	r.handler.OnUpToDate(begun)
-	pause.For(ctx, batchPause)
+	if len(page.Records) > 0 {
+		pause.For(ctx, pace.Pause)
+	}
 	return nil
 }
 
-// loadNewest reads all pages of the newest records. The pages are not a
+// loadNewest reads all pages of the newest records. Several pages are not a
 // consistent snapshot, because records may be appended between them. Reading
-// therefore continues from the topic's end as of the first page.
+// therefore continues from the topic's end as of the first page, and only then is
+// the reader up to date.
 func (r *logReader) loadNewest(ctx context.Context) error {
+	load := Load{Keys: map[string]bool{}, End: -1}
 	begun := boottime.Now()
-	next, after := int64(-1), ""
+	pages, after := 0, ""
 	for {
 		bounded, cancel := context.WithTimeout(ctx, readMargin)
 		page, err := r.log.Newest(bounded, r.topic, after)
@@ -121,16 +161,23 @@
 		if err != nil {
 			return err
 		}
-		if next < 0 {
-			next = page.End
+		if load.End < 0 {
+			load.End = page.End
 		}
-		r.handler.OnRecords(page.Records)
+		for _, record := range page.Records {
+			load.Keys[record.Key] = true
+		}
+		r.handler.OnNewest(page.Records)
+		pages++
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	r.nextOffset = next
-	r.handler.OnUpToDate(begun)
+	r.nextOffset = load.End
+	r.handler.OnLoaded(load)
+	if r.behind = pages > 1; !r.behind {
+		r.handler.OnUpToDate(begun)
+	}
 	return nil
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -36,6 +36,10 @@
 // MaxFrameBytes bounds the JSON text of one message.
 const MaxFrameBytes = 1 << 20
 
+// maxResultBytes bounds the JSON text of a result. The rest of a frame is for the
+// envelope of the message.
+const maxResultBytes = MaxFrameBytes - 1024
+
 // maxQueuedBytes bounds the bytes that are queued on a connection, separately for
 // each direction. A peer that sends too fast or reads too slowly is disconnected.
 const maxQueuedBytes = 64 << 20
@@ -71,11 +75,18 @@
 	if r.isNotification {
 		return
 	}
+	body, err := json.Marshal(result)
+	if err == nil && len(body) > maxResultBytes {
+		err = fmt.Errorf("rpc: result of %d bytes, allowed: at most %d", len(body), maxResultBytes)
+	}
+	if err != nil {
+		// Without a reply, the other side would wait until its deadline.
+		r.Fail(err)
+		return
+	}
 	// A failed write closes the connection, so that the call ends with ErrClosed at
-	// the other side. A result that cannot be encoded, or whose message exceeds
-	// MaxFrameBytes, is not written and leaves the connection open: the other side
-	// then waits until its deadline or its context ends the call.
-	_ = r.Conn.conn.Reply(context.Background(), r.id, result)
+	// the other side.
+	_ = r.Conn.conn.Reply(context.Background(), r.id, json.RawMessage(body))
 }
 
 // Fail sends an error as the reply to the call. It does nothing for a
--- a/standinruntime/standinruntime.go
+++ b/standinruntime/standinruntime.go
@@ -65,7 +65,7 @@
 type Runtime struct {
 	config Config
 	// boot identifies this process among those that listened at the address.
-	boot string
+	boot   string
 	server *httpserver.Server
 
 	mu sync.Mutex
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -26,9 +26,7 @@
 	// higher token is proof. For a confirmed run it is compared with the number
 	// of the status call, because the status of an earlier call may not list the
 	// run yet. It is then the number of the newest call when the worker's reply
-	// confirmed the run, or of the status call that first listed a run unknown to
-	// the agent. A run that was unconfirmed when a status listed it keeps its
-	// token or notSent.
+	// confirmed the run, or of the status call that first listed it.
 	absentAfter int64
 }
 
@@ -260,7 +258,9 @@
 		t.runs[r.Run] = known
 	}
 	changed := !known.confirmed
-	known.confirmed = true
+	if changed {
+		known.confirmed, known.absentAfter = true, number
+	}
 	known.checkpoint, known.progress = r.Checkpoint, r.Progress
 	return changed
 }
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -197,13 +197,13 @@
 	} else {
 		scheduler.Configure(access.Config{})
 	}
-	earlierLeasesEnd := lease.EarlierTermsExpireBy(now, timing.LeaseDuration)
+	earlierLeasesEnd, wall := lease.EarlierTermsExpireBy(now, timing.LeaseDuration), time.Now()
 	for id, e := range d.records.state.Jobs {
 		if e.Job == nil && e.Cancelled {
 			scheduler.Cancel(id, now)
 			continue
 		}
-		scheduler.RestoreJob(*e, earlierLeasesEnd, now)
+		scheduler.RestoreJob(*e, earlierLeasesEnd, wall, now)
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.planner.scheduler, d.planner.term, d.planner.fence = scheduler, self.Term, fence
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -16,6 +16,8 @@
 func (d *Daemon) followConfig(ctx context.Context) {
 	recordlog.Follow(ctx, d.cfg.Log, d.cfg.ConfigTopic, recordlog.Handler{
 		OnRecords: d.applyConfig,
+		OnNewest:  d.applyConfig,
+		OnLoaded:  func(recordlog.Load) {},
 		OnUpToDate: func(begun time.Time) {
 			d.config.mu.Lock()
 			d.config.currentAsOf = begun
@@ -56,6 +58,12 @@
 func (d *Daemon) followRecords(ctx context.Context) {
 	recordlog.Follow(ctx, d.cfg.Log, d.cfg.Topic, recordlog.Handler{
 		OnRecords: d.applyRecords,
+		OnNewest:  d.applyNewest,
+		OnLoaded: func(l recordlog.Load) {
+			d.records.mu.Lock()
+			d.records.state.FinishLoad(l.Keys, l.End)
+			d.records.mu.Unlock()
+		},
 		OnUpToDate: func(begun time.Time) {
 			d.records.mu.Lock()
 			if d.records.readableSince.IsZero() {
@@ -115,6 +123,11 @@
 	d.applyWith(records, d.records.state.Apply)
 }
 
+// applyNewest applies records of a load of the newest record of each key.
+func (d *Daemon) applyNewest(records []recordlog.StoredRecord) {
+	d.applyWith(records, d.records.state.ApplyNewest)
+}
+
 // applyOutOfOrder applies a stored record that this entry has written itself or
 // received from another entry. Records with lower offsets may still be unread.
 func (d *Daemon) applyOutOfOrder(r recordlog.StoredRecord) {
--- a/stepfold/stepfold.go
+++ b/stepfold/stepfold.go
@@ -209,8 +209,9 @@
 	Planner Planner
 	// offsets holds the offset of the newest applied record of each key.
 	offsets map[string]int64
-	// LastApplied is the highest offset passed to Apply, or -1. Records passed
-	// to ApplyOutOfOrder do not change it.
+	// LastApplied is the highest offset up to which all records have been applied, or
+	// are superseded by applied ones, or -1. Apply and FinishLoad raise it;
+	// ApplyOutOfOrder and ApplyNewest do not.
 	LastApplied int64
 }
 
@@ -227,8 +228,27 @@
 	return offset > s.LastApplied && s.applyIfNewer(offset, r)
 }
 
-// Apply applies one record. It reports false for a record that it ignores, because
-// it is not newer than the last one applied for the same key.
+// ApplyNewest applies the newest record of a key during a load of all keys. Records
+// of other keys with lower offsets may still be missing. It reports false for a record
+// that it ignores, because it is not newer than the last one applied for the same key.
+func (s *State) ApplyNewest(offset int64, r Record) bool { return s.applyIfNewer(offset, r) }
+
+// FinishLoad ends a load of all keys. keys holds the keys that were loaded, and end is
+// the offset that the next record would have had when the load began. A key that was
+// not loaded, and whose newest applied record is older than that, has been deleted
+// while this process did not read.
+func (s *State) FinishLoad(keys map[string]bool, end int64) {
+	for key, offset := range s.offsets {
+		if offset < end && !keys[key] {
+			s.deleteKey(key)
+		}
+	}
+	s.LastApplied = max(s.LastApplied, end-1)
+}
+
+// Apply applies one record, which follows all records up to LastApplied or repeats one
+// of them. It reports false for a record that it ignores, because it is not newer than
+// the last one applied for the same key.
 func (s *State) Apply(offset int64, r Record) bool {
 	s.LastApplied = max(s.LastApplied, offset)
 	return s.applyIfNewer(offset, r)
--- a/stepfold/stepfold_test.go
+++ b/stepfold/stepfold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -42,6 +43,26 @@
 	c.Assert(s.Jobs, qt.HasLen, 0)
 }
 
+// TestReload guards against a job that comes back: its records were deleted while
+// this process could not read, the tombstones have expired, and the process loads the
+// newest record of every key. It also guards against a state that counts as complete
+// up to a record that was loaded while records before it are missing.
+func TestReload(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	s.Apply(0, accepted("gone"))
+	s.Apply(1, Progressed{ID: "gone", Progress: Progress{Phase: PhaseRunning}})
+	s.Apply(2, accepted("kept"))
+	s.ApplyOutOfOrder(9, accepted("new"))
+	s.ApplyNewest(2, accepted("kept"))
+	s.ApplyNewest(8, PlannerUpdated{Planner{Term: 5}})
+	c.Assert(s.LastApplied, qt.Equals, int64(2))
+	s.FinishLoad(map[string]bool{"accepted/kept": true, "planner": true}, 7)
+	c.Assert(s.LastApplied, qt.Equals, int64(6))
+	c.Assert(slices.Sorted(maps.Keys(s.Jobs)), qt.DeepEquals, []string{"kept", "new"})
+	c.Assert(s.Planner.Term, qt.Equals, int64(5))
+}
+
 // Guards against a state that depends on the order in which records are applied. The
 // pages of the initial load by recordlog.Follow are not a consistent snapshot, so
 // that order can differ from the order of the offsets.
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -39,14 +39,18 @@
 // runs count as begun now. By earlierLeasesExpireBy, all leases that earlier
 // planners granted have expired. Until then, runs on the VM of an agent that does
 // not report count as active. A job that is already known, or whose acceptance is
-// not known, is ignored.
-func (sc *Scheduler) RestoreJob(e stepfold.JobState, earlierLeasesExpireBy, now time.Time) {
+// not known, is ignored. wall is the wall-clock time that corresponds to now.
+func (sc *Scheduler) RestoreJob(e stepfold.JobState, earlierLeasesExpireBy, wall, now time.Time) {
 	if e.Job == nil || sc.Jobs[e.Job.ID] != nil {
 		return
 	}
 	j := &Job{
 		Spec: *e.Job, Queue: sc.queue(e.Job.Queue), Phase: e.Phase(), Begun: e.Progress.Begun,
-		Occurrences: map[int][]*Step{}, EndedAt: e.Progress.EndedAt, AddedAt: now, OccurrenceStarts: map[int]time.Time{},
+		Occurrences: map[int][]*Step{}, AddedAt: now, OccurrenceStarts: map[int]time.Time{},
+	}
+	if !e.Progress.EndedAt.IsZero() {
+		// Wall clocks differ between VMs, so that the stored time may be in the future.
+		j.EndedAt = now.Add(-max(0, wall.Sub(e.Progress.EndedAt)))
 	}
 	sc.Jobs[j.Spec.ID] = j
 	if !j.scheduled() {
--- a/stepplan/order.go
+++ b/stepplan/order.go
@@ -16,10 +16,10 @@
 	// guaranteed says that the unit is covered by its organisation's guarantee: its
 	// queue has priority 0, and the organisation is in pass.orgsWithinGuarantee.
 	guaranteed bool
-	// latestStart is the latest start with which the unit itself ends in time for
-	// the latency objective of its occurrence if the caller's estimate holds. The
-	// run times of later steps are not subtracted. It is zero for urgent units,
-	// which are those of queues with priority 0.
+	// latestStart is the latest start with which the unit and the steps that depend on
+	// it end in time for the latency objective of its occurrence if the caller's
+	// estimates hold. It is zero for urgent units, which are those of queues with
+	// priority 0.
 	latestStart time.Time
 	// objectiveMissed says that latestStart has passed. It is never set for urgent
 	// units.
@@ -39,14 +39,15 @@
 		}
 		for occurrenceNumber, occurrence := range j.Occurrences {
 			latestEnd := p.latestEnd(j, occurrenceNumber, occurrence)
-			for _, s := range occurrence {
+			following := estimatedFollowing(occurrence)
+			for i, s := range occurrence {
 				if s.DoneCount == len(s.Tasks) || !predecessorsDone(occurrence, s) {
 					continue
 				}
 				for _, u := range s.waitingUnits(j, p.now) {
 					u.guaranteed = j.Queue.Priority == 0 && p.orgsWithinGuarantee[j.Spec.Org]
 					if j.Queue.Priority > 0 {
-						u.latestStart = latestEnd.Add(-s.Spec.Estimate)
+						u.latestStart = latestEnd.Add(-s.Spec.Estimate - following[i])
 						u.objectiveMissed = p.now.After(u.latestStart)
 					}
 					all = append(all, u)
@@ -93,6 +94,19 @@
 	return j.occurrenceStart(number).Add(time.Duration(j.Queue.LatencyFactor*float64(longest)) + j.Queue.LatencyAllowance)
 }
 
+// estimatedFollowing returns, for each step of an occurrence, the estimated duration of
+// the longest chain of steps that follow it.
+func estimatedFollowing(occurrence []*Step) []time.Duration {
+	following := make([]time.Duration, len(occurrence))
+	for i := len(occurrence) - 1; i >= 0; i-- {
+		s := occurrence[i].Spec
+		for _, a := range s.After {
+			following[a] = max(following[a], s.Estimate+following[i])
+		}
+	}
+	return following
+}
+
 // occurrenceStart is the time from which the latency of an occurrence is measured.
 // It is when this Scheduler began or restored the occurrence, on the boot-time
 // clock, and not the wall-clock time at which the occurrence was due.
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -84,13 +84,17 @@
 
 // AgentAttached records the beginning of a session with an agent. An agent that
 // reports in the session ignores orders of earlier sessions, so that its first
-// report shows conclusively which of the ordered runs exist. Requests to stop runs
-// on the VM that were made earlier are forgotten.
+// report shows conclusively which of the ordered runs exist. Orders to stop runs may
+// have been lost with the earlier session, so that they are repeated for the runs that
+// the first report lists.
 func (sc *Scheduler) AgentAttached(agent string, session int) {
 	vm := sc.vm(agent)
 	vm.Session, vm.Attached, vm.Reported = session, true, false
 	for _, t := range vm.ActiveTasks {
-		t.ConclusiveReport, t.StopRequestedAt = 0, time.Time{}
+		t.ConclusiveReport = 0
+		if !t.StopRequestedAt.IsZero() {
+			t.StopRequestedAt = t.StopRequestedAt.Add(-stopRetryInterval)
+		}
 	}
 }
 
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -417,7 +417,7 @@
 	s.scheduler = s.newScheduler()
 	earlierLeasesExpireBy := lease.EarlierTermsExpireBy(s.now, simLeaseDuration)
 	for id, j := range s.jobs {
-		s.scheduler.RestoreJob(stepfold.JobState{Job: &j, Progress: s.storedProgress[id], Cancelled: s.cancelled[id]}, earlierLeasesExpireBy, s.now)
+		s.scheduler.RestoreJob(stepfold.JobState{Job: &j, Progress: s.storedProgress[id], Cancelled: s.cancelled[id]}, earlierLeasesExpireBy, s.now, s.now)
 	}
 	for _, w := range s.workers {
 		w.session = 0
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -67,7 +67,7 @@
 	Progress   int
 	ProgressAt time.Time
 	// StopRequestedAt is when the run was last requested to stop, zero if it was
-	// not since the newest session with the agent began.
+	// not.
 	StopRequestedAt time.Time
 
 	// needs is the VM capacity that the active run occupies.
@@ -116,9 +116,7 @@
 	OccurrenceStarts map[int]time.Time
 	// NextOccurrence is the number of the first occurrence that has not begun.
 	NextOccurrence int
-	// EndedAt is when the job ended, zero before that. For a job that was restored
-	// after its end, it is the stored wall-clock time, and otherwise a time on the
-	// boot-time clock.
+	// EndedAt is when the job ended, zero before that.
 	EndedAt time.Time
 }
 
--- a/workerruntime/workerruntime.go
+++ b/workerruntime/workerruntime.go
@@ -33,8 +33,7 @@
 	return fmt.Sprintf("worker runtime: refused with status %d: %s", e.Status, e.Message)
 }
 
-// maxReplyBytes bounds what is read of a reply; the rest is cut off. The longest
-// replies are parts of answers, which are the outputs of tasks.
+// maxReplyBytes is the largest reply that is read. The longest replies are parts of answers, which are the outputs of tasks.
 const maxReplyBytes = 8 << 20
 
 // maxIdleConnections is enough for the workers of an agent, 4 by default, the
@@ -147,7 +146,10 @@
 		return nil, fmt.Errorf("worker runtime: %w", err)
 	}
 	defer response.Body.Close()
-	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err == nil && len(reply) > maxReplyBytes {
+		err = fmt.Errorf("reply of more than %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("worker runtime: %s %s: %w", method, path, err)
 	}
