stepplan: planning passes whose cost follows what waits

Cause: each pass computed victims anew for every task of a unit on every VM, cloned each gang once for each of its runs, tried every task of a step that cannot start, and looked for racks by scanning all VMs for each. A pass ran after every report, 2.5 a second from each agent, whether it changed anything or not.

Change: VM.used and Job.heldGPUs are kept up to date; candidates for eviction are sorted once a pass, and a choice is computed again only for VMs that a stop or a placement has changed; the single tasks of a step form one unit, which ends with the first that has to wait; a report requests a pass only if it changes what a pass uses. Runs that end by themselves within the time that a stop takes are not stopped, and none is stopped in their place.

--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -142,10 +142,8 @@
 }
 
 // handleReport passes an agent's report to the scheduler and grants the agent a
-// lease if lease.MayGrant allows it. received, the time when the report arrived,
-// is not used: the lease is computed from the later time at which the report is
-// handled, as explained below.
-func (d *Daemon) handleReport(r *rpc.Request, received time.Time) {
+// lease if lease.MayGrant allows it.
+func (d *Daemon) handleReport(r *rpc.Request) {
 	var w wire.WorkerReport
 	if err := r.Decode(&w); err != nil {
 		r.Fail(err)
@@ -160,7 +158,7 @@
 		return
 	}
 	reply := wire.ReportReply{Term: int(d.planner.term), StoredBoot: l.storedIncarnation, StoredThrough: int(l.lastStoredEnd)}
-	d.planner.scheduler.HandleReport(decodeReport(w), now)
+	passNeeded := d.planner.scheduler.HandleReport(decodeReport(w), now)
 	// The scheduler must know a time by which the lease has certainly expired on
 	// the worker. That time is computed from now, which is later than the time at
 	// which the agent sent the report; see package lease.
@@ -170,7 +168,9 @@
 	}
 	r.Reply(reply)
 	d.sendStops()
-	d.requestPass()
+	if passNeeded {
+		d.requestPass()
+	}
 }
 
 func decodeReport(w wire.WorkerReport) stepplan.Report {
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -207,8 +207,7 @@
 	var err error
 	switch r.Method {
 	case entry.MethodReport:
-		received := boottime.Now()
-		err = d.pool.Submit(func() { d.handleReport(r, received) })
+		err = d.pool.Submit(func() { d.handleReport(r) })
 	case entry.MethodPingPlanner:
 		err = d.pool.Submit(func() { d.handlePing(r) })
 	case entry.MethodRecordStored:
--- a/stepplan/order.go
+++ b/stepplan/order.go
@@ -7,6 +7,8 @@
 )
 
 // unit is what is placed as a whole: all tasks of a gang, or a single task.
+// waitingUnits joins the single tasks of a step into one unit, which placeSingles takes
+// apart.
 type unit struct {
 	job   *Job
 	step  *Step
@@ -27,7 +29,8 @@
 }
 
 // waitingUnits lists the units that wait for a start and whose step depends on no
-// unfinished step, in the order in which they are placed. Units covered by a
+// unfinished step, in the order in which they are placed. The single tasks of a step
+// are joined into one unit. Units covered by a
 // guarantee come first, then the order follows the queue's priority. Urgent units
 // are ordered by the acceptance times of their jobs. Others of equal priority are
 // ordered by latestStart, with those for which it has passed at the end.
@@ -44,14 +47,16 @@
 				if s.DoneCount == len(s.Tasks) || !predecessorsDone(occurrence, s) {
 					continue
 				}
-				for _, u := range s.waitingUnits(j, p.now) {
-					u.guaranteed = j.Queue.Priority == 0 && p.orgsWithinGuarantee[j.Spec.Org]
-					if j.Queue.Priority > 0 {
-						u.latestStart = latestEnd.Add(-s.Spec.Estimate - following[i])
-						u.objectiveMissed = p.now.After(u.latestStart)
-					}
-					all = append(all, u)
+				u, waits := s.waitingUnit(j, p.now)
+				if !waits {
+					continue
+				}
+				u.guaranteed = j.Queue.Priority == 0 && p.orgsWithinGuarantee[j.Spec.Org]
+				if j.Queue.Priority > 0 {
+					u.latestStart = latestEnd.Add(-s.Spec.Estimate - following[i])
+					u.objectiveMissed = p.now.After(u.latestStart)
 				}
+				all = append(all, u)
 			}
 		}
 	}
@@ -126,30 +131,36 @@
 	return true
 }
 
-// waitingUnits lists the units of the step that wait for a start and whose
-// Task.NotBefore has passed. A gang is left out while any of its members has an
-// active run.
-func (s *Step) waitingUnits(j *Job, now time.Time) []unit {
-	var all []unit
+// waitingUnit returns the unit of the step's tasks that wait for a start and whose
+// Task.NotBefore has passed, and whether there are any. A gang is left out while any
+// of its members has an active run. For single tasks, waitingSince is the earliest.
+func (s *Step) waitingUnit(j *Job, now time.Time) (unit, bool) {
+	u := unit{job: j, step: s}
 	if s.Spec.Gang {
-		if s.ActiveCount > 0 {
-			return nil
-		}
-		u := unit{job: j, step: s, tasks: s.Tasks}
+		u.tasks = s.Tasks
 		for _, t := range s.Tasks {
-			if now.Before(t.NotBefore) {
-				return nil
-			}
-			if t.WaitSince.After(u.waitingSince) {
-				u.waitingSince = t.WaitSince
+			if t.Active || now.Before(t.NotBefore) {
+				return unit{}, false
 			}
+			u.waitingSince = later(u.waitingSince, t.WaitSince)
 		}
-		return []unit{u}
+		return u, true
 	}
 	for _, t := range s.Tasks {
-		if !t.Done && !t.Active && !now.Before(t.NotBefore) {
-			all = append(all, unit{job: j, step: s, tasks: []*Task{t}, waitingSince: t.WaitSince})
+		if t.Done || t.Active || now.Before(t.NotBefore) {
+			continue
 		}
+		if len(u.tasks) == 0 || t.WaitSince.Before(u.waitingSince) {
+			u.waitingSince = t.WaitSince
+		}
+		u.tasks = append(u.tasks, t)
 	}
-	return all
+	return u, len(u.tasks) > 0
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -20,23 +20,26 @@
 	now       time.Time
 	// usable holds the VMs on which tasks may start, sorted by agent name.
 	usable []*VM
-	// free is the capacity of each usable VM that no active run occupies and that
-	// is not claimed for a waiting unit. It can be negative, because a claim can
-	// include capacity that stopping runs have yet to free.
-	free map[*VM]steps.Resources
 	// orgsWithinGuarantee holds the organisations whose jobs of priority 0 need no
 	// more accelerators than their guarantee.
 	orgsWithinGuarantee map[string]bool
 	// totalGPUs counts the accelerators of the usable VMs, idleGPUs those of them
-	// that are free, and heldGPUs those of them that each job occupies, by job ID.
+	// that are free, and rackFreeGPUs the sum of VM.free on each rack.
 	totalGPUs, idleGPUs int
-	heldGPUs            map[string]int
+	rackFreeGPUs        map[string]int
+	// evictable holds what victims reads, for the VMs that it has been computed for.
+	// membersToStop holds, for gangs, the number of runs that are stopped together.
+	evictable     map[*VM][]candidate
+	membersToStop map[*Step]int
 }
 
 // Plan starts the waiting gangs and single tasks that fit. It stops other runs
 // where that makes room for a gang or task of a queue with priority 0.
 func (sc *Scheduler) Plan(now time.Time) {
-	p := pass{scheduler: sc, now: now, free: map[*VM]steps.Resources{}, orgsWithinGuarantee: sc.orgsWithinGuarantee(), heldGPUs: map[string]int{}}
+	p := pass{
+		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), rackFreeGPUs: map[string]int{},
+		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{},
+	}
 	for _, vm := range sc.VMs {
 		if vm.Attached && vm.Reported && vm.Worker != "" && !vm.Draining && !vm.Leaving && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
@@ -46,29 +49,30 @@
 	}
 	slices.SortFunc(p.usable, func(x, y *VM) int { return cmp.Compare(x.Agent, y.Agent) })
 	for _, u := range p.waitingUnits() {
-		p.place(u)
+		if u.step.Spec.Gang {
+			p.place(u)
+		} else {
+			p.placeSingles(u)
+		}
 	}
 }
 
 // add makes the VM usable in the pass, with the capacity that its active runs leave
 // free.
 func (p *pass) add(vm *VM) {
-	free := vm.Capacity
-	for _, t := range vm.ActiveTasks {
-		free = free.Minus(t.needs)
-		p.heldGPUs[t.ID.Job] += t.needs.GPUs
-	}
+	vm.free = vm.Capacity.Minus(vm.used)
 	p.usable = append(p.usable, vm)
-	p.free[vm] = free
 	p.totalGPUs += vm.Capacity.GPUs
-	p.idleGPUs += max(0, free.GPUs)
+	p.idleGPUs += max(0, vm.free.GPUs)
+	p.rackFreeGPUs[vm.Rack] += vm.free.GPUs
 }
 
 // claim subtracts needs from the free capacity of the VM for the rest of the pass.
 func (p *pass) claim(vm *VM, needs steps.Resources) {
-	before := max(0, p.free[vm].GPUs)
-	p.free[vm] = p.free[vm].Minus(needs)
-	p.idleGPUs += max(0, p.free[vm].GPUs) - before
+	before := max(0, vm.free.GPUs)
+	vm.free = vm.free.Minus(needs)
+	p.idleGPUs += max(0, vm.free.GPUs) - before
+	p.rackFreeGPUs[vm.Rack] -= needs.GPUs
 }
 
 // orgsWithinGuarantee finds the organisations whose unfinished jobs of priority
@@ -98,21 +102,46 @@
 	return most
 }
 
+// placement is what place has done for a unit.
+type placement string
+
+const (
+	placementStarted placement = "started"
+	// placementMakesRoom means that capacity is claimed for the unit, which runs that
+	// are about to end will free.
+	placementMakesRoom placement = "makesRoom"
+	placementWaits     placement = "waits"
+)
+
 // place starts the unit if it fits. If it does not fit and its queue has priority
 // 0, place stops other runs to make room for it. A unit that has to leave the
 // headroom free or that exceeds its job's share waits.
-func (p *pass) place(u unit) {
+func (p *pass) place(u unit) placement {
 	if p.mustLeaveHeadroom(u) || p.exceedsJobShare(u) {
-		return
+		return placementWaits
 	}
 	for _, set := range p.candidateSets(u) {
 		if vms := p.chooseVMs(u, set); vms != nil {
 			p.start(u, vms)
-			return
+			return placementStarted
 		}
 	}
-	if u.job.Queue.Priority == 0 {
-		p.preempt(u)
+	if u.job.Queue.Priority == 0 && p.preempt(u) {
+		return placementMakesRoom
+	}
+	return placementWaits
+}
+
+// placeSingles places the tasks of a step, each as a unit. The tasks need the same,
+// so that once one has to wait that may start on every VM, and has waited longest,
+// the others have to wait too.
+func (p *pass) placeSingles(joined unit) {
+	for i, t := range joined.tasks {
+		u := joined
+		u.tasks, u.waitingSince = joined.tasks[i:i+1], t.WaitSince
+		if p.place(u) == placementWaits && len(t.FailedOn) == 0 && !t.WaitSince.After(joined.waitingSince) {
+			return
+		}
 	}
 }
 
@@ -141,7 +170,7 @@
 		return false
 	}
 	needed := u.step.Spec.Needs.GPUs
-	held := p.heldGPUs[u.job.Spec.ID]
+	held := u.job.heldGPUs
 	return held > 0 && held+needed > p.totalGPUs*maxJobSharePercent/100
 }
 
@@ -170,7 +199,7 @@
 	var sets [][]*VM
 	spec := u.step.Spec
 	switch {
-	case spec.PreferredRack != "" && (!spec.SameRack || p.rackCanHold(u, spec.PreferredRack)):
+	case spec.PreferredRack != "" && (!spec.SameRack || canHold(u, vmsInRack(p.allowingVMs(u), spec.PreferredRack))):
 		sets = append(sets, vmsInRack(allowed, spec.PreferredRack))
 	case spec.SameRack && !spec.Gang:
 		rackVMs := vmsInRack(allowed, p.chooseRack(u, allowed))
@@ -179,9 +208,9 @@
 		}
 		sets = append(sets, rackVMs)
 	case spec.SameRack:
-		for _, rack := range p.racksByFreeGPUs(allowed) {
-			if p.rackCanHold(u, rack) {
-				sets = append(sets, vmsInRack(allowed, rack))
+		for _, r := range racksByFreeGPUs(allowed) {
+			if canHold(u, r.vms) {
+				sets = append(sets, r.vms)
 			}
 		}
 	}
@@ -207,13 +236,13 @@
 		}
 	}
 	best, most := "", -1
-	for _, rack := range p.racksByFreeGPUs(vms) {
+	for _, r := range racksByFreeGPUs(vms) {
 		fitting := 0
-		for _, vm := range vmsInRack(vms, rack) {
-			fitting += tasksThatFit(p.free[vm], countedNeeds(u.step.Spec), u.step.Spec.MaxPerVM, waiting)
+		for _, vm := range r.vms {
+			fitting += tasksThatFit(vm.free, countedNeeds(u.step.Spec), u.step.Spec.MaxPerVM, waiting)
 		}
 		if fitting = min(fitting, waiting); fitting > most {
-			best, most = rack, fitting
+			best, most = r.name, fitting
 		}
 	}
 	return best
@@ -228,11 +257,17 @@
 // guarantee waits without limit if no PreferredRack is set that can hold it.
 func (p *pass) maxLocalityWait(u unit) time.Duration {
 	if u.guaranteed {
-		return p.scheduler.Timing.MaxReclaimTime - p.scheduler.Timing.MaxStopTime - reclaimMargin
+		return p.latestReclaim()
 	}
 	return time.Duration(float64(u.step.Spec.Estimate) * (p.scheduler.Timing.FarFactor - 1) / 2)
 }
 
+// latestReclaim is how long a unit covered by a guarantee can wait before runs have to
+// be stopped for it, so that it starts within Timing.MaxReclaimTime.
+func (p *pass) latestReclaim() time.Duration {
+	return p.scheduler.Timing.MaxReclaimTime - p.scheduler.Timing.MaxStopTime - reclaimMargin
+}
+
 // reclaimMargin is the part of Timing.MaxReclaimTime that is reserved for the
 // delivery of the orders to stop and to start.
 const reclaimMargin = 600 * time.Millisecond
@@ -275,39 +310,60 @@
 	return preferred
 }
 
-func (p *pass) racksByFreeGPUs(vms []*VM) []string {
-	var racks []string
-	for _, vm := range vms {
-		if !slices.Contains(racks, vm.Rack) {
-			racks = append(racks, vm.Rack)
+// allowingVMs lists the usable VMs that have the service and the label that the unit's
+// tasks require.
+func (p *pass) allowingVMs(u unit) []*VM {
+	var allowed []*VM
+	for _, vm := range p.usable {
+		if p.allows(u, vm) {
+			allowed = append(allowed, vm)
 		}
 	}
-	// Racks with few free accelerators are tried first, which leaves the others
-	// for larger gangs.
-	freeGPUs := func(rack string) int {
-		n := 0
-		for _, vm := range vmsInRack(vms, rack) {
-			n += p.free[vm].GPUs
+	return allowed
+}
+
+// rack is a rack with some of its VMs.
+type rack struct {
+	name     string
+	vms      []*VM
+	freeGPUs int
+}
+
+// racksByFreeGPUs groups the VMs by rack. Racks with few free accelerators come first,
+// which leaves the others for larger gangs.
+func racksByFreeGPUs(vms []*VM) []*rack {
+	var racks []*rack
+	byName := map[string]*rack{}
+	for _, vm := range vms {
+		r := byName[vm.Rack]
+		if r == nil {
+			r = &rack{name: vm.Rack}
+			byName[vm.Rack] = r
+			racks = append(racks, r)
 		}
-		return n
+		r.vms = append(r.vms, vm)
+		r.freeGPUs += vm.free.GPUs
 	}
-	slices.SortStableFunc(racks, func(x, y string) int { return cmp.Compare(freeGPUs(x), freeGPUs(y)) })
+	slices.SortStableFunc(racks, func(x, y *rack) int { return cmp.Compare(x.freeGPUs, y.freeGPUs) })
 	return racks
 }
 
 func vmsInRack(vms []*VM, rack string) []*VM {
-	return slices.DeleteFunc(slices.Clone(vms), func(vm *VM) bool { return vm.Rack != rack })
+	var inRack []*VM
+	for _, vm := range vms {
+		if vm.Rack == rack {
+			inRack = append(inRack, vm)
+		}
+	}
+	return inRack
 }
 
-// rackCanHold reports whether the unit would fit on the rack if nothing else ran
-// there.
-func (p *pass) rackCanHold(u unit, rack string) bool {
+// canHold reports whether the unit would fit on the VMs if nothing else ran there.
+func canHold(u unit, vms []*VM) bool {
 	need := countedNeeds(u.step.Spec)
 	capacity := 0
-	for _, vm := range p.usable {
-		if vm.Rack == rack && p.allows(u, vm) {
-			capacity += tasksThatFit(vm.Capacity, need, u.step.Spec.MaxPerVM, len(u.tasks))
-		}
+	for _, vm := range vms {
+		capacity += tasksThatFit(vm.Capacity, need, u.step.Spec.MaxPerVM, len(u.tasks))
 	}
 	return capacity >= len(u.tasks)
 }
@@ -315,10 +371,17 @@
 // tasksThatFit counts how many tasks with the given need fit into the free
 // capacity, at most limit and at most perVM. 0 for perVM means no such limit.
 func tasksThatFit(free, need steps.Resources, perVM, limit int) int {
-	n := 0
-	for n < limit && (perVM == 0 || n < perVM) && free.Holds(need) {
-		free = free.Minus(need)
-		n++
+	n := limit
+	if perVM > 0 {
+		n = min(n, perVM)
+	}
+	for _, r := range [...]struct{ free, need int }{{free.CPU, need.CPU}, {free.MemMB, need.MemMB}, {free.GPUs, need.GPUs}} {
+		switch {
+		case r.free < r.need:
+			return 0
+		case r.need > 0:
+			n = min(n, r.free/r.need)
+		}
 	}
 	return n
 }
@@ -330,34 +393,29 @@
 func (p *pass) chooseVMs(u unit, vms []*VM) []*VM {
 	need := countedNeeds(u.step.Spec)
 	vms = slices.Clone(vms)
-	rackFree := map[string]int{}
-	for _, vm := range p.usable {
-		rackFree[vm.Rack] += p.free[vm].GPUs
-	}
-	slices.SortStableFunc(vms, func(x, y *VM) int { return cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]) })
-	remaining := map[*VM]steps.Resources{}
-	placed := map[*VM]int{}
-	for _, vm := range vms {
-		remaining[vm] = p.free[vm]
-		placed[vm] = u.step.activeOn(vm)
+	slices.SortStableFunc(vms, func(x, y *VM) int { return cmp.Compare(p.rackFreeGPUs[x.Rack], p.rackFreeGPUs[y.Rack]) })
+	remaining := make([]steps.Resources, len(vms))
+	for i, vm := range vms {
+		remaining[i] = vm.free
 	}
+	placed := u.step.activePerVM(vms)
 	chosen := make([]*VM, 0, len(u.tasks))
 	for range u.tasks {
-		var best *VM
-		for _, vm := range vms {
-			if !remaining[vm].Holds(need) || u.step.Spec.MaxPerVM > 0 && placed[vm] >= u.step.Spec.MaxPerVM {
+		best := -1
+		for i := range vms {
+			if !remaining[i].Holds(need) || u.step.Spec.MaxPerVM > 0 && placed[i] >= u.step.Spec.MaxPerVM {
 				continue
 			}
-			if best == nil || hasLessFree(remaining[vm], remaining[best]) {
-				best = vm
+			if best < 0 || hasLessFree(remaining[i], remaining[best]) {
+				best = i
 			}
 		}
-		if best == nil {
+		if best < 0 {
 			return nil
 		}
 		remaining[best] = remaining[best].Minus(need)
 		placed[best]++
-		chosen = append(chosen, best)
+		chosen = append(chosen, vms[best])
 	}
 	return chosen
 }
@@ -366,15 +424,23 @@
 	return cmp.Or(cmp.Compare(a.GPUs, b.GPUs), cmp.Compare(a.MemMB, b.MemMB), cmp.Compare(a.CPU, b.CPU)) < 0
 }
 
-// activeOn counts the step's active runs on a VM.
-func (s *Step) activeOn(vm *VM) int {
-	n := 0
+// activePerVM counts the step's active runs on each of the VMs. It counts none for a
+// step without Step.MaxPerVM, for which they do not matter.
+func (s *Step) activePerVM(vms []*VM) []int {
+	counts := make([]int, len(vms))
+	if s.Spec.MaxPerVM == 0 || s.ActiveCount == 0 {
+		return counts
+	}
+	byAgent := map[string]int{}
 	for _, t := range s.Tasks {
-		if t.Active && t.Agent == vm.Agent {
-			n++
+		if t.Active {
+			byAgent[t.Agent]++
 		}
 	}
-	return n
+	for i, vm := range vms {
+		counts[i] = byAgent[vm.Agent]
+	}
+	return counts
 }
 
 // start begins a run of each task of the unit, all with the same run number, and
@@ -398,13 +464,12 @@
 		t.needs = countedNeeds(u.step.Spec)
 		p.scheduler.beginRun(t, vm, vm.Worker, p.now)
 		p.claim(vm, t.needs)
-		p.heldGPUs[t.ID.Job] += t.needs.GPUs
 		p.scheduler.output.Orders = append(p.scheduler.output.Orders, StartOrder{
 			Agent: vm.Agent, Worker: vm.Worker, Session: vm.Session, Task: t.ID, Run: run, Payload: u.job.Spec.Payload, Checkpoint: checkpoint,
 		})
 		p.scheduler.addEvent(Event{
 			Kind: "taskPlaced", Job: t.ID.Job, Task: t.ID.String(), Run: run, VM: vm.Agent,
-			Reason: fmt.Sprintf("rack=%s freeGPUs=%d waitedMs=%d", vm.Rack, p.free[vm].GPUs, p.now.Sub(u.waitingSince).Milliseconds()),
+			Reason: fmt.Sprintf("rack=%s freeGPUs=%d waitedMs=%d", vm.Rack, vm.free.GPUs, p.now.Sub(u.waitingSince).Milliseconds()),
 		})
 	}
 }
--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -23,11 +23,12 @@
 	return needs
 }
 
-// preempt requests runs to stop so that the unit fits in a later pass. For the rest
-// of this pass, it claims the capacity that the unit needs. A unit of an
-// organisation within its guarantee may always preempt, others only if the lost
-// work is not more than estimatedWork of the unit.
-func (p *pass) preempt(u unit) {
+// preempt makes room for the unit, so that it fits in a later pass: it requests runs to
+// stop, and counts on runs that are about to end. For the rest of this pass, it claims
+// the capacity that the unit needs. A unit of an organisation within its guarantee may
+// always preempt, others only if the lost work is not more than estimatedWork of the
+// unit. It reports whether it has claimed capacity.
+func (p *pass) preempt(u unit) bool {
 	var best *eviction
 	for _, set := range p.candidateSets(u) {
 		e := p.planEviction(u, set)
@@ -36,14 +37,16 @@
 		}
 	}
 	if best == nil || !p.orgsWithinGuarantee[u.job.Spec.Org] && best.cost > p.estimatedWork(u) {
-		return
+		return false
 	}
 	for _, t := range best.victims {
 		p.scheduler.requestStop(t, p.now, "preempted for "+u.tasks[0].ID.String())
+		delete(p.evictable, p.scheduler.VMs[t.Agent])
 	}
 	for _, vm := range best.chosen {
 		p.claim(vm, countedNeeds(u.step.Spec))
 	}
+	return true
 }
 
 // estimatedWork is the work of the unit according to the caller's estimate, in
@@ -65,84 +68,134 @@
 	cost float64
 }
 
+// evictionChoice is what one more task of the unit costs on a VM.
+type evictionChoice struct {
+	vm *VM
+	// available is the capacity that is free, or will be without another stop.
+	available steps.Resources
+	placed    int
+	// victims, cost and fits are the results of pass.victims for available. known is
+	// false while they have to be computed.
+	victims []*Task
+	cost    float64
+	fits    bool
+	known   bool
+}
+
 // planEviction chooses a VM for each task of the unit in turn, always the one on
 // which the least work is lost. It returns nil if the tasks do not all fit.
 func (p *pass) planEviction(u unit, vms []*VM) *eviction {
 	need := countedNeeds(u.step.Spec)
 	e := &eviction{}
-	available := map[*VM]steps.Resources{}
-	placed := map[*VM]int{}
-	for _, vm := range vms {
-		available[vm] = p.free[vm].Plus(p.beingFreed(vm))
-		placed[vm] = u.step.activeOn(vm)
+	choices := make([]evictionChoice, len(vms))
+	byVM := make(map[*VM]*evictionChoice, len(vms))
+	for i, active := range u.step.activePerVM(vms) {
+		choices[i] = evictionChoice{vm: vms[i], available: vms[i].free.Plus(p.beingFreed(u, vms[i])), placed: active}
+		byVM[vms[i]] = &choices[i]
 	}
+	stopped := map[*Task]bool{}
 	for range u.tasks {
-		var best *VM
-		var bestVictims []*Task
-		bestCost := 0.0
-		for _, vm := range vms {
-			if u.step.Spec.MaxPerVM > 0 && placed[vm] >= u.step.Spec.MaxPerVM {
+		var best *evictionChoice
+		for i := range choices {
+			c := &choices[i]
+			if u.step.Spec.MaxPerVM > 0 && c.placed >= u.step.Spec.MaxPerVM {
 				continue
 			}
-			victims, cost, fits := p.victims(u, vm, available[vm], need, e.victims)
-			if fits && (best == nil || cost < bestCost) {
-				best, bestVictims, bestCost = vm, victims, cost
+			if !c.known {
+				c.victims, c.cost, c.fits = p.victims(u, c.vm, c.available, need, stopped)
+				c.known = true
+			}
+			if c.fits && (best == nil || c.cost < best.cost) {
+				best = c
 			}
 		}
 		if best == nil {
 			return nil
 		}
-		for _, t := range bestVictims {
-			if vm := p.scheduler.VMs[t.Agent]; t.StopRequestedAt.IsZero() {
-				available[vm] = available[vm].Plus(t.needs)
+		e.victims = append(e.victims, best.victims...)
+		e.cost += best.cost
+		for _, t := range best.victims {
+			stopped[t] = true
+			if c := byVM[p.scheduler.VMs[t.Agent]]; c != nil {
+				c.available, c.known = c.available.Plus(t.needs), false
 			}
 		}
-		e.victims = append(e.victims, bestVictims...)
-		e.cost += bestCost
-		available[best] = available[best].Minus(need)
-		placed[best]++
-		e.chosen = append(e.chosen, best)
+		best.available, best.known = best.available.Minus(need), false
+		best.placed++
+		e.chosen = append(e.chosen, best.vm)
 	}
 	return e
 }
 
 // beingFreed is the capacity of those active runs on the VM that are about to end:
-// runs that were requested to stop, and runs of gangs that have succeeded.
-func (p *pass) beingFreed(vm *VM) steps.Resources {
+// runs that were requested to stop, runs of gangs that have succeeded, and runs that
+// end by themselves at least as early as a run that is stopped for the unit.
+func (p *pass) beingFreed(u unit, vm *VM) steps.Resources {
 	var sum steps.Resources
 	for _, t := range vm.ActiveTasks {
-		if !t.StopRequestedAt.IsZero() || t.Done {
+		if !t.StopRequestedAt.IsZero() || t.Done || p.endsWithoutStop(u, t) {
 			sum = sum.Plus(t.needs)
 		}
 	}
 	return sum
 }
 
+// endsWithoutStop reports whether the task's run is expected to end by itself within the
+// time that stopping a run takes, so that stopping it or another run for the unit would
+// waste work without an earlier start. A guaranteed unit relies on it only as long as
+// runs can still be stopped for it in time, because the forecast can be wrong.
+func (p *pass) endsWithoutStop(u unit, t *Task) bool {
+	if u.guaranteed && p.now.Sub(u.waitingSince) >= p.latestReclaim() {
+		return false
+	}
+	return t.Running && t.Progress >= minProgressForForecast && !p.scheduler.stalled(t, p.now) &&
+		!p.scheduler.stepOf(t).Spec.LongRunning && p.scheduler.remainingTime(t, p.now) <= p.scheduler.Timing.MaxStopTime
+}
+
+// candidate is a run that may be stopped, with its lostWork.
+type candidate struct {
+	task *Task
+	cost float64
+}
+
+// candidates lists the runs on the VM that have neither succeeded nor were requested to
+// stop, the least lost work first. The list is computed once a pass.
+func (p *pass) candidates(vm *VM) []candidate {
+	if all, found := p.evictable[vm]; found {
+		return all
+	}
+	all := make([]candidate, 0, len(vm.ActiveTasks))
+	for _, t := range vm.ActiveTasks {
+		if t.StopRequestedAt.IsZero() && !t.Done {
+			all = append(all, candidate{t, p.lostWork(t)})
+		}
+	}
+	slices.SortFunc(all, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.cost, y.cost), compareTaskIDs(x.task.ID, y.task.ID))
+	})
+	p.evictable[vm] = all
+	return all
+}
+
 // victims chooses runs on the VM to stop, the least lost work first, until a task
 // of the unit with the given need fits. It returns the tasks of these runs, the
-// lost work, and whether the task of the unit fits then. chosen holds the tasks
+// lost work, and whether the task of the unit fits then. stopped holds the tasks
 // whose runs are already chosen to be stopped for other tasks of the unit.
-func (p *pass) victims(u unit, vm *VM, available, need steps.Resources, chosen []*Task) ([]*Task, float64, bool) {
+func (p *pass) victims(u unit, vm *VM, available, need steps.Resources, stopped map[*Task]bool) ([]*Task, float64, bool) {
 	if available.Holds(need) {
 		return nil, 0, true
 	}
-	var all []*Task
-	for _, t := range p.scheduler.activeTasksOn(vm) {
-		if t.StopRequestedAt.IsZero() && !t.Done && !slices.Contains(chosen, t) && p.mayBePreempted(t, u) {
-			all = append(all, t)
-		}
-	}
-	slices.SortStableFunc(all, func(x, y *Task) int { return cmp.Compare(p.lostWork(x), p.lostWork(y)) })
 	var victims []*Task
 	cost := 0.0
-	for _, t := range all {
+	for _, c := range p.candidates(vm) {
 		if available.Holds(need) {
 			break
 		}
-		if slices.Contains(victims, t) {
+		t := c.task
+		if stopped[t] || slices.Contains(victims, t) || !p.mayBePreempted(t, u) || p.endsWithoutStop(u, t) {
 			continue
 		}
-		cost += p.lostWork(t)
+		cost += c.cost
 		for _, member := range p.stoppedTogether(t) {
 			victims = append(victims, member)
 			if member.Agent == vm.Agent {
@@ -161,7 +214,28 @@
 	if !s.Spec.Gang {
 		return []*Task{t}
 	}
-	return slices.DeleteFunc(slices.Clone(s.Tasks), func(m *Task) bool { return !m.Active || m.Done || !m.StopRequestedAt.IsZero() })
+	var members []*Task
+	for _, m := range s.Tasks {
+		if m.Active && !m.Done && m.StopRequestedAt.IsZero() {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// countStoppedTogether is the length of stoppedTogether. It is computed once a pass for
+// each gang.
+func (p *pass) countStoppedTogether(t *Task) int {
+	s := p.scheduler.stepOf(t)
+	if !s.Spec.Gang {
+		return 1
+	}
+	n, found := p.membersToStop[s]
+	if !found {
+		n = len(p.stoppedTogether(t))
+		p.membersToStop[s] = n
+	}
+	return n
 }
 
 // mayBePreempted reports whether the task's run may be stopped for the unit. It
@@ -186,7 +260,7 @@
 		// The worker makes a checkpoint when it stops the run, so little is lost.
 		since = p.now.Add(-min(p.now.Sub(since), checkpointLoss))
 	}
-	cost := float64(len(p.stoppedTogether(t))) * coreEquivalents(t.needs) * p.now.Sub(since).Seconds()
+	cost := float64(p.countStoppedTogether(t)) * coreEquivalents(t.needs) * p.now.Sub(since).Seconds()
 	if p.scheduler.Jobs[t.ID.Job].Queue.Priority == 0 {
 		cost *= urgentWorkWeight
 	}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -39,12 +39,14 @@
 }
 
 // beginRun marks the task's run as active on the VM, in the worker incarnation
-// with the given ID.
+// with the given ID. The caller has set Task.needs.
 func (sc *Scheduler) beginRun(t *Task, vm *VM, workerID string, now time.Time) {
 	t.Active, t.Agent, t.Worker = true, vm.Agent, workerID
 	t.Running, t.ConclusiveReport, t.StopRequestedAt = false, -1, time.Time{}
 	t.StartedAt, t.Progress, t.ProgressAt = now, 0, now
 	vm.ActiveTasks[t.ID] = t
+	vm.used = vm.used.Plus(t.needs)
+	sc.Jobs[t.ID.Job].heldGPUs += t.needs.GPUs
 	sc.stepOf(t).ActiveCount++
 	sc.dirty[t.ID.Job] = true
 }
@@ -54,7 +56,10 @@
 	if !t.Active {
 		return
 	}
-	delete(sc.VMs[t.Agent].ActiveTasks, t.ID)
+	vm := sc.VMs[t.Agent]
+	delete(vm.ActiveTasks, t.ID)
+	vm.used = vm.used.Minus(t.needs)
+	sc.Jobs[t.ID.Job].heldGPUs -= t.needs.GPUs
 	t.Active, t.WaitSince = false, now
 	sc.stepOf(t).ActiveCount--
 	sc.dirty[t.ID.Job] = true
@@ -202,12 +207,36 @@
 
 // HandleReport applies an agent's report. It ignores a report of any session other
 // than the current one. A report without a worker leaves what is known about the
-// worker and its runs unchanged.
-func (sc *Scheduler) HandleReport(r Report, now time.Time) {
+// worker and its runs unchanged. It reports whether a planning pass or TakeOutput may
+// now have something to do that it had not before.
+func (sc *Scheduler) HandleReport(r Report, now time.Time) bool {
 	vm := sc.vm(r.Agent)
 	if r.Session != vm.Session || !vm.Attached {
-		return
+		return false
 	}
+	before := vm.usability(now)
+	sc.applyReport(vm, r, now)
+	return vm.usability(now) != before || len(sc.dirty) > 0 || len(sc.output.Orders) > 0 || len(sc.output.Events) > 0
+}
+
+// usability holds what decides whether a pass starts tasks on a VM, other than times
+// that pass.
+type usability struct {
+	worker, service, rack                  string
+	recent, draining, leaving, unknownRuns bool
+	capacity                               steps.Resources
+	unhealthyUntil                         time.Time
+}
+
+func (vm *VM) usability(now time.Time) usability {
+	return usability{
+		worker: vm.Worker, service: vm.Service, rack: vm.Rack, recent: vm.Reported && now.Sub(vm.ReportedAt) < maxReportAge,
+		draining: vm.Draining, leaving: vm.Leaving, unknownRuns: vm.UnknownRuns > 0, capacity: vm.Capacity, unhealthyUntil: vm.UnhealthyUntil,
+	}
+}
+
+// applyReport applies a report of the VM's current session.
+func (sc *Scheduler) applyReport(vm *VM, r Report, now time.Time) {
 	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
 	if !r.WorkerPresent {
 		return
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -116,6 +116,8 @@
 	OccurrenceStarts map[int]time.Time
 	// NextOccurrence is the number of the first occurrence that has not begun.
 	NextOccurrence int
+	// heldGPUs counts the accelerators that the job's active runs occupy.
+	heldGPUs int
 	// EndedAt is when the job ended, zero before that.
 	EndedAt time.Time
 }
@@ -156,8 +158,15 @@
 	// because the worker was reported as unhealthy, a start there was refused, or
 	// a run there stalled.
 	UnhealthyUntil time.Time
-	// ActiveTasks holds the tasks with an active run on the VM.
+	// ActiveTasks holds the tasks with an active run on the VM. used is the sum of
+	// what these runs occupy.
 	ActiveTasks map[steps.TaskID]*Task
+	used        steps.Resources
+	// free is used only within a planning pass, by usable VMs. It is the capacity that
+	// no active run occupies and that is not claimed for a waiting unit. It can be
+	// negative, because a claim can include capacity that ending runs have yet to
+	// free.
+	free steps.Resources
 	// UnknownRuns counts the runs in the newest report with a worker that this
 	// Scheduler does not have as active runs on the VM. No task is started on the
 	// VM while there are any.
