Platform path: fewer calls to the store, paced sessions, planners on large VMs

Cause: every entry read both topics up to twelve times a second whatever it needed them for; agents reported 2.5 times a second whether anything had changed or not; a planner dialled all agents at once; a session was closed when a report had not been handled within 1.5 s, also if it had arrived and waited; entries on VMs of 0.192 cores were as likely to plan as those of 0.8.

Change: entries that do not plan read records every 0.7 s, and what a request or a claim depends on at once. The planner's pongs confirm the configuration, whose reads then wait 1.5 s for a new version. Agents report after 0.8 s unless something has changed or a run may have stalled. At most 48 agents are dialled at once, those with runs first. Sessions are closed by the time of the last received bytes, and not by a process that woke up late. Small entries claim up to 250 ms later, and each reads once more before its claim.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -107,6 +107,7 @@
 type Conn struct {
 	conn   *jsonrpc2.Conn
 	remote string
+	stream *stream
 
 	mu sync.Mutex
 	// pendingCalls holds the calls of CallAsync that wait for a reply, by
@@ -124,6 +125,11 @@
 // Remote returns the address of the other side.
 func (c *Conn) Remote() string { return c.remote }
 
+// ReceivedAt returns when bytes last arrived on the connection, on CLOCK_BOOTTIME. It
+// is the time of the connection's opening before any have. Requests may have arrived
+// that the handler has not seen yet.
+func (c *Conn) ReceivedAt() time.Time { return time.Unix(0, c.stream.receivedAt.Load()) }
+
 // Done returns a channel that is closed when the connection closes.
 func (c *Conn) Done() <-chan struct{} { return c.conn.DisconnectNotify() }
 
@@ -345,7 +351,7 @@
 func (e *Engine) attach(c *nbio.Conn) *Conn {
 	s := newStream(c, &e.bytesSent)
 	c.SetSession(s)
-	conn := &Conn{remote: c.RemoteAddr().String(), pendingCalls: map[string]*asyncCall{}}
+	conn := &Conn{remote: c.RemoteAddr().String(), stream: s, pendingCalls: map[string]*asyncCall{}}
 	s.onClose = conn.failPendingCalls
 	ready := make(chan struct{})
 	conn.conn = jsonrpc2.NewConn(context.Background(), s, handlerFunc(func(r *jsonrpc2.Request) {
--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 
 	"github.com/lesismal/nbio"
+
+	"celerypoint.example/celerypoint/boottime"
 )
 
 // headerBytes is the size of a frame's length field.
@@ -21,6 +23,8 @@
 	conn *nbio.Conn
 	// bytesSent counts the bytes written to all connections of the engine.
 	bytesSent *atomic.Int64
+	// receivedAt is when bytes last arrived, in Unix nanoseconds on CLOCK_BOOTTIME.
+	receivedAt atomic.Int64
 	// partial holds the received bytes of an incomplete frame. Only the goroutine
 	// of nbio's poller uses it.
 	partial []byte
@@ -40,12 +44,14 @@
 func newStream(c *nbio.Conn, bytesSent *atomic.Int64) *stream {
 	s := &stream{conn: c, bytesSent: bytesSent}
 	s.ready = sync.NewCond(&s.mu)
+	s.receivedAt.Store(boottime.Now().UnixNano())
 	return s
 }
 
 // feed handles bytes that the poller received. It copies them, because the
 // poller reuses the slice.
 func (s *stream) feed(data []byte) {
+	s.receivedAt.Store(boottime.Now().UnixNano())
 	s.partial = append(s.partial, data...)
 	consumed := 0
 	for len(s.partial)-consumed >= headerBytes {
--- a/settings/site.go
+++ b/settings/site.go
@@ -59,6 +59,8 @@
 	TerminationGrace time.Duration
 	// MemoryMiB is the memory limit of the process in MiB.
 	MemoryMiB int
+	// CPUShare is the share of a core that the process may use, 0 if it is not known.
+	CPUShare float64
 }
 
 // Address returns the address to listen on for RPCs from other processes of the
@@ -94,6 +96,12 @@
 			durationSeconds(func(s *S) *time.Duration { return &node(s).TerminationGrace })},
 		{Key{Section: "node", Name: "memoryMB", Allowed: "16 to 1048576", Help: "memory limit of the process in MiB"},
 			intBetween(func(s *S) *int { return &node(s).MemoryMiB }, 16, 1<<20)},
+		{Key{Section: "node", Name: "cpuShare", Optional: true, Allowed: "above 0, at most 1024", Help: "cores, or the share of one, that the process may use"},
+			func(s *S, value string) bool {
+				f, err := strconv.ParseFloat(value, 64)
+				node(s).CPUShare = f
+				return err == nil && f > 0 && f <= 1024
+			}},
 	}
 }
 
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -44,9 +44,11 @@
 )
 
 const (
-	// reportInterval is the longest time between two reports. Each report also
-	// requests a lease.
-	reportInterval = 400 * time.Millisecond
+	// reportInterval is the time between two reports while a run may have stalled,
+	// which the planner decides from its reports. idleReportInterval is the longest
+	// time between two reports. Each report also requests a lease.
+	reportInterval     = 400 * time.Millisecond
+	idleReportInterval = 2 * reportInterval
 	// reportTimeout bounds a report call. When the planner does not reply in
 	// time, the agent closes the session, and the planner opens a new one.
 	reportTimeout = 1200 * time.Millisecond
@@ -266,17 +268,25 @@
 	return wire.AttachResult{}, nil
 }
 
-// reportLoop sends reports to the planner until ctx ends.
+// reportLoop sends reports to the planner until ctx ends: at once when something has
+// changed that the planner acts on, after reportInterval while a run may have stalled,
+// and otherwise after idleReportInterval.
 func (d *Daemon) reportLoop(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	var reportedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
+			// A timer fires late, so that two intervals are a little longer than twice one.
+			if now.Sub(reportedAt) < idleReportInterval-reportInterval/2 && !d.table.mayStall(now) {
+				continue
+			}
 		case <-d.table.reportDue:
 		}
+		reportedAt = time.Now()
 		d.sendReport(ctx)
 	}
 }
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -19,7 +19,10 @@
 	// listed the run.
 	confirmed  bool
 	checkpoint string
+	// progress is in percent. progressAt is when it last increased, or when the run
+	// was first listed.
 	progress   int
+	progressAt time.Time
 	// absentAfter decides whether a complete status that does not list the run
 	// proves that the worker does not run it. For an unconfirmed run it is the
 	// token of the newest start order, or notSent: only a status requested with a
@@ -261,10 +264,26 @@
 	if changed {
 		known.confirmed, known.absentAfter = true, number
 	}
+	if changed || r.Progress > known.progress {
+		known.progressAt = time.Now()
+	}
 	known.checkpoint, known.progress = r.Checkpoint, r.Progress
 	return changed
 }
 
+// mayStall reports whether a run that the worker has listed has made no progress for
+// two statuses.
+func (t *workerTable) mayStall(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.runs {
+		if r.confirmed && now.Sub(r.progressAt) > 2*statusWait {
+			return true
+		}
+	}
+	return false
+}
+
 // applyEndsAck applies the planner's acknowledgement that it has stored the ended
 // runs of the incarnation whose EndNumber is at most through: the agent no longer
 // reports them, and its next status call allows the worker to forget them.
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -1,14 +1,15 @@
 package stepentry
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/lease"
-	"celerypoint.example/celerypoint/pause"
 	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
@@ -20,13 +21,18 @@
 // Intervals and time-outs of the planner's sessions with agents.
 const (
 	// attachInterval is the time between attempts to dial agents without a
-	// session.
+	// session, unless an attempt ends before. maxDialing bounds the attempts in
+	// progress, so that each gets its replies within attachTimeout also on a slow VM.
 	attachInterval = 250 * time.Millisecond
+	maxDialing     = 48
+	// wakeupDelay is how late the loop over the sessions may be woken up before the
+	// process counts as short of processor time. Agents' reports may then wait unread.
+	wakeupDelay = 150 * time.Millisecond
 	// attachTimeout bounds dialling an agent and the attach call. The network
 	// delay to an agent is a few milliseconds.
 	attachTimeout = 700 * time.Millisecond
-	// reportTimeout is how long after an agent's last report, or after the start
-	// of its session, the session is closed. Agents report every 0.4 s.
+	// reportTimeout is how long after the last bytes from an agent, or after the start
+	// of its session, the session is closed. Agents report at least every 0.8 s.
 	reportTimeout = 1500 * time.Millisecond
 	// startTimeout and stopTimeout bound the calls that send a start or stop order
 	// to an agent. The agent itself tries for up to 2 s to carry an order out.
@@ -46,8 +52,9 @@
 }
 
 // attachAgents opens a session with every known agent that has none, and closes
-// sessions without recent reports, until the term ends.
+// sessions on which nothing arrives, until the term ends.
 func (d *Daemon) attachAgents(ctx context.Context) {
+	due := boottime.Now()
 	for ctx.Err() == nil {
 		now := boottime.Now()
 		d.planner.mu.Lock()
@@ -55,20 +62,64 @@
 			d.planner.mu.Unlock()
 			return
 		}
-		for name, l := range d.planner.links {
-			if vm := d.planner.scheduler.VMs[name]; l.conn != nil && vm != nil && now.Sub(vm.ReportedAt) > reportTimeout {
-				d.closeSession(name, l, "no report within the time-out")
-			}
-			if l.conn == nil && !l.dialing {
-				l.dialing = true
-				go d.attach(ctx, name, l.address)
-			}
+		if now.Sub(due) < wakeupDelay {
+			d.closeSilentSessions(now)
+		} else {
+			d.counters.Count("wakeupLate")
+		}
+		for _, name := range dialOrder(d.planner.links, d.planner.scheduler.VMs, now) {
+			l := d.planner.links[name]
+			l.dialing = true
+			d.goroutines.Go(func() { d.attach(ctx, name, l.address) })
 		}
 		d.planner.mu.Unlock()
-		pause.For(ctx, attachInterval)
+		due = now.Add(attachInterval)
+		select {
+		case <-ctx.Done():
+		case <-time.After(attachInterval):
+		case <-d.planner.dialed:
+			due = boottime.Now()
+		}
 	}
 }
 
+// closeSilentSessions closes the sessions on which nothing has arrived within
+// reportTimeout. Reports that have arrived and wait to be handled keep a session. The
+// caller holds the planner's mutex.
+func (d *Daemon) closeSilentSessions(now time.Time) {
+	for name, l := range d.planner.links {
+		if l.conn != nil && now.Sub(l.conn.ReceivedAt()) > reportTimeout {
+			d.closeSession(name, l, "no report within the time-out")
+		}
+	}
+}
+
+// dialOrder lists the agents to dial now: those without a session and a recent attempt,
+// as many as maxDialing allows. Agents with active runs come first, because the leases of
+// these runs expire.
+func dialOrder(links map[string]*agentLink, vms map[string]*stepplan.VM, now time.Time) []string {
+	var names []string
+	dialing := 0
+	for name, l := range links {
+		switch {
+		case l.dialing:
+			dialing++
+		case l.conn == nil && now.Sub(l.dialedAt) >= attachInterval:
+			names = append(names, name)
+		}
+	}
+	activeRuns := func(name string) int {
+		if vm := vms[name]; vm != nil {
+			return len(vm.ActiveTasks)
+		}
+		return 0
+	}
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Or(cmp.Compare(activeRuns(y), activeRuns(x)), links[x].dialedAt.Compare(links[y].dialedAt), cmp.Compare(x, y))
+	})
+	return names[:min(len(names), max(0, maxDialing-dialing))]
+}
+
 // closeSession closes the session with an agent, if there is one, and logs the
 // reason. The caller holds the planner's mutex.
 func (d *Daemon) closeSession(name string, l *agentLink, reason string) {
@@ -109,7 +160,11 @@
 		}
 		return
 	}
-	l.dialing = false
+	l.dialing, l.dialedAt = false, boottime.Now()
+	select {
+	case d.planner.dialed <- struct{}{}:
+	default:
+	}
 	switch {
 	case err != nil:
 		if l.conn == conn {
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -63,6 +63,9 @@
 	// record that is not a configuration.
 	DecodeConfig func(recordlog.Record) (access.Config, bool, error)
 	Timing       stepplan.Timing
+	// CPUShare is the share of a core that this process may use. Entries with little
+	// become the planner only if no other entry does; 0 means enough.
+	CPUShare float64
 	// KeyGrace is the longest time for which an API key is accepted after the
 	// operator removed it.
 	KeyGrace time.Duration
@@ -131,7 +134,8 @@
 		records:    recordTable{state: stepfold.New(), applied: make(chan struct{}, 1)},
 		config:     configTable{keyGrace: c.KeyGrace},
 		planner: plannerTable{
-			timing: c.Timing, links: map[string]*agentLink{}, watchers: map[*rpc.Conn]struct{}{}, passRequested: make(chan struct{}, 1),
+			timing: c.Timing, links: map[string]*agentLink{}, watchers: map[*rpc.Conn]struct{}{},
+			dialed: make(chan struct{}, 1), passRequested: make(chan struct{}, 1),
 		},
 	}
 	for _, o := range options {
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -30,8 +30,9 @@
 	// store is slow, an append takes up to half a second, so the heartbeats of a
 	// live planner are up to 1 s apart.
 	heartbeatTimeout = 1800 * time.Millisecond
-	// pingInterval is how often an entry pings the planner's process.
-	pingInterval = 500 * time.Millisecond
+	// pingInterval is how often an entry pings the planner's process. It also pings
+	// when its connection to the planner closes and when a heartbeat is overdue.
+	pingInterval = time.Second
 	// pingTimeout bounds a ping. The network delay between entries is a few
 	// milliseconds.
 	pingTimeout = 400 * time.Millisecond
@@ -39,6 +40,11 @@
 	// makes it unlikely that several entries claim at the same time after they
 	// have noticed the loss of the planner together.
 	claimJitter = 120 * time.Millisecond
+	// plannerCPUShare is the share of a core that a planner needs for some hundred VMs.
+	// An entry on a smaller VM waits longer before it claims, up to maxClaimHandicap,
+	// so that a larger one becomes the planner if there is any.
+	plannerCPUShare  = 0.4
+	maxClaimHandicap = 250 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
 	claimTimeout = 3 * time.Second
 	// applyTimeout bounds the wait until the claim's own record has been read
@@ -73,7 +79,7 @@
 		if !fresh {
 			continue
 		}
-		if now.Sub(pinged) >= pingInterval && p.Term > 0 {
+		if p.Term > 0 && (now.Sub(pinged) >= pingInterval || sinceHeartbeat > heartbeatTimeout || d.plannerLinkClosed()) {
 			pinged = now
 			health = d.checkPlanner(ctx, p)
 		}
@@ -92,7 +98,12 @@
 		default:
 			continue
 		}
-		pause.For(ctx, rand.N(claimJitter))
+		pause.For(ctx, claimHandicap(d.cfg.CPUShare)+rand.N(claimJitter))
+		// Another entry may have claimed while this one waited.
+		if err := d.catchUp(ctx); err != nil {
+			d.counters.Count("claimWithoutRead")
+			continue
+		}
 		d.records.mu.Lock()
 		unchanged := d.records.state.Planner.Term == p.Term && d.records.state.Planner.Heartbeat == p.Heartbeat
 		d.records.mu.Unlock()
@@ -103,6 +114,15 @@
 	}
 }
 
+// claimHandicap is how much longer an entry with the share of a core waits before a
+// claim than one with at least plannerCPUShare.
+func claimHandicap(cpuShare float64) time.Duration {
+	if cpuShare <= 0 || cpuShare >= plannerCPUShare {
+		return 0
+	}
+	return min(maxClaimHandicap, time.Duration((plannerCPUShare/cpuShare-1)*float64(maxClaimHandicap)))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -150,11 +170,15 @@
 	}
 }
 
-// waitApplied waits until the record at the offset or a later one has been
+// waitApplied reads and applies records until those up to the offset have been
 // applied. It reports false when that takes longer than applyTimeout or ctx ends.
 func (d *Daemon) waitApplied(ctx context.Context, offset int64) bool {
 	bounded, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
+	if err := d.catchUp(bounded); err != nil {
+		// followRecords goes on reading.
+		d.counters.Count("catchUpFailed")
+	}
 	for {
 		d.records.mu.Lock()
 		through := d.records.state.LastApplied
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -20,9 +20,11 @@
 		OnLoaded:  func(recordlog.Load) {},
 		OnUpToDate: func(begun time.Time) {
 			d.config.mu.Lock()
-			d.config.currentAsOf = begun
+			d.config.readAt = begun
+			d.config.currentAsOf = later(d.config.currentAsOf, begun)
 			d.config.mu.Unlock()
 		},
+		Pace:            d.configPace,
 		OnReadFailing:   func(err error) { d.log.Add("configurationLost", eventlog.Fields{"cause": err.Error()}) },
 		OnReadRecovered: func() { d.log.Add("configurationRegained", nil) },
 	})
@@ -80,9 +82,42 @@
 			d.log.Add("storeLost", eventlog.Fields{"cause": err.Error()})
 		},
 		OnReadRecovered: func() { d.log.Add("storeRegained", nil) },
+		Pace:            d.recordsPace,
 	})
 }
 
+const (
+	// confirmedConfigWait is how long a read of the configuration waits for a new
+	// version while the planner's pongs confirm the present one. confirmationAge is
+	// the age up to which they do. A new version ends the read at once.
+	confirmedConfigWait = 1500 * time.Millisecond
+	confirmationAge     = 2 * pingInterval
+	// followerPause is the pause between an entry's reads of records while it is not the
+	// planner. It learns of ended jobs from the planner, and reads at once what a
+	// request or a claim depends on.
+	followerPause = 700 * time.Millisecond
+)
+
+// configPace determines the pace of reads of the configuration.
+func (d *Daemon) configPace() recordlog.Pace {
+	pace := recordlog.DefaultPace
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	if boottime.Now().Sub(d.config.confirmedByPeerAt) < confirmationAge {
+		pace.Wait = confirmedConfigWait
+	}
+	return pace
+}
+
+// recordsPace determines the pace of reads of the system's own records.
+func (d *Daemon) recordsPace() recordlog.Pace {
+	pace := recordlog.DefaultPace
+	if !d.isPlanner() {
+		pace.Pause = followerPause
+	}
+	return pace
+}
+
 // catchUpTimeout bounds catchUp. When the store is slow, it answers within half
 // a second.
 const catchUpTimeout = 800 * time.Millisecond
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/codec"
@@ -46,12 +47,16 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	sent := boottime.Now()
 	pong, err := d.pingPlanner(bounded, p)
 	if err != nil && bounded.Err() == nil {
 		// The ping may have failed because an existing connection was broken.
 		// A new connection shows whether the process has ended.
 		pong, err = d.pingPlanner(bounded, p)
 	}
+	if err == nil {
+		d.confirmConfig(pong, sent)
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return healthGone
@@ -65,6 +70,20 @@
 	return healthUnknown
 }
 
+// confirmConfig takes over from a peer's pong as of when its configuration is known to
+// be current, if this entry has that version or a newer one. The peer's read began
+// ConfigAgeMs before the pong was written, which was after the ping was sent.
+func (d *Daemon) confirmConfig(pong wire.PlannerPong, sent time.Time) {
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	if pong.ConfigVersion == 0 || !d.config.known || int64(pong.ConfigVersion) > d.config.current.Version {
+		return
+	}
+	asOf := sent.Add(-time.Duration(pong.ConfigAgeMs) * time.Millisecond)
+	d.config.currentAsOf = later(d.config.currentAsOf, asOf)
+	d.config.confirmedByPeerAt = sent
+}
+
 // pingPlanner sends a ping over the connection to the planner. A connection on
 // which a ping fails is closed, because a connection can stop delivering
 // messages for good while new connections work.
@@ -106,6 +125,22 @@
 	return conn, nil
 }
 
+// plannerLinkClosed reports whether the connection to the planner has closed and no
+// other has been opened. The planner's process may have ended.
+func (d *Daemon) plannerLinkClosed() bool {
+	d.plannerLink.mu.Lock()
+	defer d.plannerLink.mu.Unlock()
+	if d.plannerLink.conn == nil {
+		return false
+	}
+	select {
+	case <-d.plannerLink.conn.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Daemon) dropPlannerConn(conn *rpc.Conn) {
 	conn.Close()
 	d.plannerLink.mu.Lock()
--- a/stepentry/plannerlink_test.go
+++ b/stepentry/plannerlink_test.go
@@ -1,16 +1,21 @@
 package stepentry
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
 	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/wire"
 )
 
 func stored(c *qt.C, offset int64, r stepfold.Record) recordlog.StoredRecord {
@@ -33,3 +38,57 @@
 	c.Assert(d.planner.scheduler.Jobs[job.ID], qt.IsNotNil)
 	c.Check(d.planner.scheduler.Jobs[job.ID].Phase, qt.Equals, stepfold.PhaseCancelled)
 }
+
+// TestConfirmConfig guards against keys that are accepted after their removal because a
+// peer that has not read the removal either confirms the configuration, or because a pong
+// that was under way for long counts from its arrival.
+func TestConfirmConfig(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	read := sent.Add(-3 * time.Second)
+	for _, test := range []struct {
+		name  string
+		known bool
+		pong  wire.PlannerPong
+		want  time.Time
+	}{
+		{"same version", true, wire.PlannerPong{ConfigVersion: 7, ConfigAgeMs: 500}, sent.Add(-500 * time.Millisecond)},
+		{"older version", true, wire.PlannerPong{ConfigVersion: 5, ConfigAgeMs: 500}, sent.Add(-500 * time.Millisecond)},
+		{"newer version", true, wire.PlannerPong{ConfigVersion: 8, ConfigAgeMs: 500}, read},
+		{"older than the own read", true, wire.PlannerPong{ConfigVersion: 7, ConfigAgeMs: 4000}, read},
+		{"peer without configuration", true, wire.PlannerPong{}, read},
+		{"no configuration", false, wire.PlannerPong{ConfigVersion: 7, ConfigAgeMs: 500}, read},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := &Daemon{config: configTable{known: test.known, current: access.Config{Version: 7}, currentAsOf: read}}
+			d.confirmConfig(test.pong, sent)
+			qt.Assert(t, d.config.currentAsOf, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestDialOrder guards against a planner that dials hundreds of agents at once and gives
+// none enough time, against runs whose leases expire while idle VMs are attached first,
+// and against dialling an agent that refuses without a pause.
+func TestDialOrder(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	links, vms := map[string]*agentLink{}, map[string]*stepplan.VM{}
+	for i := range 200 {
+		links[fmt.Sprintf("vm%03d", i)] = &agentLink{}
+	}
+	links["vm000"].dialedAt = now.Add(-attachInterval / 2)
+	links["vm001"].conn = &rpc.Conn{}
+	links["vm002"].dialing = true
+	vms["vm150"] = &stepplan.VM{ActiveTasks: map[steps.TaskID]*stepplan.Task{{}: {}}}
+	order := dialOrder(links, vms, now)
+	c.Assert(order, qt.HasLen, maxDialing-1)
+	c.Assert(order[:2], qt.DeepEquals, []string{"vm150", "vm003"})
+}
+
+// TestClaimHandicap guards against a planner on a VM that is too small for it while a
+// larger one could plan.
+func TestClaimHandicap(t *testing.T) {
+	for share, want := range map[float64]time.Duration{0: 0, 0.8: 0, 0.4: 0, 0.32: 62500 * time.Microsecond, 0.2: maxClaimHandicap, 0.05: maxClaimHandicap} {
+		qt.Check(t, claimHandicap(share).Round(time.Microsecond), qt.Equals, want, qt.Commentf("share %g", share))
+	}
+}
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -18,10 +18,15 @@
 	current access.Config
 	// known is false until the first configuration has been read.
 	known bool
-	// currentAsOf is when the newest successful read of the configuration topic
-	// began, on CLOCK_BOOTTIME. current is the highest valid version that this
-	// read and the reads before it returned.
+	// readAt is when the newest successful read of the configuration topic began, on
+	// CLOCK_BOOTTIME. current is the highest valid version that this read and the reads
+	// before it returned.
+	readAt time.Time
+	// currentAsOf is the newest time, on CLOCK_BOOTTIME, as of which current is known
+	// to be the newest version: readAt, or a later time that a peer has confirmed.
 	currentAsOf time.Time
+	// confirmedByPeerAt is when the newest ping was sent that confirmed current.
+	confirmedByPeerAt time.Time
 	// keyGrace is how long after currentAsOf API keys are still accepted.
 	keyGrace time.Duration
 }
@@ -50,7 +55,10 @@
 	address string
 	conn    *rpc.Conn
 	session int
-	dialing bool
+	// dialing says that an attempt to open a session is in progress; dialedAt is when
+	// the last one ended.
+	dialing  bool
+	dialedAt time.Time
 	// The effects of the ended runs of the worker incarnation storedIncarnation
 	// with a worker.Ended.EndNumber up to lastStoredEnd are stored. The replies to
 	// the agent's reports say so, and the worker may then forget these runs.
@@ -93,6 +101,8 @@
 	watchers map[*rpc.Conn]struct{}
 	// cancel cancels the context of the term's goroutines.
 	cancel func()
+	// dialed is signalled when an attempt to open a session with an agent has ended.
+	dialed chan struct{}
 	// passRequested is signalled when a planning pass should run soon.
 	passRequested chan struct{}
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -902,6 +902,12 @@
 	// Boot corresponds to the JSON schema field "boot".
 	Boot string `json:"boot"`
 
+	// How long ago the newest read of the configuration began.
+	ConfigAgeMs int `json:"configAgeMs,omitempty,omitzero"`
+
+	// The newest version of the configuration that the process has read; 0 for none.
+	ConfigVersion int `json:"configVersion,omitempty,omitzero"`
+
 	// How long ago the newest successful append of the term began.
 	StoreAgeMs int `json:"storeAgeMs"`
 
