Evacuation of a zone: no task starts there until its record is removed

Cause: deployments with the contract 'places' let the operator evacuate a zone (op/evacuate/ZONE); the records were ignored.

Change: access.Record is sealed, with Config and Evacuation; entries keep the newest record of each zone by its offset, the scheduler leaves out the VMs of evacuated zones and withdraws orders that have not been sent. A step whose preferred rack has no usable VM no longer waits for it.

Result: siteproof TestEvacuation, over a change of planner and a dropped history.

--- a/access/access.go
+++ b/access/access.go
@@ -52,6 +52,20 @@
 	Guaranteed steps.Resources
 }
 
+// Record is what a record of the operator says. It is sealed; its implementations are
+// Config and Evacuation.
+type Record interface{ record() }
+
+func (Config) record()     {}
+func (Evacuation) record() {}
+
+// Evacuation says whether an availability zone is evacuated. While it is, no task starts
+// on its VMs; what runs there goes on.
+type Evacuation struct {
+	Zone   string
+	Active bool
+}
+
 // Config is one version of the configuration.
 type Config struct {
 	// Version increases with each change of the configuration. A process never
--- a/cli/site.go
+++ b/cli/site.go
@@ -102,7 +102,7 @@
 func siteEntryConfig(s settings.SiteEntry) stepentry.Config {
 	return stepentry.Config{
 		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic, ConfigTopic: platform.TopicConfiguration,
-		Log: platform.NewStore(s.StoreAddress), DecodeConfig: platform.DecodeConfiguration,
+		Log: platform.NewStore(s.StoreAddress), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing: stepplan.Timing{
 			LeaseDuration: s.MaxLease * leasePercent / 100, KeepStatus: s.KeepStatus, MaxStopTime: s.MaxStopTime, MaxReclaimTime: s.MaxReclaimTime, FarFactor: s.FarFactor,
 		},
--- a/sitedemo/sitedemo.go
+++ b/sitedemo/sitedemo.go
@@ -160,7 +160,7 @@
 func (d *deployment) startEntry(i int) error {
 	daemon, err := stepentry.New(stepentry.Config{
 		Name: fmt.Sprintf("entry-%d", i), Zone: "a", Listen: loopback, Topic: topic, ConfigTopic: platform.TopicConfiguration,
-		Log: platform.NewStore(d.store.Address()), DecodeConfig: platform.DecodeConfiguration,
+		Log: platform.NewStore(d.store.Address()), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing:   stepplan.Timing{LeaseDuration: maxLease * 9 / 10, KeepStatus: time.Minute, MaxStopTime: stopTime, MaxReclaimTime: maxReclaimTime, FarFactor: 3},
 		KeyGrace: 4 * time.Second, ShutdownDelay: 2 * time.Second,
 	})
--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -68,7 +68,7 @@
 	name             string
 	listenAddress    string
 	heartbeatAddress string
-	rack             string
+	rack, zone       string
 	daemon           *stepagent.Daemon
 	heartbeatServer  *httpserver.Server
 	worker           *standinworker.Worker
@@ -127,7 +127,7 @@
 	s.entryCount++
 	d, err := stepentry.New(stepentry.Config{
 		Name: fmt.Sprintf("entry-%d", s.entryCount), Zone: "a", Listen: listen, Topic: topic, ConfigTopic: platform.TopicConfiguration,
-		Log: platform.NewStore(s.store.Address()), DecodeConfig: platform.DecodeConfiguration,
+		Log: platform.NewStore(s.store.Address()), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing:   stepplan.Timing{LeaseDuration: maxLease * 9 / 10, KeepStatus: time.Minute, MaxStopTime: 200 * time.Millisecond, MaxReclaimTime: 2700 * time.Millisecond, FarFactor: 3},
 		KeyGrace: 2 * time.Second, ShutdownDelay: 2 * time.Second,
 	}, stepentry.WithOutput(s.log))
@@ -145,7 +145,7 @@
 }
 
 func (s *site) startAgent(i int) *agentProcess {
-	a := &agentProcess{name: fmt.Sprintf("vm-%d", i), listenAddress: loopback.Address(), heartbeatAddress: loopback.Address(), rack: fmt.Sprintf("r%d", i/2)}
+	a := &agentProcess{name: fmt.Sprintf("vm-%d", i), listenAddress: loopback.Address(), heartbeatAddress: loopback.Address(), rack: fmt.Sprintf("r%d", i/2), zone: string("ab"[i/2%2])}
 	s.startWorker(a, loopback.Address())
 	s.runAgent(a)
 	s.agents = append(s.agents, a)
@@ -155,7 +155,7 @@
 // startWorker starts a new incarnation of the agent's worker.
 func (s *site) startWorker(a *agentProcess, address string) {
 	w, err := standinworker.New(address, standinworker.Config{
-		ID: fmt.Sprintf("i-%s", a.name), Service: "paint", Zone: "a", Rack: a.rack, Capacity: capacity,
+		ID: fmt.Sprintf("i-%s", a.name), Service: "paint", Zone: a.zone, Rack: a.rack, Capacity: capacity,
 		MaxLease: maxLease, StopDuration: 100 * time.Millisecond, HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: 200 * time.Millisecond,
 		TaskResources: s.resourcesOfTask,
 	})
@@ -181,7 +181,7 @@
 
 func (s *site) runAgent(a *agentProcess) {
 	d, err := stepagent.New(stepagent.Config{
-		Name: a.name, Zone: "a", Listen: a.listenAddress, Topic: topic,
+		Name: a.name, Zone: a.zone, Listen: a.listenAddress, Topic: topic,
 		Log: platform.NewStore(s.store.Address()), Worker: platform.NewWorker(a.worker.Address()),
 	}, stepagent.WithOutput(s.log))
 	s.c.Assert(err, qt.IsNil)
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"celerypoint.example/celerypoint/standinstore"
 	"celerypoint.example/celerypoint/standinworker"
@@ -388,3 +390,44 @@
 	s.awaitState(s.entries[0], "normal", jobID(1), "completed")
 	s.checkRuns()
 }
+
+// TestEvacuation guards against tasks that start in an evacuated zone, also after a change
+// of planner and after the store has dropped the history, and against a zone that is never
+// used again.
+func TestEvacuation(t *testing.T) {
+	s := newSite(t, 2, 4)
+	changed := func(e *entryProcess) int64 {
+		return metrics.GetOrRegisterCounter("evacuationChanged", e.daemon.Metrics()).Count()
+	}
+	awaitChange := func(n int64) {
+		s.eventually("the entries have read the evacuation", func() bool { return changed(s.entries[0]) >= n && changed(s.entries[1]) >= n })
+	}
+	// zonesUsed runs a gang whose tasks each take a whole VM.
+	zonesUsed := func(n, vms int) []string {
+		var zones []string
+		s.submit(s.entries[1], "urgent", jobID(n), s.jobBody(jobID(n), "run 100", 8, vms, true))
+		s.awaitState(s.entries[1], "urgent", jobID(n), "completed")
+		for _, a := range s.agents {
+			for _, r := range a.worker.History() {
+				if strings.HasPrefix(r.Task, jobID(n)+".") && !slices.Contains(zones, a.zone) {
+					zones = append(zones, a.zone)
+				}
+			}
+		}
+		return zones
+	}
+	s.store.Put("keyed.op", "evacuate/a", []byte(`{"zone":"a"}`))
+	awaitChange(1)
+	s.c.Assert(zonesUsed(1, 2), qt.DeepEquals, []string{"b"})
+	killed := s.planner()
+	killed.kill()
+	s.entries = slices.DeleteFunc(s.entries, func(e *entryProcess) bool { return e == killed })
+	s.store.Compact("keyed.op")
+	s.startEntry("127.0.0.1:0")
+	s.eventually("an entry plans for all agents", func() bool { p := s.planner(); return p != nil && p.daemon.AttachedAgents() == 4 })
+	s.c.Assert(zonesUsed(2, 2), qt.DeepEquals, []string{"b"})
+	s.store.Put("keyed.op", "evacuate/a", nil)
+	awaitChange(2)
+	s.c.Assert(zonesUsed(3, 4), qt.DeepEquals, []string{"a", "b"})
+	s.checkRuns()
+}
--- a/stepentry/claim_test.go
+++ b/stepentry/claim_test.go
@@ -27,7 +27,7 @@
 	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
 		d, err := New(Config{
 			Name: name, Listen: "127.0.0.1:0", Topic: "t", ConfigTopic: platform.TopicConfiguration, Log: platform.NewStore(store.Address()),
-			DecodeConfig: platform.DecodeConfiguration, Timing: stepplan.Timing{LeaseDuration: time.Second}, KeyGrace: time.Second,
+			DecodeOperator: platform.DecodeOperatorRecord, Timing: stepplan.Timing{LeaseDuration: time.Second}, KeyGrace: time.Second,
 		}, func(d *Daemon) { d.chooseTerm = func(before int64) int64 { return before + termRange } })
 		c.Assert(err, qt.IsNil)
 		defer d.Kill()
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -59,10 +59,10 @@
 	// ConfigTopic is the topic to which operators write the configuration.
 	Topic, ConfigTopic string
 	Log                recordlog.Log
-	// DecodeConfig decodes a record of ConfigTopic. It reports false for a
-	// record that is not a configuration.
-	DecodeConfig func(recordlog.Record) (access.Config, bool, error)
-	Timing       stepplan.Timing
+	// DecodeOperator decodes a record of ConfigTopic. It returns nil for a record that
+	// has no meaning for entries.
+	DecodeOperator func(recordlog.Record) (access.Record, error)
+	Timing         stepplan.Timing
 	// CPUShare is the share of a core that this process may use. Entries with little
 	// become the planner only if no other entry does; 0 means enough.
 	CPUShare float64
@@ -132,7 +132,7 @@
 		cfg: c, bootID: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(), pool: workpool.New(poolWorkers, poolQueue),
 		chooseTerm: randomTerm,
 		records:    recordTable{state: stepfold.New(), applied: make(chan struct{}, 1)},
-		config:     configTable{keyGrace: c.KeyGrace},
+		config:     configTable{keyGrace: c.KeyGrace, evacuations: map[string]evacuation{}},
 		planner: plannerTable{
 			timing: c.Timing, links: map[string]*agentLink{}, watchers: map[*rpc.Conn]struct{}{},
 			dialed: make(chan struct{}, 1), passRequested: make(chan struct{}, 1),
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -221,6 +221,7 @@
 	} else {
 		scheduler.Configure(access.Config{})
 	}
+	scheduler.Evacuated = d.config.evacuatedZones()
 	earlierLeasesEnd, wall := lease.EarlierTermsExpireBy(now, timing.LeaseDuration), time.Now()
 	for id, e := range d.records.state.Jobs {
 		if e.Job == nil && e.Cancelled {
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/eventlog"
@@ -11,8 +12,8 @@
 	"celerypoint.example/celerypoint/stepfold"
 )
 
-// followConfig reads ConfigTopic and keeps the configuration with the highest
-// version.
+// followConfig reads ConfigTopic and keeps the configuration with the highest version
+// and the newest evacuation record of each zone.
 func (d *Daemon) followConfig(ctx context.Context) {
 	recordlog.Follow(ctx, d.cfg.Log, d.cfg.ConfigTopic, recordlog.Handler{
 		OnRecords: d.applyConfig,
@@ -32,26 +33,79 @@
 
 func (d *Daemon) applyConfig(records []recordlog.StoredRecord) {
 	for _, r := range records {
-		config, found, err := d.cfg.DecodeConfig(r.Record)
+		record, err := d.cfg.DecodeOperator(r.Record)
 		if err != nil {
 			d.counters.Count("configurationInvalid")
-			d.log.Add("configurationInvalid", eventlog.Fields{"offset": r.Offset, "cause": err.Error()})
+			d.log.Add("configurationInvalid", eventlog.Fields{"key": r.Key, "offset": r.Offset, "cause": err.Error()})
 			continue
 		}
-		if !found {
-			continue
+		switch record := record.(type) {
+		case access.Config:
+			d.applyConfigVersion(record, r.Offset)
+		case access.Evacuation:
+			d.applyEvacuation(record, r.Offset)
 		}
-		d.config.mu.Lock()
-		if !d.config.known || config.Version > d.config.current.Version {
-			d.config.current, d.config.known = config, true
-			d.log.Add("configurationInForce", eventlog.Fields{"version": config.Version, "offset": r.Offset, "queues": len(config.Queues), "orgs": len(config.Orgs)})
-			d.planner.mu.Lock()
-			if d.planner.scheduler != nil {
-				d.planner.scheduler.Configure(config)
+	}
+}
+
+func (d *Daemon) applyConfigVersion(config access.Config, offset int64) {
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	if d.config.known && config.Version <= d.config.current.Version {
+		return
+	}
+	d.config.current, d.config.known = config, true
+	d.log.Add("configurationInForce", eventlog.Fields{"version": config.Version, "offset": offset, "queues": len(config.Queues), "orgs": len(config.Orgs)})
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.scheduler != nil {
+		d.planner.scheduler.Configure(config)
+	}
+}
+
+// applyEvacuation applies the record of an evacuation, unless a newer one of the zone has
+// been applied.
+func (d *Daemon) applyEvacuation(e access.Evacuation, offset int64) {
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	if old, found := d.config.evacuations[e.Zone]; found && offset <= old.offset {
+		return
+	}
+	d.config.evacuations[e.Zone] = evacuation{active: e.Active, offset: offset}
+	d.evacuationsChanged(eventlog.Fields{"zone": e.Zone, "active": e.Active, "offset": offset})
+}
+
+// dropDeletedEvacuations ends the evacuations whose records a load of all keys has not
+// found. Their tombstones were dropped before this entry could read them.
+func (d *Daemon) dropDeletedEvacuations(l recordlog.Load) {
+	found := map[string]bool{}
+	for key := range l.Keys {
+		if record, err := d.cfg.DecodeOperator(recordlog.Record{Key: key}); err == nil {
+			if e, ok := record.(access.Evacuation); ok {
+				found[e.Zone] = true
 			}
-			d.planner.mu.Unlock()
 		}
-		d.config.mu.Unlock()
+	}
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	for zone, e := range d.config.evacuations {
+		if e.active && e.offset < l.End && !found[zone] {
+			d.config.evacuations[zone] = evacuation{offset: e.offset}
+			d.evacuationsChanged(eventlog.Fields{"zone": zone, "active": false, "offset": l.End})
+		}
+	}
+}
+
+// evacuationsChanged passes the evacuated zones to the scheduler, if this entry is the
+// planner. The caller holds the configuration's mutex.
+func (d *Daemon) evacuationsChanged(fields eventlog.Fields) {
+	d.counters.Count("evacuationChanged")
+	d.log.Add("evacuationChanged", fields)
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.scheduler != nil {
+		d.planner.scheduler.Evacuated = d.config.evacuatedZones()
+		d.requestPass()
 	}
 }
 
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -18,6 +18,8 @@
 	current access.Config
 	// known is false until the first configuration has been read.
 	known bool
+	// evacuations holds the newest evacuation record of each zone that has had one.
+	evacuations map[string]evacuation
 	// readAt is when the newest successful read of the configuration topic began, on
 	// CLOCK_BOOTTIME. current is the highest valid version that this read and the reads
 	// before it returned.
@@ -31,6 +33,23 @@
 	keyGrace time.Duration
 }
 
+// evacuation is what the record at the offset says of a zone.
+type evacuation struct {
+	active bool
+	offset int64
+}
+
+// evacuatedZones returns the zones that are evacuated. The caller holds the mutex.
+func (t *configTable) evacuatedZones() map[string]bool {
+	zones := map[string]bool{}
+	for zone, e := range t.evacuations {
+		if e.active {
+			zones[zone] = true
+		}
+	}
+	return zones
+}
+
 // recordTable holds the state built from the system's own records. Its mutex is
 // the second in the lock order.
 type recordTable struct {
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -41,7 +41,7 @@
 		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{},
 	}
 	for _, vm := range sc.VMs {
-		if vm.Attached && vm.Reported && vm.Worker != "" && !vm.Draining && !vm.Leaving && vm.UnknownRuns == 0 &&
+		if vm.Attached && vm.Reported && vm.Worker != "" && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
 			p.add(vm)
@@ -189,7 +189,8 @@
 
 // candidateSets lists the sets of VMs to try, in order. First come the VMs of the
 // racks that suit the step, and all allowed VMs follow if there is no such rack, or
-// once the unit has waited for maxLocalityWait. The step's PreferredRack suits it.
+// once the unit has waited for maxLocalityWait. The step's PreferredRack suits it if it
+// has any allowed VMs.
 // For a SameRack step without a PreferredRack that can hold the unit, all racks
 // that can hold it suit a gang, and only the rack of chooseRack suits a single
 // task. No other VMs are tried for such a task, unless a guarantee covers it and it
@@ -198,9 +199,10 @@
 	allowed := p.allowedVMs(u)
 	var sets [][]*VM
 	spec := u.step.Spec
+	preferred := vmsInRack(allowed, spec.PreferredRack)
 	switch {
-	case spec.PreferredRack != "" && (!spec.SameRack || canHold(u, vmsInRack(p.allowingVMs(u), spec.PreferredRack))):
-		sets = append(sets, vmsInRack(allowed, spec.PreferredRack))
+	case len(preferred) > 0 && (!spec.SameRack || canHold(u, vmsInRack(p.allowingVMs(u), spec.PreferredRack))):
+		sets = append(sets, preferred)
 	case spec.SameRack && !spec.Gang:
 		rackVMs := vmsInRack(allowed, p.chooseRack(u, allowed))
 		if !u.guaranteed || p.now.Sub(u.waitingSince) < p.maxLocalityWait(u) {
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -138,10 +138,14 @@
 }
 
 // StartWanted reports whether the order still has to be sent: its run is active,
-// was not requested to stop, and its job is not over.
+// was not requested to stop, its job is not over, and its VM takes new runs.
 func (sc *Scheduler) StartWanted(o StartOrder) bool {
 	t := sc.taskOfOrder(o)
-	return t != nil && t.StopRequestedAt.IsZero() && !sc.Jobs[o.Task.Job].Phase.Over()
+	if t == nil || !t.StopRequestedAt.IsZero() || sc.Jobs[o.Task.Job].Phase.Over() {
+		return false
+	}
+	vm := sc.VMs[o.Agent]
+	return !vm.Draining && !sc.Evacuated[vm.Zone]
 }
 
 // Waiting times after a refused start, until the task is started again and until
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -304,6 +304,8 @@
 	Queues     map[string]access.Queue
 	Orgs       map[string]access.Org
 	Quarantine *quarantine.State
+	// Evacuated holds the zones on whose VMs no task starts.
+	Evacuated map[string]bool
 
 	// dirty holds the IDs of the jobs whose progress has to be stored.
 	dirty  map[string]bool
