Recover from unexpected errors at the boundary of a message

Change: an RPC whose handler panics fails and its connection is closed; HTTP requests get status 500; a pool can have a panic handler. An entry whose pool panics ends its term, because its scheduler may be half changed, counts panicRecovered and logs the stack. Agents keep no such handler: a panic while an order is carried out ends the process, which loses nothing, because its successor adopts the worker's runs.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -20,11 +21,28 @@
 const MaxBodyBytes = 8 << 20
 
 // Server is a running HTTP server.
-type Server struct{ engine *nbhttp.Engine }
+type Server struct {
+	engine  *nbhttp.Engine
+	onPanic func(r *http.Request, value any, stack []byte)
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithPanicHandler sets a function that is called with the value and the stack when the
+// handler of a request has panicked.
+func WithPanicHandler(f func(r *http.Request, value any, stack []byte)) Option {
+	return func(s *Server) { s.onPanic = f }
+}
 
 // New listens on the TCP address and serves h. At most handlers requests are
-// handled at the same time; further requests wait on their connections.
-func New(address string, handlers int, h http.Handler) (*Server, error) {
+// handled at the same time; further requests wait on their connections. A request whose
+// handler panics is answered with status 500.
+func New(address string, handlers int, h http.Handler, options ...Option) (*Server, error) {
+	s := &Server{}
+	for _, o := range options {
+		o(s)
+	}
 	nbiosetup.ApplyLimits()
 	listener, err := nbiosetup.Listen(address)
 	if err != nil {
@@ -34,7 +52,7 @@
 		Network:                "tcp",
 		Addrs:                  []string{listener.Addr().String()},
 		Listen:                 listener.ListenFunc,
-		Handler:                leaveCloseToClient(h),
+		Handler:                s.recoverPanics(leaveCloseToClient(h)),
 		NPoller:                1,
 		MessageHandlerPoolSize: handlers,
 		MaxHTTPBodySize:        MaxBodyBytes,
@@ -48,7 +66,25 @@
 	if err := nbiosetup.WaitPolling(engine.Engine); err != nil {
 		return nil, fmt.Errorf("http: start on %s: %w", address, err)
 	}
-	return &Server{engine: engine}, nil
+	s.engine = engine
+	return s, nil
+}
+
+func (s *Server) recoverPanics(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			// After a part of the response, the status stays and the body is too short.
+			Reply(w, http.StatusInternalServerError, "text/plain", []byte("unexpected error\n"))
+			if s.onPanic != nil {
+				s.onPanic(r, v, debug.Stack())
+			}
+		}()
+		h.ServeHTTP(w, r)
+	})
 }
 
 // leaveCloseToClient wraps a handler so that the server does not close a
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -21,6 +21,7 @@
 	"io"
 	stdlog "log"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -274,6 +275,7 @@
 	nb       *nbio.Engine
 	handler  Handler
 	onAccept func(*Conn)
+	onPanic  func(r *Request, value any, stack []byte)
 	// bytesReceived and bytesSent count the bytes of all connections, including
 	// frame headers.
 	bytesReceived, bytesSent atomic.Int64
@@ -297,6 +299,12 @@
 	return func(e *Engine, _ *nbio.Config) { e.onAccept = f }
 }
 
+// WithPanicHandler sets a function that is called when a handler has panicked, with the
+// value and the stack, after the connection was closed.
+func WithPanicHandler(f func(r *Request, value any, stack []byte)) Option {
+	return func(e *Engine, _ *nbio.Config) { e.onPanic = f }
+}
+
 // New starts an engine. All its connections use the handler h.
 func New(h Handler, options ...Option) (*Engine, error) {
 	nbiosetup.ApplyLimits()
@@ -360,12 +368,30 @@
 		if r.Params != nil {
 			request.params = *r.Params
 		}
-		e.handler(request)
+		e.handle(request)
 	}), jsonrpc2.OnRecv(conn.handleResponse), jsonrpc2.SetLogger(stdlog.New(io.Discard, "", 0)))
 	close(ready)
 	return conn
 }
 
+// handle calls the handler. A handler only passes the request on, so that a panic in it
+// leaves no state half changed: the request fails, its connection is closed, and the
+// process goes on.
+func (e *Engine) handle(r *Request) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		r.Fail(fmt.Errorf("unexpected error in the handler of %s", r.Method))
+		r.Conn.Close()
+		if e.onPanic != nil {
+			e.onPanic(r, v, debug.Stack())
+		}
+	}()
+	e.handler(r)
+}
+
 type handlerFunc func(*jsonrpc2.Request)
 
 func (f handlerFunc) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) { f(r) }
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -129,7 +129,7 @@
 // New starts an entry. The entry can take requests once Ready reports true.
 func New(c Config, options ...Option) (*Daemon, error) {
 	d := &Daemon{
-		cfg: c, bootID: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(), pool: workpool.New(poolWorkers, poolQueue),
+		cfg: c, bootID: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(),
 		chooseTerm: randomTerm,
 		records:    recordTable{state: stepfold.New(), applied: make(chan struct{}, 1)},
 		config:     configTable{keyGrace: c.KeyGrace, evacuations: map[string]evacuation{}},
@@ -145,7 +145,10 @@
 		d.log = eventlog.New(io.Discard, c.Name, d.counters.Registry)
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen))
+	d.pool = workpool.New(poolWorkers, poolQueue, workpool.WithPanicHandler(d.poolPanicked))
+	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen), rpc.WithPanicHandler(func(r *rpc.Request, v any, stack []byte) {
+		d.logPanic(r.Method+" from "+r.Conn.Remote(), v, stack)
+	}))
 	if err != nil {
 		d.pool.Close()
 		return nil, fmt.Errorf("entry %s: %w", c.Name, err)
@@ -206,6 +209,22 @@
 	d.log.Add("settingsReloaded", fields)
 }
 
+// poolPanicked handles a panic in the handling of a message. The scheduler may be half
+// changed, so that this entry ends its term; the next planner builds its own from the
+// stored records. All other tables are changed in single steps.
+func (d *Daemon) poolPanicked(value any, stack []byte) {
+	d.logPanic("message of an agent or an entry", value, stack)
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	d.endTerm("unexpected error in the handling of a message")
+}
+
+// logPanic counts and logs a recovered panic. during says what was handled.
+func (d *Daemon) logPanic(during string, value any, stack []byte) {
+	d.counters.Count("panicRecovered")
+	d.log.Add("panicRecovered", eventlog.Fields{"during": during, "cause": fmt.Sprint(value), "stack": string(stack)})
+}
+
 // handle hands the messages of agents and entries to the goroutine pool.
 func (d *Daemon) handle(r *rpc.Request) {
 	var err error
--- /dev/null
+++ b/stepentry/panic_test.go
@@ -0,0 +1,42 @@
+package stepentry
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"celerypoint.example/celerypoint/platform"
+	"celerypoint.example/celerypoint/standinstore"
+	"celerypoint.example/celerypoint/stepplan"
+)
+
+// TestPanicEndsTerm guards against an entry that one message ends, and against a planner
+// that goes on with a scheduler that the handling of the message has left half changed.
+func TestPanicEndsTerm(t *testing.T) {
+	c := qt.New(t)
+	store, err := standinstore.New("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer store.Close()
+	d, err := New(Config{
+		Name: "e", Listen: "127.0.0.1:0", Topic: "t", ConfigTopic: platform.TopicConfiguration, Log: platform.NewStore(store.Address()),
+		DecodeOperator: platform.DecodeOperatorRecord,
+	})
+	c.Assert(err, qt.IsNil)
+	defer d.Kill()
+	d.planner.mu.Lock()
+	d.planner.scheduler, d.planner.cancel = stepplan.New(stepplan.Timing{}), func() {}
+	d.planner.mu.Unlock()
+	done := make(chan struct{})
+	c.Assert(d.pool.Submit(func() {
+		defer close(done)
+		d.planner.mu.Lock()
+		defer d.planner.mu.Unlock()
+		panic("malformed")
+	}), qt.IsNil)
+	<-done
+	c.Assert(d.pool.Submit(func() {}), qt.IsNil)
+	d.pool.Close()
+	c.Assert(d.isPlanner(), qt.IsFalse)
+	c.Assert(metrics.GetOrRegisterCounter("panicRecovered", d.Metrics()).Count(), qt.Equals, int64(1))
+}
--- a/workpool/workpool.go
+++ b/workpool/workpool.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"runtime/debug"
 	"sync"
 )
 
@@ -22,12 +23,28 @@
 	closed  bool
 	queue   chan func()
 	workers sync.WaitGroup
+	// onPanic is nil if a panic ends the process.
+	onPanic func(value any, stack []byte)
+}
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithPanicHandler sets a function that is called with the value and the stack when a
+// submitted function has panicked. The worker then goes on. Without it, a panic ends the
+// process. The function has to make sure that the state that the submitted function may
+// have left half changed is not used any more.
+func WithPanicHandler(f func(value any, stack []byte)) Option {
+	return func(p *Pool) { p.onPanic = f }
 }
 
 // New starts a pool with the given number of workers. Its queue holds at most
 // depth functions.
-func New(workers, depth int) *Pool {
+func New(workers, depth int, options ...Option) *Pool {
 	p := &Pool{queue: make(chan func(), depth)}
+	for _, o := range options {
+		o(p)
+	}
 	for range workers {
 		p.workers.Go(p.work)
 	}
@@ -36,8 +53,19 @@
 
 func (p *Pool) work() {
 	for f := range p.queue {
-		f()
+		p.run(f)
+	}
+}
+
+func (p *Pool) run(f func()) {
+	if p.onPanic != nil {
+		defer func() {
+			if v := recover(); v != nil {
+				p.onPanic(v, debug.Stack())
+			}
+		}()
 	}
+	f()
 }
 
 // Submit queues the function without blocking. If it returns ErrFull or
