Platform path: serve clients of entries that the store turns away, and replace a stuck planner

Cause: an entry that the store refused or did not answer told its clients to come back a second later, which urgent jobs cannot afford, while the planner's entry was served. A planner that could not store was replaced only after its heartbeats had been missing for 1.8 s. An order that a worker did not answer was resolved after 0.4 s, during which the other members of a gang wait.

A planner whose append takes more than 0.8 s tells the other entries, and one that the store serves claims the next term. Entries ping the planner also while they cannot read. Orders and the statuses that resolve them have 0.15 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,8 +25,11 @@
 	// stepentry.
 	MethodReport      = "report"
 	MethodPingPlanner = "pingPlanner"
-	// MethodRecordStored is a notification, which has no reply.
+	MethodStoreRecord = "storeRecord"
+	// MethodRecordStored and MethodPlannerStuck are notifications, which have no
+	// reply.
 	MethodRecordStored = "recordStored"
+	MethodPlannerStuck = "plannerStuck"
 )
 
 // Client calls the methods of one entry.
@@ -92,6 +95,17 @@
 	return c.Conn.Notify(MethodRecordStored, p)
 }
 
+// StoreRecord asks the entry to append a record to the platform's store, because the
+// store does not answer the calling entry. Only records that any entry may write are
+// appended. After an error it is unknown whether the record is stored.
+func (c Client) StoreRecord(ctx context.Context, p wire.StoreRecordParams) (wire.StoreRecordResult, error) {
+	return call[wire.StoreRecordResult](ctx, c, MethodStoreRecord, p)
+}
+
+// PlannerStuck notifies the entry that the caller is the planner of the term and that
+// the store does not take its records. It does not wait for a reply.
+func (c Client) PlannerStuck(p wire.PlannerPing) error { return c.Conn.Notify(MethodPlannerStuck, p) }
+
 func call[R any](ctx context.Context, c Client, method string, params any) (R, error) {
 	var result R
 	err := c.Conn.Call(ctx, method, params, &result)
--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -21,6 +21,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"celerypoint.example/celerypoint/faultproxy"
 	"celerypoint.example/celerypoint/httpserver"
 	"celerypoint.example/celerypoint/loopback"
 	"celerypoint.example/celerypoint/platform"
@@ -59,7 +60,9 @@
 }
 
 type entryProcess struct {
-	daemon        *stepentry.Daemon
+	daemon *stepentry.Daemon
+	// storeProxy stands between the entry and the store.
+	storeProxy    *faultproxy.Proxy
 	clientServer  *httpserver.Server
 	clientAddress string
 }
@@ -125,16 +128,18 @@
 
 func (s *site) startEntry(listen string) *entryProcess {
 	s.entryCount++
+	proxy, err := faultproxy.New("127.0.0.1:0", s.store.Address(), uint64(s.entryCount))
+	s.c.Assert(err, qt.IsNil)
 	d, err := stepentry.New(stepentry.Config{
 		Name: fmt.Sprintf("entry-%d", s.entryCount), Zone: "a", Listen: listen, Topic: topic, ConfigTopic: platform.TopicConfiguration,
-		Log: platform.NewStore(s.store.Address()), DecodeOperator: platform.DecodeOperatorRecord,
+		Log: platform.NewStore(proxy.Address()), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing:   stepplan.Timing{LeaseDuration: maxLease * 9 / 10, KeepStatus: time.Minute, MaxStopTime: 200 * time.Millisecond, MaxReclaimTime: 2700 * time.Millisecond, FarFactor: 3},
 		KeyGrace: 2 * time.Second, ShutdownDelay: 2 * time.Second,
 	}, stepentry.WithOutput(s.log))
 	s.c.Assert(err, qt.IsNil)
 	h, err := httpserver.New("127.0.0.1:0", 64, platform.ClientHandler(d))
 	s.c.Assert(err, qt.IsNil)
-	e := &entryProcess{daemon: d, clientServer: h, clientAddress: h.Address()}
+	e := &entryProcess{daemon: d, storeProxy: proxy, clientServer: h, clientAddress: h.Address()}
 	s.entries = append(s.entries, e)
 	return e
 }
@@ -142,6 +147,7 @@
 func (e *entryProcess) kill() {
 	e.clientServer.Close(100 * time.Millisecond)
 	e.daemon.Kill()
+	e.storeProxy.Close()
 }
 
 func (s *site) startAgent(i int) *agentProcess {
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
+	"celerypoint.example/celerypoint/faultproxy"
 	"celerypoint.example/celerypoint/standinstore"
 	"celerypoint.example/celerypoint/standinworker"
 )
@@ -431,3 +432,71 @@
 	s.c.Assert(zonesUsed(3, 4), qt.DeepEquals, []string{"a", "b"})
 	s.checkRuns()
 }
+
+// silent cuts a connection off without closing it, refusing closes it at once.
+var (
+	silent   = faultproxy.Faults{Up: faultproxy.DirectionFaults{Block: faultproxy.BlockHold}, Down: faultproxy.DirectionFaults{Block: faultproxy.BlockHold}}
+	refusing = faultproxy.Faults{Cut: true}
+)
+
+// TestStoreTurnsEntryAway guards against clients that have to come back later because the
+// store does not serve the entry that they reached, while it serves the others.
+func TestStoreTurnsEntryAway(t *testing.T) {
+	for name, faults := range map[string]faultproxy.Faults{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, 2)
+			planner := s.planner()
+			other := s.entries[0]
+			if other == planner {
+				other = s.entries[1]
+			}
+			// The other entry has pinged the planner.
+			time.Sleep(1200 * time.Millisecond)
+			s.c.Assert(other.storeProxy.SetFaults(faults), qt.IsNil)
+			for n := range 5 {
+				status, reply := s.request(other, http.MethodPost, "/urgent/"+jobID(n+1), key, s.jobBody(jobID(n+1), "run 50", 1, 2, true))
+				s.c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%v", reply))
+				s.awaitState(planner, "urgent", jobID(n+1), "completed")
+			}
+			s.submit(planner, "normal", jobID(9), s.jobBody(jobID(9), "run 60000", 1, 1, false))
+			status, _ := s.request(other, http.MethodDelete, "/normal/"+jobID(9), key, nil)
+			s.c.Check(status == http.StatusOK || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("status %d", status))
+			if status == http.StatusOK {
+				s.awaitState(planner, "normal", jobID(9), "cancelled")
+			}
+			s.checkRuns()
+		})
+	}
+}
+
+// TestPlannerStuck guards against callers who wait until a planner that the store does not
+// serve counts as dead, and against two planners that start the same tasks.
+func TestPlannerStuck(t *testing.T) {
+	for name, faults := range map[string]faultproxy.Faults{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 3, 2)
+			stuck := s.planner()
+			time.Sleep(1200 * time.Millisecond)
+			s.c.Assert(stuck.storeProxy.SetFaults(faults), qt.IsNil)
+			cut := time.Now()
+			var successor *entryProcess
+			s.eventually("another entry plans", func() bool {
+				for _, e := range s.entries {
+					if e != stuck && e.daemon.AttachedAgents() == 2 {
+						successor = e
+					}
+				}
+				return successor != nil
+			})
+			t.Logf("another entry planned after %v", time.Since(cut).Round(time.Millisecond))
+			// Without the notice, heartbeats would have to be missing for 1.8 s, and the
+			// last may have been stored just before the cut.
+			s.c.Check(time.Since(cut) < 1800*time.Millisecond, qt.IsTrue)
+			s.submit(successor, "urgent", jobID(1), s.jobBody(jobID(1), "run 50", 1, 2, true))
+			s.awaitState(successor, "urgent", jobID(1), "completed")
+			s.c.Assert(stuck.storeProxy.SetFaults(faultproxy.Faults{}), qt.IsNil)
+			s.eventually("the stuck planner has ended its term", func() bool { return stuck.daemon.AttachedAgents() < 0 })
+			s.checkRuns()
+		})
+	}
+}
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -18,9 +18,13 @@
 	// no run ends. A lease granted during that time reaches the worker with the
 	// next status call.
 	statusWait = 400 * time.Millisecond
-	// callTimeout bounds a call, not counting statusWait. The worker answers
-	// within a few milliseconds.
+	// callTimeout bounds a status call of poll, not counting statusWait.
 	callTimeout = 400 * time.Millisecond
+	// orderTimeout bounds one attempt of an order, and the status calls that resolve its
+	// outcome. The worker answers within a few milliseconds or not at all, and the other
+	// members of a gang wait meanwhile. An attempt that was given up too early costs one
+	// status call.
+	orderTimeout = 150 * time.Millisecond
 	// startTimeout bounds all attempts of one start or stop order. It is below
 	// the 3 s after which a worker ends the run of a gang member because other
 	// members have not started (worker.EndGangIncomplete).
@@ -99,7 +103,11 @@
 	id := t.announced.ID
 	request := worker.StatusRequest{FencingToken: token, LeaseExpiresAt: t.lease, AckThrough: t.forgetThrough, MaxWait: wait}
 	t.mu.Unlock()
-	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	timeout := wait + callTimeout
+	if wait == 0 {
+		timeout = orderTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, reply, err := d.cfg.Worker.Status(bounded, id, request)
 	t.mu.Lock()
@@ -253,7 +261,7 @@
 	order := worker.StartRequest{Run: key, Payload: p.Payload, Checkpoint: p.Checkpoint, FencingToken: token, Deadline: t.lease}
 	id := t.announced.ID
 	t.mu.Unlock()
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	reply, err := d.cfg.Worker.Start(bounded, id, order)
 	t.mu.Lock()
@@ -361,7 +369,7 @@
 		_, token := t.nextCall()
 		id := t.announced.ID
 		t.mu.Unlock()
-		once, cancelOnce := context.WithTimeout(bounded, callTimeout)
+		once, cancelOnce := context.WithTimeout(bounded, orderTimeout)
 		reply, err := d.cfg.Worker.Stop(once, id, worker.Run{Task: p.Task, Number: p.Run}, token)
 		cancelOnce()
 		t.mu.Lock()
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -83,9 +83,9 @@
 	poolWorkers = 8
 	poolQueue   = 65536
 	// staleAfter is the age of currentAsOf at which the configuration or the
-	// records count as out of date. A read that finds no new record takes up to
-	// 0.7 s.
-	staleAfter = 2 * time.Second
+	// records count as out of date. Reads and confirmations keep it below 2 s while the
+	// store or the planner answers.
+	staleAfter = 2500 * time.Millisecond
 )
 
 // Daemon is an entry. New starts it, and Stop or Kill ends it.
@@ -95,7 +95,9 @@
 	log      *eventlog.Log
 	counters counters.Counters
 	rpc      *rpc.Engine
-	pool     *workpool.Pool
+	// pool handles messages without waiting; storePool appends records for other
+	// entries.
+	pool, storePool *workpool.Pool
 	// chooseTerm returns the number of the term to claim, given the number of the
 	// term before. Tests replace it to make claims of the same term certain.
 	chooseTerm func(before int64) int64
@@ -146,11 +148,13 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.pool = workpool.New(poolWorkers, poolQueue, workpool.WithPanicHandler(d.poolPanicked))
+	d.storePool = workpool.New(storeWorkers, storeQueue, workpool.WithPanicHandler(d.poolPanicked))
 	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen), rpc.WithPanicHandler(func(r *rpc.Request, v any, stack []byte) {
 		d.logPanic(r.Method+" from "+r.Conn.Remote(), v, stack)
 	}))
 	if err != nil {
 		d.pool.Close()
+		d.storePool.Close()
 		return nil, fmt.Errorf("entry %s: %w", c.Name, err)
 	}
 	d.rpc = engine
@@ -235,6 +239,10 @@
 		err = d.pool.Submit(func() { d.handlePing(r) })
 	case entry.MethodRecordStored:
 		err = d.pool.Submit(func() { d.handleRecordStored(r) })
+	case entry.MethodStoreRecord:
+		err = d.storePool.Submit(func() { d.handleStoreRecord(r) })
+	case entry.MethodPlannerStuck:
+		err = d.pool.Submit(func() { d.handlePlannerStuck(r) })
 	default:
 		err = fmt.Errorf("unknown method %q", r.Method)
 	}
@@ -293,6 +301,7 @@
 		d.rpc.Close()
 		d.goroutines.Wait()
 		d.pool.Close()
+		d.storePool.Close()
 		d.log.Add("entryStopped", eventlog.Fields{"boot": d.bootID})
 		d.log.Close()
 	})
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -45,6 +45,8 @@
 	// so that a larger one becomes the planner if there is any.
 	plannerCPUShare  = 0.4
 	maxClaimHandicap = 250 * time.Millisecond
+	// claimRetryPause is the longest wait after a failed read before a claim.
+	claimRetryPause = 500 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
 	claimTimeout = 3 * time.Second
 	// applyTimeout bounds the wait until the claim's own record has been read
@@ -60,8 +62,8 @@
 )
 
 // elect watches the planner. It claims a new term when there is no planner yet,
-// when the planner has resigned or its process has ended, or when neither
-// heartbeats nor pings show that the planner is still working. It claims none
+// when the planner has resigned, its process has ended or it cannot store records, or when
+// neither heartbeats nor pings show that the planner is still working. It claims none
 // while the records of this entry are out of date or this entry is stopping.
 func (d *Daemon) elect(ctx context.Context) {
 	var pinged time.Time
@@ -73,16 +75,23 @@
 		}
 		now := boottime.Now()
 		d.records.mu.Lock()
-		p, fresh := d.records.state.Planner, d.fresh() && !d.records.readableSince.IsZero()
+		p, readable := d.records.state.Planner, !d.records.readableSince.IsZero()
+		fresh := readable && d.fresh()
 		sinceHeartbeat := now.Sub(later(d.records.heartbeatAt, d.records.readableSince))
 		d.records.mu.Unlock()
-		if !fresh {
-			continue
+		// An entry that cannot read keeps its connection to the planner, which confirms the
+		// configuration and stores records for it.
+		interval := pingInterval
+		if !readable {
+			interval = pingInterval / 2
 		}
-		if p.Term > 0 && (now.Sub(pinged) >= pingInterval || sinceHeartbeat > heartbeatTimeout || d.plannerLinkClosed()) {
+		if p.Term > 0 && (now.Sub(pinged) >= interval || fresh && sinceHeartbeat > heartbeatTimeout || d.plannerLinkClosed()) {
 			pinged = now
 			health = d.checkPlanner(ctx, p)
 		}
+		if !fresh {
+			continue
+		}
 		reason := ""
 		switch {
 		case p.Term == 0:
@@ -93,15 +102,19 @@
 			reason = "this entry was the planner before its restart"
 		case health == healthGone:
 			reason = "the planner's process has ended"
+		case d.plannerSaidStuck(p.Term):
+			reason = "the planner cannot store records"
 		case sinceHeartbeat > heartbeatTimeout && health != healthPlanning:
 			reason = "no heartbeat from the planner"
 		default:
 			continue
 		}
 		pause.For(ctx, claimHandicap(d.cfg.CPUShare)+rand.N(claimJitter))
-		// Another entry may have claimed while this one waited.
+		// Another entry may have claimed while this one waited. Only an entry that the
+		// store serves now can take over.
 		if err := d.catchUp(ctx); err != nil {
 			d.counters.Count("claimWithoutRead")
+			pause.For(ctx, claimRetryPause/2+rand.N(claimRetryPause/2))
 			continue
 		}
 		d.records.mu.Lock()
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -145,7 +145,11 @@
 	// version while the planner's pongs confirm the present one. confirmationAge is
 	// the age up to which they do. A new version ends the read at once.
 	confirmedConfigWait = 1500 * time.Millisecond
-	confirmationAge     = 2 * pingInterval
+	// plannerConfigWait is how long a read of the planner waits, whose pongs confirm the
+	// configuration to all other entries. The begin of its newest completed read is at most
+	// twice as long ago.
+	plannerConfigWait = 350 * time.Millisecond
+	confirmationAge   = 2 * pingInterval
 	// followerPause is the pause between an entry's reads of records while it is not the
 	// planner. It learns of ended jobs from the planner, and reads at once what a
 	// request or a claim depends on.
@@ -155,6 +159,10 @@
 // configPace determines the pace of reads of the configuration.
 func (d *Daemon) configPace() recordlog.Pace {
 	pace := recordlog.DefaultPace
+	if d.isPlanner() {
+		pace.Wait = plannerConfigWait
+		return pace
+	}
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
 	if boottime.Now().Sub(d.config.confirmedByPeerAt) < confirmationAge {
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -28,6 +28,10 @@
 	// alone. The store accepts at most 2 MiB in one append.
 	maxBatch      = 200
 	maxBatchBytes = 1 << 20
+	// stuckAfter is how long an append of the planner may take before it tells the other
+	// entries that it cannot store records. When the store is slow, an append takes up to
+	// half a second.
+	stuckAfter = 800 * time.Millisecond
 )
 
 // requestPass makes runPasses run a planning pass soon. It does not block.
@@ -149,7 +153,9 @@
 			n++
 		}
 		begun := boottime.Now()
+		stuck := time.AfterFunc(stuckAfter, func() { d.notifyStuck(fence.Epoch) })
 		first, err := recordlog.AppendWithRetry(ctx, d.cfg.Log, d.cfg.Topic, &fence, records[:n])
+		stuck.Stop()
 		switch {
 		case ctx.Err() != nil:
 			return false
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -153,10 +153,17 @@
 // handlePing answers the ping of another entry with this process's boot ID. If
 // this entry is the planner, the answer also holds the term and the time since the
 // newest successful append began, and the planner notifies the other entry of
-// every job that ends while the term lasts and the connection is open.
+// every job that ends while the term lasts and the connection is open. The answer also
+// tells which configuration this entry has read, and when, for confirmConfig.
 func (d *Daemon) handlePing(r *rpc.Request) {
-	now := boottime.Now()
 	pong := wire.PlannerPong{Boot: d.bootID}
+	d.config.mu.Lock()
+	now := boottime.Now()
+	if d.config.known {
+		// Rounded up, so that the configuration never counts as newer than it is.
+		pong.ConfigVersion, pong.ConfigAgeMs = int(d.config.current.Version), int(now.Sub(d.config.readAt).Milliseconds())+1
+	}
+	d.config.mu.Unlock()
 	d.planner.mu.Lock()
 	if d.planner.scheduler != nil {
 		pong.Term, pong.StoreAgeMs = int(d.planner.term), int(now.Sub(d.planner.lastAppendAt).Milliseconds())
@@ -211,7 +218,19 @@
 	if len(terminal) == 0 {
 		return
 	}
+	watchers := d.openWatchers()
+	for _, r := range terminal {
+		d.applyOutOfOrder(r)
+		for _, conn := range watchers {
+			d.notify(conn, r)
+		}
+	}
+}
+
+// openWatchers returns the open connections of entries that have pinged this planner.
+func (d *Daemon) openWatchers() []*rpc.Conn {
 	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
 	var watchers []*rpc.Conn
 	for conn := range d.planner.watchers {
 		select {
@@ -221,15 +240,42 @@
 			watchers = append(watchers, conn)
 		}
 	}
-	d.planner.mu.Unlock()
-	for _, r := range terminal {
-		d.applyOutOfOrder(r)
-		for _, conn := range watchers {
-			d.notify(conn, r)
+	return watchers
+}
+
+// notifyStuck tells the other entries that the store does not take the records of this
+// planner, so that one that the store serves takes over.
+func (d *Daemon) notifyStuck(term int64) {
+	d.counters.Count("plannerStuck")
+	watchers := d.openWatchers()
+	d.log.Add("plannerStuck", eventlog.Fields{"term": term, "told": len(watchers)})
+	for _, conn := range watchers {
+		if err := (entry.Client{Conn: conn}).PlannerStuck(wire.PlannerPing{Term: int(term)}); err != nil {
+			d.counters.Count("notifyFailed")
+			d.log.Add("notifyFailed", eventlog.Fields{"peer": conn.Remote(), "cause": err.Error()})
 		}
 	}
 }
 
+// handlePlannerStuck records that the planner of the term says that it is stuck.
+func (d *Daemon) handlePlannerStuck(r *rpc.Request) {
+	var ping wire.PlannerPing
+	if err := r.Decode(&ping); err != nil {
+		d.counters.Count("plannerStuckInvalid")
+		d.log.Add("plannerStuckInvalid", eventlog.Fields{"peer": r.Conn.Remote(), "cause": err.Error()})
+		return
+	}
+	d.plannerLink.mu.Lock()
+	defer d.plannerLink.mu.Unlock()
+	d.plannerLink.stuckTerm = max(d.plannerLink.stuckTerm, int64(ping.Term))
+}
+
+func (d *Daemon) plannerSaidStuck(term int64) bool {
+	d.plannerLink.mu.Lock()
+	defer d.plannerLink.mu.Unlock()
+	return d.plannerLink.stuckTerm == term
+}
+
 func (d *Daemon) notify(conn *rpc.Conn, r recordlog.StoredRecord) {
 	if err := (entry.Client{Conn: conn}).RecordStored(wire.RecordStored{Offset: int(r.Offset), Key: r.Key, Value: string(r.Value)}); err != nil {
 		// The peer gets the record with its next read of the store.
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -20,7 +20,8 @@
 	// certain by then, the request ends with OutcomeUnknown. When the store is
 	// slow, it answers within half a second.
 	appendTimeout = 1500 * time.Millisecond
-	// refusalRetryTime is how long an append that the store refuses is retried.
+	// refusalRetryTime is how long an append that the store refuses is retried if no other
+	// entry can be asked.
 	refusalRetryTime = 200 * time.Millisecond
 )
 
@@ -56,8 +57,9 @@
 }
 
 // Submit stores a job and returns OutcomeOK once its record is stored, or at once
-// if this entry already knows a job with the same ID. It refuses a job that it
-// does not know while the records are out of date.
+// if this entry already knows a job with the same ID. While the records are out of date
+// and there is no connection to the planner's entry, which could store the job, it
+// refuses a job that it does not know.
 func (d *Daemon) Submit(ctx context.Context, j steps.Job) steps.Outcome {
 	d.records.mu.Lock()
 	e := d.records.state.Jobs[j.ID]
@@ -69,7 +71,7 @@
 		return steps.OutcomeOK
 	}
 	outcome := steps.OutcomeRefused
-	if fresh {
+	if fresh || d.openPlannerConn() != nil {
 		outcome = d.appendUnfenced(ctx, fields, stepfold.Accepted{Job: j})
 	}
 	fields["fresh"] = fresh
@@ -114,7 +116,7 @@
 	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	begun := time.Now()
-	offset, err := recordlog.AppendWithRetry(bounded, d.cfg.Log, d.cfg.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusalDeadline(begun.Add(refusalRetryTime)))
+	offset, err := d.storeUnfenced(bounded, record)
 	fields["storeMs"] = time.Since(begun).Milliseconds()
 	d.counters.Observe("storeMs", time.Since(begun))
 	switch {
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -94,6 +94,9 @@
 	// dials again.
 	address string
 	conn    *rpc.Conn
+	// stuckTerm is the newest term whose planner has said that the store does not take
+	// its records.
+	stuckTerm int64
 }
 
 // plannerTable holds the state of the term in which this entry is the planner.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1464,6 +1464,30 @@
 	Version int `json:"version"`
 }
 
+// A record that the peer is to append to the store.
+type StoreRecordParams struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// The record's JSON text.
+	Value string `json:"value"`
+}
+
+// What became of a record that the peer was to append.
+type StoreRecordResult struct {
+	// The offset of a stored record.
+	Offset int `json:"offset,omitempty,omitzero"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome StoreRecordResultOutcome `json:"outcome"`
+}
+
+type StoreRecordResultOutcome string
+
+const StoreRecordResultOutcomeNotStored StoreRecordResultOutcome = "notStored"
+const StoreRecordResultOutcomeStored StoreRecordResultOutcome = "stored"
+const StoreRecordResultOutcomeUnknown StoreRecordResultOutcome = "unknown"
+
 // A job as a caller writes it.
 type SubmitRequest struct {
 	// AcceleratorsPerTask corresponds to the JSON schema field "acceleratorsPerTask".
