Refuse at once when nobody can store, confirm a planner's end, back off order time-outs

Cause: with the store down for all, submissions went to a planner that could not store them either and ended as unknown, which clients may not repeat; an entry whose network refused connections for a moment counted the planner as ended, up to a second later.

Change: a submission is tried only while this entry can read the store or the planner is known to store; the end of a planner's process is checked again right before the claim; followers read at full pace while the planner does not answer. Attempts of orders start with 0.15 s and double up to 0.4 s.

--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -500,3 +500,33 @@
 		})
 	}
 }
+
+// TestPlannerKilledAtScale guards against runs that are lost or run twice, and against
+// callers who wait for the whole backlog, when the planner of 60 VMs is killed: the next
+// urgent job runs while the runs of before go on.
+func TestPlannerKilledAtScale(t *testing.T) {
+	const vms = 60
+	s := newSite(t, 3, vms)
+	for n := range 10 {
+		s.submit(s.entries[n%3], "normal", jobID(n+1), s.jobBody(jobID(n+1), "run 4000", 1, 24, false))
+	}
+	s.eventually("the jobs run", func() bool {
+		running := 0
+		for n := range 10 {
+			running += len(s.starts(jobID(n + 1)))
+		}
+		return running == 240
+	})
+	killed := s.planner()
+	killed.kill()
+	s.entries = slices.DeleteFunc(s.entries, func(e *entryProcess) bool { return e == killed })
+	begun := time.Now()
+	s.submit(s.entries[0], "urgent", jobID(99), s.jobBody(jobID(99), "run 50", 2, 4, true))
+	s.awaitState(s.entries[0], "urgent", jobID(99), "completed")
+	t.Logf("an urgent job was done %v after the planner's death", time.Since(begun).Round(time.Millisecond))
+	for n := range 10 {
+		s.awaitState(s.entries[1], "normal", jobID(n+1), "completed")
+		s.c.Check(s.starts(jobID(n+1)), qt.HasLen, 24)
+	}
+	s.checkRuns()
+}
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -20,10 +20,11 @@
 	statusWait = 400 * time.Millisecond
 	// callTimeout bounds a status call of poll, not counting statusWait.
 	callTimeout = 400 * time.Millisecond
-	// orderTimeout bounds one attempt of an order, and the status calls that resolve its
-	// outcome. The worker answers within a few milliseconds or not at all, and the other
-	// members of a gang wait meanwhile. An attempt that was given up too early costs one
-	// status call.
+	// orderTimeout bounds the first attempt of an order, and the first status call that
+	// resolves its outcome. The worker answers within a few milliseconds or not at all,
+	// and the other members of a gang wait meanwhile. An attempt that was given up too
+	// early costs one status call. Each further attempt has twice the time, up to
+	// callTimeout.
 	orderTimeout = 150 * time.Millisecond
 	// startTimeout bounds all attempts of one start or stop order. It is below
 	// the 3 s after which a worker ends the run of a gang member because other
@@ -103,11 +104,7 @@
 	id := t.announced.ID
 	request := worker.StatusRequest{FencingToken: token, LeaseExpiresAt: t.lease, AckThrough: t.forgetThrough, MaxWait: wait}
 	t.mu.Unlock()
-	timeout := wait + callTimeout
-	if wait == 0 {
-		timeout = orderTimeout
-	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	status, reply, err := d.cfg.Worker.Status(bounded, id, request)
 	t.mu.Lock()
@@ -157,11 +154,11 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for {
+	for timeout := orderTimeout; ; timeout = longerTimeout(timeout) {
 		if bounded.Err() != nil {
 			return d.leaveUnconfirmed(key)
 		}
-		outcome, reason := d.sendStart(bounded, p, key)
+		outcome, reason := d.sendStart(bounded, timeout, p, key)
 		switch {
 		case outcome == outcomeStarted:
 			return d.recordOutcome(key, true, "")
@@ -176,6 +173,9 @@
 	}
 }
 
+// longerTimeout is the time of the attempt that follows one with the given time.
+func longerTimeout(d time.Duration) time.Duration { return min(2*d, callTimeout) }
+
 // leaveUnconfirmed ends startRun without a certain outcome. A later status of the
 // worker either lists the run or proves that it will not start.
 func (d *Daemon) leaveUnconfirmed(key worker.Run) wire.StartRunResult {
@@ -237,9 +237,9 @@
 	outcomeRetry outcome = "again"
 )
 
-// sendStart makes one attempt to start the run. It returns a reason with the
-// outcomes outcomeRefused and outcomeUnknown.
-func (d *Daemon) sendStart(ctx context.Context, p wire.StartRunParams, key worker.Run) (outcome, string) {
+// sendStart makes one attempt to start the run, for which the worker has the given time.
+// It returns a reason with the outcomes outcomeRefused and outcomeUnknown.
+func (d *Daemon) sendStart(ctx context.Context, timeout time.Duration, p wire.StartRunParams, key worker.Run) (outcome, string) {
 	t := d.table
 	d.session.mu.Lock()
 	current := d.session.current(p.Term, p.Session)
@@ -261,7 +261,7 @@
 	order := worker.StartRequest{Run: key, Payload: p.Payload, Checkpoint: p.Checkpoint, FencingToken: token, Deadline: t.lease}
 	id := t.announced.ID
 	t.mu.Unlock()
-	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := d.cfg.Worker.Start(bounded, id, order)
 	t.mu.Lock()
@@ -293,8 +293,11 @@
 // reports false when the order will not be carried out, or when that is still
 // unknown as ctx ends.
 func (d *Daemon) resolveStart(ctx context.Context, key worker.Run) (wire.StartRunResult, bool) {
-	for ctx.Err() == nil {
-		if err := d.readStatus(ctx, 0); err != nil {
+	for timeout := orderTimeout; ctx.Err() == nil; timeout = longerTimeout(timeout) {
+		bounded, cancel := context.WithTimeout(ctx, timeout)
+		err := d.readStatus(bounded, 0)
+		cancel()
+		if err != nil {
 			pause.For(ctx, retryPause/2)
 			continue
 		}
@@ -356,7 +359,7 @@
 func (d *Daemon) stopRun(ctx context.Context, p wire.StopRunParams) error {
 	bounded, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for bounded.Err() == nil {
+	for timeout := orderTimeout; bounded.Err() == nil; timeout = longerTimeout(timeout) {
 		d.session.mu.Lock()
 		current := d.session.current(p.Term, p.Session)
 		d.session.mu.Unlock()
@@ -369,7 +372,7 @@
 		_, token := t.nextCall()
 		id := t.announced.ID
 		t.mu.Unlock()
-		once, cancelOnce := context.WithTimeout(bounded, orderTimeout)
+		once, cancelOnce := context.WithTimeout(bounded, timeout)
 		reply, err := d.cfg.Worker.Stop(once, id, worker.Run{Task: p.Task, Number: p.Run}, token)
 		cancelOnce()
 		t.mu.Lock()
--- a/stepagent/calls_test.go
+++ b/stepagent/calls_test.go
@@ -96,3 +96,41 @@
 	c.Check(started.Started, qt.IsFalse)
 	c.Check(m.starts, qt.HasLen, 0)
 }
+
+// forgetfulWorker answers every start order but the first.
+type forgetfulWorker struct {
+	unresponsiveWorker
+	answered chan worker.StartRequest
+}
+
+func (w forgetfulWorker) Start(ctx context.Context, id string, s worker.StartRequest) (worker.Reply, error) {
+	select {
+	case w.starts <- s:
+		<-ctx.Done()
+		return worker.Reply{}, worker.ErrOutcomeUnknown
+	default:
+		w.answered <- s
+		return worker.Reply{Clock: time.Second}, nil
+	}
+}
+
+// TestUnansweredStart guards against a gang that waits for a member whose start order the
+// worker did not answer: the order has to be sent again before a status call would have
+// timed out, and under a higher token, so that the first cannot take effect later.
+func TestUnansweredStart(t *testing.T) {
+	c := qt.New(t)
+	w := forgetfulWorker{unresponsiveWorker{make(chan worker.StartRequest, 1)}, make(chan worker.StartRequest, 1)}
+	d := newDaemon(Config{Name: "vm", Worker: w})
+	defer d.log.Close()
+	defer d.pool.Close()
+	d.session.follow(1, 1, "planner", &rpc.Conn{})
+	d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	d.table.statusRead, d.table.lease = true, time.Minute
+	c.Assert(d.readStatus(context.Background(), 0), qt.IsNil)
+	begun := time.Now()
+	result := d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 1, Worker: "i/1", Task: "a.0.0.0", Run: 1})
+	c.Assert(result.Started, qt.IsTrue)
+	c.Check(time.Since(begun) < callTimeout, qt.IsTrue, qt.Commentf("took %v", time.Since(begun)))
+	first, second := <-w.starts, <-w.answered
+	c.Check(second.FencingToken > first.FencingToken, qt.IsTrue)
+}
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -117,6 +117,11 @@
 			pause.For(ctx, claimRetryPause/2+rand.N(claimRetryPause/2))
 			continue
 		}
+		if health == healthGone && d.checkPlanner(ctx, p) != healthGone {
+			// The network refused connections to a process that lives.
+			health = healthUnknown
+			continue
+		}
 		d.records.mu.Lock()
 		unchanged := d.records.state.Planner.Term == p.Term && d.records.state.Planner.Heartbeat == p.Heartbeat
 		d.records.mu.Unlock()
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -174,7 +174,12 @@
 // recordsPace determines the pace of reads of the system's own records.
 func (d *Daemon) recordsPace() recordlog.Pace {
 	pace := recordlog.DefaultPace
-	if !d.isPlanner() {
+	d.records.mu.Lock()
+	term := d.records.state.Planner.Term
+	d.records.mu.Unlock()
+	// A planner that does not answer may have to be replaced, so that every heartbeat
+	// counts.
+	if !d.isPlanner() && d.plannerStores(term) {
 		pace.Pause = followerPause
 	}
 	return pace
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -65,6 +65,9 @@
 	case pong.Boot != p.BootID:
 		return healthGone
 	case int64(pong.Term) == p.Term && int64(pong.StoreAgeMs) < heartbeatTimeout.Milliseconds():
+		d.plannerLink.mu.Lock()
+		d.plannerLink.storingAt = sent.Add(-time.Duration(pong.StoreAgeMs) * time.Millisecond)
+		d.plannerLink.mu.Unlock()
 		return healthPlanning
 	}
 	return healthUnknown
@@ -270,6 +273,14 @@
 	d.plannerLink.stuckTerm = max(d.plannerLink.stuckTerm, int64(ping.Term))
 }
 
+// plannerStores reports whether the planner is known to have stored a record lately and
+// has not said since that it is stuck.
+func (d *Daemon) plannerStores(term int64) bool {
+	d.plannerLink.mu.Lock()
+	defer d.plannerLink.mu.Unlock()
+	return d.plannerLink.stuckTerm != term && boottime.Now().Sub(d.plannerLink.storingAt) < heartbeatTimeout
+}
+
 func (d *Daemon) plannerSaidStuck(term int64) bool {
 	d.plannerLink.mu.Lock()
 	defer d.plannerLink.mu.Unlock()
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -57,13 +57,14 @@
 }
 
 // Submit stores a job and returns OutcomeOK once its record is stored, or at once
-// if this entry already knows a job with the same ID. While the records are out of date
-// and there is no connection to the planner's entry, which could store the job, it
-// refuses a job that it does not know.
+// if this entry already knows a job with the same ID. It refuses a job that it does not
+// know while neither this entry can read the store nor the planner is known to store
+// records, which it would do for this entry.
 func (d *Daemon) Submit(ctx context.Context, j steps.Job) steps.Outcome {
 	d.records.mu.Lock()
 	e := d.records.state.Jobs[j.ID]
-	known, fresh := e != nil && e.Job != nil, d.fresh()
+	known, fresh, term := e != nil && e.Job != nil, d.fresh(), d.records.state.Planner.Term
+	readable := !d.records.readableSince.IsZero()
 	d.records.mu.Unlock()
 	fields := eventlog.Fields{"job": j.ID, "queue": j.Queue, "org": j.Org}
 	if known {
@@ -71,10 +72,10 @@
 		return steps.OutcomeOK
 	}
 	outcome := steps.OutcomeRefused
-	if fresh || d.openPlannerConn() != nil {
+	if fresh && readable || d.openPlannerConn() != nil && d.plannerStores(term) {
 		outcome = d.appendUnfenced(ctx, fields, stepfold.Accepted{Job: j})
 	}
-	fields["fresh"] = fresh
+	fields["fresh"], fields["readable"] = fresh, readable
 	d.logOutcome("submit", outcome, fields)
 	return outcome
 }
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -94,6 +94,9 @@
 	// dials again.
 	address string
 	conn    *rpc.Conn
+	// storingAt is the newest time, on CLOCK_BOOTTIME, at which the planner is known to
+	// have begun an append that the store took. It comes from the planner's pongs.
+	storingAt time.Time
 	// stuckTerm is the newest term whose planner has said that the store does not take
 	// its records.
 	stuckTerm int64
