--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -207,9 +207,7 @@
 
 // collectWaiting returns the jobs to place, longest waiting first. It ends waiting
 // jobs that were cancelled, whose deadline passed, or that failed somewhere and for
-// which hasUntriedVM finds no other VM. Jobs of the last kind are still in this
-// result, which is built before that check. Later calls leave them out while
-// the end record is being appended and after it is in the log.
+// which hasUntriedVM finds no other VM.
 func (d *Daemon) collectWaiting(now time.Time) []placement.WaitingJob {
 	d.jobs.mu.Lock()
 	var waiting, failed []placement.WaitingJob
@@ -246,6 +244,7 @@
 	for jobID, o := range ends {
 		d.endWaitingJob(jobID, o)
 	}
+	waiting = slices.DeleteFunc(waiting, func(w placement.WaitingJob) bool { return ends[w.Job.ID] != nil })
 	slices.SortFunc(waiting, func(a, b placement.WaitingJob) int {
 		if c := a.WaitingSince.Compare(b.WaitingSince); c != 0 {
 			return c
@@ -306,11 +305,12 @@
 	}
 }
 
-// propose starts an attempt to run a job on the VMs that the plan chose.
+// propose starts an attempt to run a job on the VMs that the plan chose, unless the job
+// has ended or is being ended meanwhile.
 func (d *Daemon) propose(p placement.Placement, now time.Time) {
 	d.jobs.mu.Lock()
 	e := d.jobs.logState.Jobs[p.JobID]
-	if e == nil || d.jobs.attemptByJob[p.JobID] != "" || d.jobs.term == 0 {
+	if e == nil || d.jobs.attemptByJob[p.JobID] != "" || d.jobs.term == 0 || d.endedOrEnding(p.JobID) {
 		d.jobs.mu.Unlock()
 		return
 	}
--- a/entryd/streams.go
+++ b/entryd/streams.go
@@ -303,19 +303,29 @@
 	if d.log.Down() || membership.Owner("snapshots", append(d.eligiblePeers(now), d.cfg.ID)) != d.cfg.ID {
 		return
 	}
+	for _, write := range d.dueSnapshots(now) {
+		// With a full queue, the function runs here, so that no lock may be held.
+		d.runOnLogPool(write)
+	}
+}
+
+// dueSnapshots returns a function for each snapshot that is due, which writes it.
+func (d *Daemon) dueSnapshots(now time.Time) []func() {
+	var due []func()
 	d.config.mu.Lock()
 	if d.config.snapshotSchedule.checkDue(d.config.state.LastApplied, now) {
 		change := configfold.Record{Change: configfold.Snapshot{State: d.config.state.Clone()}}
-		d.runOnLogPool(func() {
+		due = append(due, func() {
 			record := platformlog.Record{ID: d.recordID("snapshot"), Body: platformlog.ConfigBody(change)}
 			d.appendSnapshot(platformlog.StreamConfig, record)
 		})
 	}
 	d.config.mu.Unlock()
 	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
 	if d.jobs.snapshotSchedule.checkDue(d.jobs.logState.LastApplied, now) {
 		state := d.jobs.logState.Clone()
-		d.runOnLogPool(func() {
+		due = append(due, func() {
 			records, err := platformlog.JobsSnapshotRecords(d.recordID("snapshot"), state)
 			if err != nil {
 				d.logger.WithError(err).Error("encoding the jobs snapshot failed")
@@ -324,7 +334,7 @@
 			d.appendSnapshot(platformlog.StreamJobs, records...)
 		})
 	}
-	d.jobs.mu.Unlock()
+	return due
 }
 
 // snapshotSchedule determines when the next snapshot of a stream is due.
