codec: store the progress of a job as ranges of tasks

Change: consecutive tasks in the same state form a range, VMs and checkpoints are named once a record. Records of before are still read.

Entries of before cannot read the new records: replace all entries together.

--- /dev/null
+++ b/codec/progress.go
@@ -0,0 +1,163 @@
+package codec
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// Values of the place in a range of tasks that are no index in wire.StepsProgress.Agents.
+const (
+	placeNone = -1
+	placeDone = -2
+)
+
+// Fields of an item of wire.StepProgress.Ranges.
+const (
+	rangeFirst = iota
+	rangeCount
+	rangeRun
+	rangePlace
+	rangeFailures
+	rangeCheckpoint
+	rangeFields
+)
+
+// taskPhaseDone is the phase of a completed task in a record without ranges. The phase
+// of any other task is empty.
+const taskPhaseDone = "done"
+
+// encodeProgress encodes the progress of a job. Records of progress are most of what is
+// written to the store and read by every entry, so that tasks in the same state are
+// joined and each VM and checkpoint is named once.
+func encodeProgress(p stepfold.Progress) wire.StepsProgress {
+	w := wire.StepsProgress{State: string(p.Phase), Begun: p.Begun}
+	if !p.EndedAt.IsZero() {
+		w.EndedAtMs = int(p.EndedAt.UnixMilli())
+	}
+	ids := make([]steps.TaskID, 0, len(p.Tasks))
+	for id := range p.Tasks {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b steps.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+	places, checkpoints := map[[2]string]int{}, map[string]int{}
+	for _, id := range ids {
+		n := len(w.Steps)
+		if n == 0 || w.Steps[n-1].Occurrence != id.Occurrence || w.Steps[n-1].Step != id.Step {
+			w.Steps = append(w.Steps, wire.StepProgress{Occurrence: id.Occurrence, Step: id.Step})
+			n++
+		}
+		t := p.Tasks[id]
+		s := &w.Steps[n-1]
+		s.Ranges = appendTask(s.Ranges, id.Index, []int{t.Run, placeOf(&w, places, t), t.Failures, checkpointOf(&w, checkpoints, t.Checkpoint)})
+	}
+	for i := range w.Steps {
+		for k, r := range w.Steps[i].Ranges {
+			for len(r) > rangeFailures && r[len(r)-1] == 0 {
+				r = r[:len(r)-1]
+			}
+			w.Steps[i].Ranges[k] = r
+		}
+	}
+	return w
+}
+
+// appendTask appends a task to the ranges. state holds the fields from rangeRun on.
+func appendTask(ranges [][]int, index int, state []int) [][]int {
+	if n := len(ranges); n > 0 {
+		last := ranges[n-1]
+		if last[rangeFirst]+last[rangeCount] == index && slices.Equal(last[rangeRun:], state) {
+			last[rangeCount]++
+			return ranges
+		}
+	}
+	return append(ranges, append([]int{index, 1}, state...))
+}
+
+func placeOf(w *wire.StepsProgress, places map[[2]string]int, t stepfold.TaskProgress) int {
+	switch {
+	case t.Done:
+		return placeDone
+	case t.Agent == "":
+		return placeNone
+	}
+	key := [2]string{t.Agent, t.Worker}
+	place, found := places[key]
+	if !found {
+		place = len(w.Agents)
+		places[key] = place
+		w.Agents, w.Workers = append(w.Agents, t.Agent), append(w.Workers, t.Worker)
+	}
+	return place
+}
+
+func checkpointOf(w *wire.StepsProgress, checkpoints map[string]int, checkpoint string) int {
+	if checkpoint == "" {
+		return 0
+	}
+	number, found := checkpoints[checkpoint]
+	if !found {
+		w.Checkpoints = append(w.Checkpoints, checkpoint)
+		number = len(w.Checkpoints)
+		checkpoints[checkpoint] = number
+	}
+	return number
+}
+
+func decodeProgress(w wire.StepsProgress) (stepfold.Progress, error) {
+	p := stepfold.Progress{Phase: stepfold.Phase(w.State), Begun: w.Begun, Tasks: map[steps.TaskID]stepfold.TaskProgress{}}
+	if w.EndedAtMs != 0 {
+		p.EndedAt = time.UnixMilli(int64(w.EndedAtMs))
+	}
+	if len(w.Workers) != len(w.Agents) {
+		return stepfold.Progress{}, fmt.Errorf("workers: found %d, allowed: as many as agents, %d", len(w.Workers), len(w.Agents))
+	}
+	for i, s := range w.Steps {
+		for _, t := range s.Tasks {
+			p.Tasks[steps.TaskID{Occurrence: s.Occurrence, Step: s.Step, Index: t.Index}] = stepfold.TaskProgress{
+				Run: t.Run, Done: t.Phase == taskPhaseDone, Agent: t.Agent, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint,
+			}
+		}
+		for k, r := range s.Ranges {
+			if err := decodeRange(w, s, r, p.Tasks); err != nil {
+				return stepfold.Progress{}, fmt.Errorf("steps[%d].ranges[%d]: %w", i, k, err)
+			}
+		}
+	}
+	return p, nil
+}
+
+func decodeRange(w wire.StepsProgress, s wire.StepProgress, r []int, tasks map[steps.TaskID]stepfold.TaskProgress) error {
+	if len(r) <= rangePlace || len(r) > rangeFields {
+		return fmt.Errorf("found %d fields, allowed: %d to %d", len(r), rangePlace+1, rangeFields)
+	}
+	fields := make([]int, rangeFields)
+	copy(fields, r)
+	first, count, place, checkpoint := fields[rangeFirst], fields[rangeCount], fields[rangePlace], fields[rangeCheckpoint]
+	switch {
+	case first < 0 || count < 1 || first > steps.MaxTasks-count:
+		return fmt.Errorf("found %d tasks from %d on, allowed: at least 1, indexes from 0 to %d", count, first, steps.MaxTasks-1)
+	case place < placeDone || place >= len(w.Agents):
+		return fmt.Errorf("place: found %d, allowed: %d to %d", place, placeDone, len(w.Agents)-1)
+	case checkpoint < 0 || checkpoint > len(w.Checkpoints):
+		return fmt.Errorf("checkpoint: found %d, allowed: 0 to %d", checkpoint, len(w.Checkpoints))
+	}
+	t := stepfold.TaskProgress{Run: fields[rangeRun], Done: place == placeDone, Failures: fields[rangeFailures]}
+	if place >= 0 {
+		t.Agent, t.Worker = w.Agents[place], w.Workers[place]
+	}
+	if checkpoint > 0 {
+		t.Checkpoint = w.Checkpoints[checkpoint-1]
+	}
+	for index := first; index < first+count; index++ {
+		tasks[steps.TaskID{Occurrence: s.Occurrence, Step: s.Step, Index: index}] = t
+	}
+	return nil
+}
--- a/codec/steps.go
+++ b/codec/steps.go
@@ -1,10 +1,8 @@
 package codec
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"celerypoint.example/celerypoint/recordlog"
@@ -68,7 +66,8 @@
 		if err := wire.Decode(value, &w); err != nil {
 			return nil, err
 		}
-		return stepfold.Progressed{ID: id, Progress: decodeProgress(w)}, nil
+		progress, err := decodeProgress(w)
+		return stepfold.Progressed{ID: id, Progress: progress}, err
 	case stepfold.Cancelled:
 		return stepfold.Cancelled{ID: id}, nil
 	case stepfold.AgentRegistered:
@@ -124,50 +123,3 @@
 	}
 	return j
 }
-
-// taskPhaseDone is the phase of a completed task in a stored record. The phase of
-// any other task is empty.
-const taskPhaseDone = "done"
-
-func encodeProgress(p stepfold.Progress) wire.StepsProgress {
-	w := wire.StepsProgress{State: string(p.Phase), Begun: p.Begun}
-	if !p.EndedAt.IsZero() {
-		w.EndedAtMs = int(p.EndedAt.UnixMilli())
-	}
-	ids := make([]steps.TaskID, 0, len(p.Tasks))
-	for id := range p.Tasks {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b steps.TaskID) int {
-		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-	})
-	for _, id := range ids {
-		n := len(w.Steps)
-		if n == 0 || w.Steps[n-1].Occurrence != id.Occurrence || w.Steps[n-1].Step != id.Step {
-			w.Steps = append(w.Steps, wire.StepProgress{Occurrence: id.Occurrence, Step: id.Step})
-			n++
-		}
-		t := p.Tasks[id]
-		task := wire.TaskProgress{Index: id.Index, Run: t.Run, Agent: t.Agent, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint}
-		if t.Done {
-			task.Phase = taskPhaseDone
-		}
-		w.Steps[n-1].Tasks = append(w.Steps[n-1].Tasks, task)
-	}
-	return w
-}
-
-func decodeProgress(w wire.StepsProgress) stepfold.Progress {
-	p := stepfold.Progress{Phase: stepfold.Phase(w.State), Begun: w.Begun, Tasks: map[steps.TaskID]stepfold.TaskProgress{}}
-	if w.EndedAtMs != 0 {
-		p.EndedAt = time.UnixMilli(int64(w.EndedAtMs))
-	}
-	for _, s := range w.Steps {
-		for _, t := range s.Tasks {
-			p.Tasks[steps.TaskID{Occurrence: s.Occurrence, Step: s.Step, Index: t.Index}] = stepfold.TaskProgress{
-				Run: t.Run, Done: t.Phase == taskPhaseDone, Agent: t.Agent, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint,
-			}
-		}
-	}
-	return p
-}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1328,11 +1328,18 @@
 	// Occurrence corresponds to the JSON schema field "occurrence".
 	Occurrence int `json:"occurrence"`
 
+	// Consecutive tasks in the same state. Each item holds the first index, the
+	// number of tasks, the run, where it may be in progress (an index in agents and
+	// workers of the record, -1 for nowhere, -2 if the task is done), and, unless
+	// they are 0, the failures and the checkpoint (1 for the first item of
+	// checkpoints of the record).
+	Ranges [][]int `json:"ranges,omitempty,omitzero"`
+
 	// Step corresponds to the JSON schema field "step".
 	Step int `json:"step"`
 
-	// Tasks corresponds to the JSON schema field "tasks".
-	Tasks []TaskProgress `json:"tasks"`
+	// The tasks in records of programs that did not write ranges.
+	Tasks []TaskProgress `json:"tasks,omitempty,omitzero"`
 }
 
 // One step of a job of steps.
@@ -1427,9 +1434,15 @@
 
 // Log record: the progress of a job, written by the planner only.
 type StepsProgress struct {
+	// Agents corresponds to the JSON schema field "agents".
+	Agents []string `json:"agents,omitempty,omitzero"`
+
 	// Begun corresponds to the JSON schema field "begun".
 	Begun bool `json:"begun,omitempty,omitzero"`
 
+	// Checkpoints corresponds to the JSON schema field "checkpoints".
+	Checkpoints []string `json:"checkpoints,omitempty,omitzero"`
+
 	// EndedAtMs corresponds to the JSON schema field "endedAtMs".
 	EndedAtMs int `json:"endedAtMs,omitempty,omitzero"`
 
@@ -1438,6 +1451,9 @@
 
 	// Steps corresponds to the JSON schema field "steps".
 	Steps []StepProgress `json:"steps,omitempty,omitzero"`
+
+	// The worker incarnation on the VM of each agent in agents.
+	Workers []string `json:"workers,omitempty,omitzero"`
 }
 
 // An order to stop one run of a task.
