Silence of an agent is no stall; agents refuse planners that take them for another

Cause: an agent that was paused or cut off reports first what it knew before. The planner took the unchanged progress for a stall as long as the silence, and stopped runs that the worker had carried on. A planner dials the addresses of agents that have left for ever, and an agent that has such an address now followed it and lost its own session. Whether a lease may be granted was decided by a time read before the wait for the planner's mutex.

Change: the time of silence does not count as time without progress; an attach names the agent; an agent whose attempts have failed for 20 s is dialled every second, after 2 min every 15 s; the time is read after the mutex is taken.

--- a/stepagent/calls_test.go
+++ b/stepagent/calls_test.go
@@ -134,3 +134,18 @@
 	first, second := <-w.starts, <-w.answered
 	c.Check(second.FencingToken > first.FencingToken, qt.IsTrue)
 }
+
+// TestAttachNamesAgent guards against a planner that follows an old address to another
+// agent, whose session with its planner would end.
+func TestAttachNamesAgent(t *testing.T) {
+	c := qt.New(t)
+	d := newDaemon(Config{Name: "vm"})
+	defer d.log.Close()
+	defer d.pool.Close()
+	_, err := d.attach(&rpc.Conn{}, wire.AttachParams{Term: 5, Session: 1, Agent: "gone"})
+	c.Assert(err, qt.ErrorMatches, `attach: found agent "gone", allowed: "vm"`)
+	c.Assert(d.session.term, qt.Equals, 0)
+	result, err := d.attach(&rpc.Conn{}, wire.AttachParams{Term: 5, Session: 1, Agent: "vm"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Refused, qt.IsFalse)
+}
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -249,8 +249,12 @@
 // term than the highest that the agent has followed, and a session of that term
 // that is earlier than the newest. When the agent's process resumes after a pause,
 // several attach requests may be waiting, and the planner has given up the orders
-// of all sessions but the last.
+// of all sessions but the last. It also refuses a planner that takes it for another
+// agent, which had the address before.
 func (d *Daemon) attach(conn *rpc.Conn, p wire.AttachParams) (wire.AttachResult, error) {
+	if p.Agent != "" && p.Agent != d.cfg.Name {
+		return wire.AttachResult{}, fmt.Errorf("attach: found agent %q, allowed: %q", p.Agent, d.cfg.Name)
+	}
 	s := &d.session
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -48,7 +48,7 @@
 		l = &agentLink{}
 		d.planner.links[name] = l
 	}
-	l.address = a.Address
+	l.address, l.dialedAt, l.unreachableSince = a.Address, time.Time{}, time.Time{}
 }
 
 // attachAgents opens a session with every known agent that has none, and closes
@@ -104,7 +104,7 @@
 		switch {
 		case l.dialing:
 			dialing++
-		case l.conn == nil && now.Sub(l.dialedAt) >= attachInterval:
+		case l.conn == nil && now.Sub(l.dialedAt) >= l.dialPause():
 			names = append(names, name)
 		}
 	}
@@ -120,6 +120,21 @@
 	return names[:min(len(names), max(0, maxDialing-dialing))]
 }
 
+// dialPause is the wait before the agent is dialled again, which grows with the time for
+// which attempts have failed. An agent that starts registers and is dialled at once, so that
+// only a VM that was cut off for long is found late, and VMs that have left for good cost
+// little.
+func (l *agentLink) dialPause() time.Duration {
+	failing := l.dialedAt.Sub(l.unreachableSince)
+	switch {
+	case l.unreachableSince.IsZero() || failing < 20*time.Second:
+		return attachInterval
+	case failing < 2*time.Minute:
+		return time.Second
+	}
+	return 15 * time.Second
+}
+
 // closeSession closes the session with an agent, if there is one, and logs the
 // reason. The caller holds the planner's mutex.
 func (d *Daemon) closeSession(name string, l *agentLink, reason string) {
@@ -149,7 +164,7 @@
 	if err == nil {
 		// The agent's first report may arrive before the reply to Attach.
 		d.registerSession(name, conn, session)
-		result, err = agent.Client{Conn: conn}.Attach(bounded, wire.AttachParams{Term: int(term), Session: session, Planner: d.cfg.Name, Address: d.address()})
+		result, err = agent.Client{Conn: conn}.Attach(bounded, wire.AttachParams{Term: int(term), Session: session, Planner: d.cfg.Name, Address: d.address(), Agent: name})
 	}
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
@@ -161,6 +176,12 @@
 		return
 	}
 	l.dialing, l.dialedAt = false, boottime.Now()
+	switch {
+	case err == nil:
+		l.unreachableSince = time.Time{}
+	case l.unreachableSince.IsZero():
+		l.unreachableSince = l.dialedAt
+	}
 	select {
 	case d.planner.dialed <- struct{}{}:
 	default:
@@ -204,9 +225,10 @@
 		r.Fail(err)
 		return
 	}
-	now := boottime.Now()
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
+	// Whether a lease may be granted is decided by the time after the wait for the mutex.
+	now := boottime.Now()
 	l := d.planner.links[w.Agent]
 	if d.planner.scheduler == nil || l == nil || l.conn != r.Conn || l.session != w.Session {
 		r.Reply(wire.ReportReply{})
--- a/stepentry/plannerlink_test.go
+++ b/stepentry/plannerlink_test.go
@@ -92,3 +92,21 @@
 		qt.Check(t, claimHandicap(share).Round(time.Microsecond), qt.Equals, want, qt.Commentf("share %g", share))
 	}
 }
+
+// TestDialPause guards against VMs that have left for good and take the planner's time, and
+// against an agent that is dialled late after its session has ended.
+func TestDialPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, test := range []struct {
+		link agentLink
+		want time.Duration
+	}{
+		{agentLink{}, attachInterval},
+		{agentLink{dialedAt: now}, attachInterval},
+		{agentLink{dialedAt: now, unreachableSince: now.Add(-19 * time.Second)}, attachInterval},
+		{agentLink{dialedAt: now, unreachableSince: now.Add(-21 * time.Second)}, time.Second},
+		{agentLink{dialedAt: now, unreachableSince: now.Add(-3 * time.Minute)}, 15 * time.Second},
+	} {
+		qt.Check(t, test.link.dialPause(), qt.Equals, test.want, qt.Commentf("%+v", test.link))
+	}
+}
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -75,9 +75,10 @@
 	conn    *rpc.Conn
 	session int
 	// dialing says that an attempt to open a session is in progress; dialedAt is when
-	// the last one ended.
-	dialing  bool
-	dialedAt time.Time
+	// the last one ended, and unreachableSince when the first one that failed since the
+	// last session or the agent's registration ended.
+	dialing                    bool
+	dialedAt, unreachableSince time.Time
 	// The effects of the ended runs of the worker incarnation storedIncarnation
 	// with a worker.Ended.EndNumber up to lastStoredEnd are stored. The replies to
 	// the agent's reports say so, and the worker may then forget these runs.
--- a/stepplan/health.go
+++ b/stepplan/health.go
@@ -43,7 +43,7 @@
 	if s.Spec.LongRunning || t.Done || !t.Running || t.Progress >= 100 {
 		return false
 	}
-	sinceProgress := now.Sub(t.ProgressAt)
+	sinceProgress := now.Sub(later(t.ProgressAt, t.StallFrom))
 	if t.Progress == 0 {
 		return sinceProgress > stallTimeout+s.Spec.Estimate*stallTolerancePercent*stallTolerancePercent/100
 	}
--- a/stepplan/restore_test.go
+++ b/stepplan/restore_test.go
@@ -1,6 +1,7 @@
 package stepplan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,6 +81,48 @@
 	c.Assert([]any{stops[0].Task, stops[0].Session}, qt.DeepEquals, []any{survivor.ID, 2})
 }
 
+// TestSilenceIsNoStall guards against runs that are stopped because their VM was silent:
+// an agent that was paused reports what it knew before, and the worker has gone on.
+func TestSilenceIsNoStall(t *testing.T) {
+	for _, silence := range []time.Duration{1300 * time.Millisecond, 2 * time.Second, 4 * time.Second, 5200 * time.Millisecond} {
+		for _, newSession := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, new session %t", silence, newSession), func(t *testing.T) {
+				c := qt.New(t)
+				sc := newCluster(1, bootTime)
+				sc.AddJob(newJob("a", "normal", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}}), bootTime)
+				sc.Plan(bootTime)
+				start := sc.TakeOutput(wallTime).Orders[0].(StartOrder)
+				sc.StartAnswered(start, 1, true)
+				now, session := bootTime, 1
+				report := func(progress int) {
+					sc.HandleReport(Report{
+						Agent: "vm0", Session: session, Version: 2, WorkerPresent: true, Worker: "vm0", Rack: "r0", Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8},
+						Running: []RunningTask{{Running: worker.Running{Run: worker.Run{Task: start.Task.String(), Number: start.Run}, Progress: progress}}},
+					}, now)
+					sc.LeaseGranted("vm0", now)
+				}
+				now = now.Add(400 * time.Millisecond)
+				report(20)
+				now = now.Add(silence)
+				sc.ExpireLeases(now)
+				if newSession {
+					session++
+					sc.AgentAttached("vm0", session)
+				}
+				report(20)
+				c.Assert(sc.TakeStops(), qt.HasLen, 0)
+				c.Assert(sc.Jobs["a"].Occurrences[0][0].Tasks[0].Active, qt.IsTrue)
+				// A run that makes no progress while its VM reports is still found.
+				for range 4 {
+					now = now.Add(400 * time.Millisecond)
+					report(20)
+				}
+				c.Assert(sc.TakeStops(), qt.HasLen, 1)
+			})
+		}
+	}
+}
+
 // TestLatestStartOfChain guards against a step that waits although the steps after it
 // then miss the objective of the job.
 func TestLatestStartOfChain(t *testing.T) {
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -43,7 +43,7 @@
 func (sc *Scheduler) beginRun(t *Task, vm *VM, workerID string, now time.Time) {
 	t.Active, t.Agent, t.Worker = true, vm.Agent, workerID
 	t.Running, t.ConclusiveReport, t.StopRequestedAt = false, -1, time.Time{}
-	t.StartedAt, t.Progress, t.ProgressAt = now, 0, now
+	t.StartedAt, t.Progress, t.ProgressAt, t.StallFrom = now, 0, now, now
 	vm.ActiveTasks[t.ID] = t
 	vm.used = vm.used.Plus(t.needs)
 	sc.Jobs[t.ID.Job].heldGPUs += t.needs.GPUs
@@ -241,6 +241,8 @@
 
 // applyReport applies a report of the VM's current session.
 func (sc *Scheduler) applyReport(vm *VM, r Report, now time.Time) {
+	// The agent may not have heard from its worker either while it was silent.
+	silent := !vm.Reported || now.Sub(vm.ReportedAt) > stallTimeout
 	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
 	if !r.WorkerPresent {
 		return
@@ -266,7 +268,7 @@
 	for _, e := range r.Ended {
 		sc.handleEnd(vm, e, now)
 	}
-	sc.reconcileRuns(vm, r, now)
+	sc.reconcileRuns(vm, r, silent, now)
 	sc.stopUnfinishableRuns(vm, now)
 }
 
@@ -283,8 +285,9 @@
 
 // reconcileRuns compares the runs in a report with the VM's active runs. It
 // requests unknown runs to stop if their start is confirmed, and marks active runs
-// as lost that the report would list if they existed.
-func (sc *Scheduler) reconcileRuns(vm *VM, r Report, now time.Time) {
+// as lost that the report would list if they existed. silent says that the report is the
+// first after a time of silence.
+func (sc *Scheduler) reconcileRuns(vm *VM, r Report, silent bool, now time.Time) {
 	present := map[steps.TaskID]RunningTask{}
 	vm.UnknownRuns = 0
 	for _, run := range r.Running {
@@ -295,6 +298,10 @@
 		}
 		if t := vm.ActiveTasks[id]; t != nil && t.Run == run.Number {
 			present[id] = run
+			if silent {
+				// The time of silence does not count as time without progress.
+				t.StallFrom = now
+			}
 			sc.updateRun(t, run, now)
 			continue
 		}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -66,6 +66,9 @@
 	// start was not confirmed, and by each report while the VM is unhealthy.
 	Progress   int
 	ProgressAt time.Time
+	// StallFrom is when the newest time of silence of the agent ended, or the run began.
+	// Before it, a lack of progress says nothing about the run.
+	StallFrom time.Time
 	// StopRequestedAt is when the run was last requested to stop, zero if it was
 	// not.
 	StopRequestedAt time.Time
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -151,6 +151,9 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// The agent that the planner takes the address for; another agent refuses.
+	Agent string `json:"agent,omitempty,omitzero"`
+
 	// Planner corresponds to the JSON schema field "planner".
 	Planner string `json:"planner"`
 
