stepentry: end evacuations whose tombstones have expired

Cause: staticcheck reported dropDeletedEvacuations as unused: the load of the operator's topic did not call it, so that a zone whose evacuation ended while an entry could not read, and whose history was dropped, stayed evacuated at that entry.

Change: the load calls it. Result: TestEvacuationDeletedWhileAway fails without the call.

--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -18,7 +18,7 @@
 	recordlog.Follow(ctx, d.cfg.Log, d.cfg.ConfigTopic, recordlog.Handler{
 		OnRecords: d.applyConfig,
 		OnNewest:  d.applyConfig,
-		OnLoaded:  func(recordlog.Load) {},
+		OnLoaded:  d.dropDeletedEvacuations,
 		OnUpToDate: func(begun time.Time) {
 			d.config.mu.Lock()
 			d.config.readAt = begun
--- a/stepentry/plannerlink_test.go
+++ b/stepentry/plannerlink_test.go
@@ -10,8 +10,10 @@
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/counters"
+	"celerypoint.example/celerypoint/platform"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/standinstore"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/stepplan"
 	"celerypoint.example/celerypoint/steps"
@@ -110,3 +112,36 @@
 		qt.Check(t, test.link.dialPause(), qt.Equals, test.want, qt.Commentf("%+v", test.link))
 	}
 }
+
+// TestEvacuationDeletedWhileAway guards against a zone that stays evacuated for good: its
+// record was deleted while this entry could not read, and the tombstone has expired.
+func TestEvacuationDeletedWhileAway(t *testing.T) {
+	c := qt.New(t)
+	store, err := standinstore.New("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer store.Close()
+	store.Put("keyed.op", "evacuate/a", []byte("{}"))
+	store.Put("keyed.op", "evacuate/b", []byte("{}"))
+	d, err := New(Config{
+		Name: "e", Listen: "127.0.0.1:0", Topic: "t", ConfigTopic: platform.TopicConfiguration, Log: platform.NewStore(store.Address()),
+		DecodeOperator: platform.DecodeOperatorRecord,
+	})
+	c.Assert(err, qt.IsNil)
+	defer d.Kill()
+	evacuated := func() int {
+		d.config.mu.Lock()
+		defer d.config.mu.Unlock()
+		return len(d.config.evacuatedZones())
+	}
+	await := func(n int) {
+		for deadline := time.Now().Add(10 * time.Second); evacuated() != n; time.Sleep(5 * time.Millisecond) {
+			c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d zones are evacuated, want %d", evacuated(), n))
+		}
+	}
+	await(2)
+	store.SetFaults(standinstore.Faults{Down: true})
+	store.Put("keyed.op", "evacuate/a", nil)
+	store.Compact("keyed.op")
+	store.SetFaults(standinstore.Faults{})
+	await(1)
+}
