--- a/entryhttp/entryhttp_test.go
+++ b/entryhttp/entryhttp_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"celerypoint.example/celerypoint/httpserver"
+	"celerypoint.example/celerypoint/loopback"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -23,8 +24,8 @@
 // TestNextEntry guards against a request that fails although another entry
 // could serve it, and against sending a refused request again to another entry.
 func TestNextEntry(t *testing.T) {
-	closedServer := httptest.NewServer(nil)
-	closedServer.Close()
+	// Nobody can take the port, unlike that of a server that was closed.
+	unreachable := loopback.Address()
 	stopping := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		httpserver.JSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "not run", Rule: "entryLeaving"})
 	})
@@ -34,7 +35,6 @@
 	healthy := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		httpserver.JSON(w, http.StatusOK, wire.JobView{ID: "j", Phase: wire.JobPhaseEnded})
 	})
-	unreachable := strings.TrimPrefix(closedServer.URL, "http://")
 	for _, tt := range []struct {
 		name      string
 		addresses []string
