stepentry: no hand-over and no second append while the store is slow for everybody

A planner that has said that it is stuck could be replaced also after it stored again, and records forwarded after 0.25 s double the appends of a store that is slow already.

Change: an entry takes over from a stuck planner only if its own read takes at most 0.15 s and the planner still does not store; a planner whose appends take more than 0.15 s stores nothing for others.

--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -530,3 +530,27 @@
 	}
 	s.checkRuns()
 }
+
+// TestSlowStore guards against entries that replace each other as planners, and that double
+// the appends, because the store is slow for all of them.
+func TestSlowStore(t *testing.T) {
+	s := newSite(t, 3, 2)
+	time.Sleep(1200 * time.Millisecond)
+	planner := s.planner()
+	s.store.SetFaults(standinstore.Faults{ResponseDelay: 900 * time.Millisecond})
+	for begun := time.Now(); time.Since(begun) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
+		for _, e := range s.entries {
+			if e != planner {
+				s.c.Assert(e.daemon.AttachedAgents() < 0, qt.IsTrue, qt.Commentf("another entry plans after %v", time.Since(begun)))
+			}
+		}
+	}
+	s.c.Check(planner.daemon.AttachedAgents(), qt.Equals, 2)
+	for _, e := range s.entries {
+		s.c.Check(metrics.GetOrRegisterCounter("storedForPeer.stored", e.daemon.Metrics()).Count(), qt.Equals, int64(0))
+	}
+	s.store.SetFaults(standinstore.Faults{})
+	s.submit(s.entries[0], "urgent", jobID(1), s.jobBody(jobID(1), "run 50", 1, 2, true))
+	s.awaitState(s.entries[1], "urgent", jobID(1), "completed")
+	s.checkRuns()
+}
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -47,6 +47,9 @@
 	maxClaimHandicap = 250 * time.Millisecond
 	// claimRetryPause is the longest wait after a failed read before a claim.
 	claimRetryPause = 500 * time.Millisecond
+	// slowStore is the time of a call from which on the store counts as slow for everybody.
+	// Another planner, or an append by another entry, would then only add to its load.
+	slowStore = 150 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
 	claimTimeout = 3 * time.Second
 	// applyTimeout bounds the wait until the claim's own record has been read
@@ -92,7 +95,7 @@
 		if !fresh {
 			continue
 		}
-		reason := ""
+		reason, stuck := "", false
 		switch {
 		case p.Term == 0:
 			reason = "no planner yet"
@@ -103,7 +106,7 @@
 		case health == healthGone:
 			reason = "the planner's process has ended"
 		case d.plannerSaidStuck(p.Term):
-			reason = "the planner cannot store records"
+			reason, stuck = "the planner cannot store records", true
 		case sinceHeartbeat > heartbeatTimeout && health != healthPlanning:
 			reason = "no heartbeat from the planner"
 		default:
@@ -112,11 +115,16 @@
 		pause.For(ctx, claimHandicap(d.cfg.CPUShare)+rand.N(claimJitter))
 		// Another entry may have claimed while this one waited. Only an entry that the
 		// store serves now can take over.
-		if err := d.catchUp(ctx); err != nil {
+		reading := boottime.Now()
+		if err := d.catchUp(ctx); err != nil || stuck && boottime.Now().Sub(reading) > slowStore {
 			d.counters.Count("claimWithoutRead")
 			pause.For(ctx, claimRetryPause/2+rand.N(claimRetryPause/2))
 			continue
 		}
+		if stuck && d.checkPlanner(ctx, p) == healthPlanning && d.plannerStoredWithin(stuckAfter) {
+			d.clearStuck(p.Term)
+			continue
+		}
 		if health == healthGone && d.checkPlanner(ctx, p) != healthGone {
 			// The network refused connections to a process that lives.
 			health = healthUnknown
@@ -250,7 +258,7 @@
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.planner.scheduler, d.planner.term, d.planner.fence = scheduler, self.Term, fence
-	d.planner.lastAppendAt, d.planner.cancel = claimedAt, cancel
+	d.planner.lastAppendAt, d.planner.lastAppendTook, d.planner.cancel = claimedAt, 0, cancel
 	for name, a := range d.records.state.Agents {
 		d.setAgentAddress(name, a)
 	}
--- a/stepentry/forward.go
+++ b/stepentry/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
@@ -124,6 +125,11 @@
 		r.Reply(wire.StoreRecordResult{Outcome: wire.StoreRecordResultOutcomeNotStored})
 		return
 	}
+	if d.storeIsSlow() {
+		d.counters.Count("storedForPeer.slow")
+		r.Reply(wire.StoreRecordResult{Outcome: wire.StoreRecordResultOutcomeNotStored})
+		return
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
 	defer cancel()
 	offset, err := recordlog.AppendWithRetry(ctx, d.cfg.Log, d.cfg.Topic, nil, []recordlog.Record{record}, recordlog.WithRefusalDeadline(time.Now().Add(refusalRetryTime)))
@@ -139,6 +145,15 @@
 	r.Reply(result)
 }
 
+// storeIsSlow reports whether this entry is the planner and its newest append took long, or
+// the next one does. The caller's own append is then slow as well, and a second one would
+// only add to the store's load.
+func (d *Daemon) storeIsSlow() bool {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	return d.planner.scheduler != nil && (d.planner.lastAppendTook > slowStore || boottime.Now().Sub(d.planner.lastAppendAt) > heartbeatInterval+2*slowStore)
+}
+
 // checkUnfenced reports an error unless the record is one that any entry may write.
 func checkUnfenced(r recordlog.Record) error {
 	record, err := codec.DecodeStepRecord(r)
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -171,7 +171,7 @@
 		fence.Sequence++
 		d.counters.Observe("planAppendMs", boottime.Now().Sub(begun))
 		d.planner.mu.Lock()
-		d.planner.fence, d.planner.lastAppendAt = fence, begun
+		d.planner.fence, d.planner.lastAppendAt, d.planner.lastAppendTook = fence, begun, boottime.Now().Sub(begun)
 		d.planner.mu.Unlock()
 		d.notifyWatchers(first, records[:n])
 		records = records[n:]
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -281,6 +281,23 @@
 	return d.plannerLink.stuckTerm != term && boottime.Now().Sub(d.plannerLink.storingAt) < heartbeatTimeout
 }
 
+// plannerStoredWithin reports whether the planner's newest pong showed an append that the
+// store took within the given time.
+func (d *Daemon) plannerStoredWithin(t time.Duration) bool {
+	d.plannerLink.mu.Lock()
+	defer d.plannerLink.mu.Unlock()
+	return boottime.Now().Sub(d.plannerLink.storingAt) < t
+}
+
+// clearStuck records that the planner of the term stores records again.
+func (d *Daemon) clearStuck(term int64) {
+	d.plannerLink.mu.Lock()
+	defer d.plannerLink.mu.Unlock()
+	if d.plannerLink.stuckTerm == term {
+		d.plannerLink.stuckTerm = 0
+	}
+}
+
 func (d *Daemon) plannerSaidStuck(term int64) bool {
 	d.plannerLink.mu.Lock()
 	defer d.plannerLink.mu.Unlock()
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -117,6 +117,8 @@
 	// lastAppendAt is when the newest successful append of the term began. It
 	// shows that the store had not seen a later term at that time.
 	lastAppendAt time.Time
+	// lastAppendTook is how long that append took.
+	lastAppendTook time.Duration
 	// lastSession is the number of the newest session with any agent.
 	lastSession int
 	// links has an element for each known agent, by the agent's name. It is empty
