stepagent, stepplan: tell crashes of workers from departures, and name the runs that they had

Cause: to the planner a crash of a worker looked like an order that never arrived, like a refusal, like a drain or like an expired lease, and no line named the runs that a worker had when it crashed.

Change: an agent keeps for 30 s how an incarnation of its worker ended, its runs with their ages, and the ends that were not stored, and reports them. It logs workerEnded; the planner logs workerCrashed and workerLeft, and runLost with the cause. A crash is no longer logged as a drain. Tasks that were placed on an incarnation that has ended are lost at once, also while the next one has not been read, and none is placed there.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -85,7 +85,7 @@
 	t := d.table
 	t.mu.Lock()
 	t.down = true
-	t.runs, t.endedRuns = map[worker.Run]*run{}, nil
+	t.retire(false, time.Now())
 	t.requestReport()
 	t.mu.Unlock()
 	d.log.Add("workerDown", eventlog.Fields{"cause": cause.Error()})
@@ -204,7 +204,7 @@
 	case !t.known || !t.statusRead || t.down:
 		reason = "workerUnknown"
 	case p.Worker != t.incarnation():
-		reason = "otherWorker"
+		reason = reasonOtherWorker
 	case t.announced.Draining:
 		reason = "workerDraining"
 	case d.stopping.Load():
@@ -237,6 +237,10 @@
 	outcomeRetry outcome = "again"
 )
 
+// reasonOtherWorker is the reason of a refusal because the worker's incarnation that the
+// order is for has ended.
+const reasonOtherWorker = "otherWorker"
+
 // sendStart makes one attempt to start the run, for which the worker has the given time.
 // It returns a reason with the outcomes outcomeRefused and outcomeUnknown.
 func (d *Daemon) sendStart(ctx context.Context, timeout time.Duration, p wire.StartRunParams, key worker.Run) (outcome, string) {
@@ -249,7 +253,7 @@
 	switch {
 	case r == nil || t.incarnation() != p.Worker:
 		t.mu.Unlock()
-		return outcomeRefused, "otherWorker"
+		return outcomeRefused, reasonOtherWorker
 	case !current:
 		// Reports in the new session list the run as unconfirmed until startRun
 		// removes it from the table, which it does after this refusal.
@@ -258,6 +262,9 @@
 	}
 	_, token := t.nextCall()
 	r.absentAfter = token
+	if !r.sent {
+		r.sent, r.startedAt = true, time.Now()
+	}
 	order := worker.StartRequest{Run: key, Payload: p.Payload, Checkpoint: p.Checkpoint, FencingToken: token, Deadline: t.lease}
 	id := t.announced.ID
 	t.mu.Unlock()
@@ -269,9 +276,10 @@
 	t.readClock(reply.Clock)
 	switch {
 	case errors.Is(err, worker.ErrOtherIncarnation):
-		return outcomeRefused, "otherWorker"
+		return outcomeRefused, reasonOtherWorker
 	case err != nil:
 		t.raiseToken()
+		r.doubtful = true
 		return outcomeUnknown, err.Error()
 	case reply.Refusal == "":
 		return outcomeStarted, ""
@@ -345,7 +353,12 @@
 		r.confirmed, r.starting = true, false
 		r.absentAfter = t.lastCall
 	} else if !started {
-		delete(t.runs, key)
+		if r != nil && r.doubtful && reason == reasonOtherWorker {
+			// retire lists the run among those that may have ended their worker.
+			r.starting = false
+		} else {
+			delete(t.runs, key)
+		}
 		d.log.Add("startRefused", eventlog.Fields{"task": key.Task, "run": key.Number, "reason": reason})
 	}
 	return wire.StartRunResult{Started: started, Version: t.version, Reason: reason}
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -139,6 +139,7 @@
 	if d.log == nil {
 		d.log = eventlog.New(io.Discard, c.Name, d.counters.Registry)
 	}
+	d.table.onRetired = d.logRetired
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -348,7 +349,7 @@
 func (d *Daemon) buildReport() wire.WorkerReport {
 	t := d.table
 	a := t.announced
-	w := wire.WorkerReport{Agent: d.cfg.Name, Boot: d.bootID, Version: t.version, Leaving: d.stopping.Load()}
+	w := wire.WorkerReport{Agent: d.cfg.Name, Boot: d.bootID, Version: t.version, Leaving: d.stopping.Load(), Former: t.reportedFormer(time.Now())}
 	if !t.known || !t.statusRead && !t.down {
 		return w
 	}
@@ -360,9 +361,7 @@
 	for key, r := range t.runs {
 		w.Running = append(w.Running, wire.RunningTask{Task: key.Task, Run: key.Number, Checkpoint: r.checkpoint, Progress: r.progress, Unsettled: !r.confirmed})
 	}
-	for _, e := range t.endedRuns {
-		w.Ended = append(w.Ended, wire.EndedTask{Number: int(e.EndNumber), Task: e.Task, Run: e.Run.Number, End: string(e.Reason), Checkpoint: e.Checkpoint})
-	}
+	w.Ended = encodeEnds(t.endedRuns)
 	return w
 }
 
--- /dev/null
+++ b/stepagent/former.go
@@ -0,0 +1,110 @@
+package stepagent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/wire"
+	"celerypoint.example/celerypoint/worker"
+)
+
+const (
+	// formerReportTime is how long the agent reports an incarnation that has ended. It
+	// covers the time until a new planner has replaced one that stopped at that moment,
+	// also if its first successor stops as well.
+	formerReportTime = 30 * time.Second
+	// maxFormer bounds the ended incarnations that are reported.
+	maxFormer = 8
+)
+
+// formerRun is a run that may have been in progress when its incarnation ended.
+type formerRun struct {
+	worker.Run
+	startedAt time.Time
+}
+
+// formerWorker is an incarnation of the worker that has ended.
+type formerWorker struct {
+	incarnation string
+	end         worker.IncarnationEnd
+	endedAt     time.Time
+	// running is sorted by task.
+	running []formerRun
+	// ended are the ends that the planner had not stored. The worker can no longer list
+	// them.
+	ended []worker.Ended
+	// reportUntil is when the agent stops reporting the incarnation.
+	reportUntil time.Time
+}
+
+// retire records that the current incarnation of the worker has ended, and forgets its
+// runs. left says that the worker announced its end. The caller holds the mutex.
+func (t *workerTable) retire(left bool, now time.Time) {
+	if !t.known || t.retired && len(t.runs) == 0 && len(t.endedRuns) == 0 {
+		return
+	}
+	f := formerWorker{incarnation: t.incarnation(), end: worker.IncarnationCrashed, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
+	if left || t.announced.Draining {
+		f.end = worker.IncarnationLeft
+	}
+	for key, r := range t.runs {
+		// The worker cannot have carried out an order that was not sent.
+		if r.confirmed || r.sent {
+			f.running = append(f.running, formerRun{key, r.startedAt})
+		}
+	}
+	slices.SortFunc(f.running, func(x, y formerRun) int { return cmp.Compare(x.Task, y.Task) })
+	t.former = append(t.former, f)
+	t.former = t.former[max(0, len(t.former)-maxFormer):]
+	t.retired, t.runs, t.endedRuns = true, map[worker.Run]*run{}, nil
+	if t.onRetired != nil {
+		t.onRetired(f)
+	}
+}
+
+// revive takes back retire: the incarnation that was taken for ended has answered. The
+// caller holds the mutex.
+func (t *workerTable) revive() {
+	if !t.retired {
+		return
+	}
+	t.retired = false
+	incarnation := t.incarnation()
+	t.former = slices.DeleteFunc(t.former, func(f formerWorker) bool { return f.incarnation == incarnation })
+}
+
+// reportedFormer lists the ended incarnations that are still reported. The caller holds
+// the mutex.
+func (t *workerTable) reportedFormer(now time.Time) []wire.FormerWorker {
+	t.former = slices.DeleteFunc(t.former, func(f formerWorker) bool { return now.After(f.reportUntil) })
+	var all []wire.FormerWorker
+	for _, f := range t.former {
+		w := wire.FormerWorker{Boot: f.incarnation, End: string(f.end), Ended: encodeEnds(f.ended)}
+		for _, r := range f.running {
+			w.Running = append(w.Running, wire.FormerRun{Task: r.Task, Run: r.Number, AgeMs: int(f.endedAt.Sub(r.startedAt).Milliseconds())})
+		}
+		all = append(all, w)
+	}
+	return all
+}
+
+func encodeEnds(ends []worker.Ended) []wire.EndedTask {
+	var all []wire.EndedTask
+	for _, e := range ends {
+		all = append(all, wire.EndedTask{Number: int(e.EndNumber), Task: e.Task, Run: e.Run.Number, End: string(e.Reason), Checkpoint: e.Checkpoint})
+	}
+	return all
+}
+
+// logRetired logs and counts the end of an incarnation, with the runs that may have
+// caused it or were lost with it.
+func (d *Daemon) logRetired(f formerWorker) {
+	running := make([]string, 0, len(f.running))
+	for _, r := range f.running {
+		running = append(running, r.Task)
+	}
+	d.counters.Count("workerEnded." + string(f.end))
+	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "running": running, "unstoredEnds": len(f.ended)})
+}
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -15,6 +15,13 @@
 	// order again. fencedOff is true when the worker does not have the run and
 	// refuses the start orders sent so far, because it has seen a higher token.
 	starting, fencedOff bool
+	// sent is true once a start order was sent. startedAt is when the first was sent,
+	// or when the agent first found the run.
+	sent      bool
+	startedAt time.Time
+	// doubtful is true once a start order was not answered. The incarnation that it was
+	// sent to may have carried it out.
+	doubtful bool
 	// confirmed is true once the worker has accepted the start order or has
 	// listed the run.
 	confirmed  bool
@@ -81,6 +88,12 @@
 	// version rises with every change of the table that is reported at once, and
 	// with every registration and certain outcome of a start order.
 	version int
+	// retired says that the current incarnation is known to have ended and is in former,
+	// which holds the incarnations that ended a short time ago, oldest first. onRetired
+	// is called with each and does not wait.
+	retired   bool
+	former    []formerWorker
+	onRetired func(formerWorker)
 	// reportDue is signalled when a report has to be sent at once.
 	reportDue chan struct{}
 }
@@ -123,6 +136,7 @@
 	}
 	nowDraining = a.Draining && (!sameIncarnation || !t.announced.Draining)
 	if !sameIncarnation {
+		t.retire(false, time.Now())
 		t.resetIncarnation()
 		newIncarnation = true
 	}
@@ -140,7 +154,7 @@
 func (t *workerTable) resetIncarnation() {
 	t.runs, t.endedRuns = map[worker.Run]*run{}, nil
 	t.forgetThrough, t.token, t.lease = 0, 0, 0
-	t.clock, t.statusRead, t.unhealthy = 0, false, false
+	t.clock, t.statusRead, t.unhealthy, t.retired = 0, false, false, false
 }
 
 // markLeft records that the worker has announced that it ends for good.
@@ -149,7 +163,7 @@
 	defer t.mu.Unlock()
 	if t.known && t.announced.ID == id {
 		t.down = true
-		t.runs, t.endedRuns = map[worker.Run]*run{}, nil
+		t.retire(true, time.Now())
 		t.requestReport()
 	}
 }
@@ -204,6 +218,7 @@
 		return true
 	}
 	t.lastMergedCall = number
+	t.revive()
 	changed := !t.statusRead || t.unhealthy || t.down
 	t.statusRead, t.unhealthy, t.down = true, false, false
 	present := map[worker.Run]bool{}
@@ -257,7 +272,7 @@
 		}
 	}
 	if known == nil {
-		known = &run{absentAfter: number}
+		known = &run{absentAfter: number, startedAt: time.Now()}
 		t.runs[r.Run] = known
 	}
 	changed := !known.confirmed
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -263,12 +263,25 @@
 			StartUnconfirmed: t.Unsettled,
 		})
 	}
-	for _, e := range w.Ended {
-		r.Ended = append(r.Ended, worker.Ended{EndNumber: int64(e.Number), Run: worker.Run{Task: e.Task, Number: e.Run}, Reason: worker.EndReason(e.End), Checkpoint: e.Checkpoint})
+	r.Ended = decodeEnds(w.Ended)
+	for _, f := range w.Former {
+		former := stepplan.FormerWorker{Worker: f.Boot, End: worker.IncarnationEnd(f.End), Ended: decodeEnds(f.Ended)}
+		for _, t := range f.Running {
+			former.Running = append(former.Running, stepplan.FormerRun{Run: worker.Run{Task: t.Task, Number: t.Run}, Age: time.Duration(t.AgeMs) * time.Millisecond})
+		}
+		r.Former = append(r.Former, former)
 	}
 	return r
 }
 
+func decodeEnds(ends []wire.EndedTask) []worker.Ended {
+	var all []worker.Ended
+	for _, e := range ends {
+		all = append(all, worker.Ended{EndNumber: int64(e.Number), Run: worker.Run{Task: e.Task, Number: e.Run}, Reason: worker.EndReason(e.End), Checkpoint: e.Checkpoint})
+	}
+	return all
+}
+
 // sendOrders sends start orders to agents and notes which ended runs agents may
 // let their workers forget. The caller has already appended the records that the
 // orders depend on to the store.
--- /dev/null
+++ b/stepplan/former.go
@@ -0,0 +1,53 @@
+package stepplan
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"celerypoint.example/celerypoint/worker"
+)
+
+// handleFormer applies what an agent reports about the incarnations of its worker that
+// have ended. Agents repeat it in several reports.
+func (sc *Scheduler) handleFormer(vm *VM, former []FormerWorker, now time.Time) {
+	reported := vm.FormerWorkers
+	vm.FormerWorkers = nil
+	for _, f := range former {
+		vm.FormerWorkers = append(vm.FormerWorkers, f.Worker)
+		if !slices.Contains(reported, f.Worker) {
+			sc.addEvent(formerEvent(vm, f))
+		}
+		for _, t := range sc.activeTasksOn(vm) {
+			if t.Worker == f.Worker {
+				sc.markLost(t, now, lostWith(f, t))
+			}
+		}
+	}
+}
+
+// formerEvent is the event for an incarnation that has not been reported before.
+func formerEvent(vm *VM, f FormerWorker) Event {
+	kind := "workerCrashed"
+	if f.End == worker.IncarnationLeft {
+		kind = "workerLeft"
+	}
+	running := make([]string, 0, len(f.Running))
+	for _, r := range f.Running {
+		running = append(running, fmt.Sprintf("%s/%d after %d ms", r.Task, r.Number, r.Age.Milliseconds()))
+	}
+	return Event{Kind: kind, VM: vm.Agent, Reason: fmt.Sprintf("worker=%s running=[%s]", f.Worker, strings.Join(running, ", "))}
+}
+
+// lostWith is the reason for the loss of the task's run with its worker.
+func lostWith(f FormerWorker, t *Task) string {
+	inProgress := slices.ContainsFunc(f.Running, func(r FormerRun) bool { return r.Task == t.ID.String() && r.Number == t.Run })
+	switch {
+	case !inProgress:
+		return "the worker ended before the start order was sent"
+	case f.End == worker.IncarnationLeft:
+		return "the worker left"
+	}
+	return "the worker crashed"
+}
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -41,7 +41,7 @@
 		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{},
 	}
 	for _, vm := range sc.VMs {
-		if vm.Attached && vm.Reported && vm.Worker != "" && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
+		if vm.Attached && vm.Reported && vm.Worker != "" && !slices.Contains(vm.FormerWorkers, vm.Worker) && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
 			p.add(vm)
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -244,6 +244,7 @@
 	// The agent may not have heard from its worker either while it was silent.
 	silent := !vm.Reported || now.Sub(vm.ReportedAt) > stallTimeout
 	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
+	sc.handleFormer(vm, r.Former, now)
 	if !r.WorkerPresent {
 		return
 	}
@@ -252,7 +253,7 @@
 		sc.Quarantine.ForgetVM(r.Agent)
 		sc.addEvent(Event{Kind: "workerSeen", VM: r.Agent, Reason: fmt.Sprintf("worker=%s rack=%s", r.Worker, r.Rack)})
 	}
-	if r.Draining && !vm.Draining {
+	if r.Draining && !vm.Draining && !slices.Contains(vm.FormerWorkers, r.Worker) {
 		sc.addEvent(Event{Kind: "workerDraining", VM: r.Agent, Reason: fmt.Sprintf("remainingMs=%d", r.RemainingMs)})
 	}
 	vm.Service, vm.Zone, vm.Rack, vm.Labels, vm.Capacity = r.Service, r.Zone, r.Rack, r.Labels, r.Capacity
@@ -262,7 +263,7 @@
 	}
 	for _, t := range sc.activeTasksOn(vm) {
 		if t.Worker != r.Worker {
-			sc.markLost(t, now, "the worker restarted")
+			sc.markLost(t, now, "the worker restarted, its agent does not know why")
 		}
 	}
 	for _, e := range r.Ended {
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -174,6 +174,9 @@
 	// Scheduler does not have as active runs on the VM. No task is started on the
 	// VM while there are any.
 	UnknownRuns int
+	// FormerWorkers holds the incarnations of the worker that the newest report lists as
+	// ended.
+	FormerWorkers []string
 	// LastEndNumber is the highest worker.Ended.EndNumber that was processed for
 	// the worker's incarnation.
 	LastEndNumber int64
@@ -187,7 +190,7 @@
 	// Task.ConclusiveReport.
 	Version int
 	// WorkerPresent is false while the agent knows of no worker; apart from
-	// Leaving, the fields below have no meaning then.
+	// Leaving and Former, the fields below have no meaning then.
 	WorkerPresent bool
 	Worker        string
 	Service       string
@@ -203,6 +206,29 @@
 	Leaving     bool
 	Running     []RunningTask
 	Ended       []worker.Ended
+	// Former holds the incarnations of the worker that have ended a short time ago,
+	// oldest first, if the agent was running when they ended. It has a meaning also while
+	// WorkerPresent is false.
+	Former []FormerWorker
+}
+
+// FormerWorker is an incarnation of a worker that has ended, with what its agent knew
+// of it then.
+type FormerWorker struct {
+	Worker string
+	End    worker.IncarnationEnd
+	// Running holds the runs that were or may have been in progress.
+	Running []FormerRun
+	// Ended holds the ended runs that the planner had not stored.
+	Ended []worker.Ended
+}
+
+// FormerRun is a run of a FormerWorker.
+type FormerRun struct {
+	worker.Run
+	// Age is the time from the start order, or from when the agent first found the run,
+	// until the agent found that the worker had ended.
+	Age time.Duration
 }
 
 // RunningTask is a run that an agent lists in a report. It is executing, unless
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -444,6 +444,35 @@
 	Oldest int `json:"oldest"`
 }
 
+// A run that was in progress, or may have been, when an incarnation of a worker
+// ended.
+type FormerRun struct {
+	// The time from the start order, or from when the agent first found the run, to
+	// when the agent found that the worker had ended.
+	AgeMs int `json:"ageMs,omitempty,omitzero"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+}
+
+// An incarnation of a worker that has ended.
+type FormerWorker struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot"`
+
+	// How it ended: crashed or left.
+	End string `json:"end"`
+
+	// The ends that it listed and that the planner has not stored.
+	Ended []EndedTask `json:"ended,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running []FormerRun `json:"running,omitempty,omitzero"`
+}
+
 // Answer to reserve and start.
 type GrantResult struct {
 	// ConfigOffset corresponds to the JSON schema field "configOffset".
@@ -1805,6 +1834,10 @@
 	// Ended corresponds to the JSON schema field "ended".
 	Ended []EndedTask `json:"ended,omitempty,omitzero"`
 
+	// The incarnations of the worker that ended a short time ago while the agent was
+	// running.
+	Former []FormerWorker `json:"former,omitempty,omitzero"`
+
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -28,6 +28,17 @@
 	EndGangIncomplete EndReason = "alone"
 )
 
+// IncarnationEnd tells how an incarnation of a worker ended.
+type IncarnationEnd string
+
+// Ends of an incarnation.
+const (
+	// IncarnationCrashed means that the worker ended without having announced it.
+	IncarnationCrashed IncarnationEnd = "crashed"
+	// IncarnationLeft means that the worker had announced that it drains or ends.
+	IncarnationLeft IncarnationEnd = "left"
+)
+
 // Refusal is the reason why a worker did not carry out a request. It is empty
 // if the request was carried out.
 type Refusal string
