--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -43,6 +43,12 @@
 	// waitTimeout bounds every wait of a test. It leaves time for a new planner
 	// that cannot reach an agent and waits until the agent's leases have expired.
 	waitTimeout = 30 * time.Second
+	// workerRestart is the time from the crash of a worker to its next start.
+	workerRestart     = 300 * time.Millisecond
+	heartbeatInterval = 200 * time.Millisecond
+	// shrinkGrace is the time from a reduction of a worker's capacity to the last start
+	// that may rely on the capacity of before: the platform's contact_ms and one heartbeat.
+	shrinkGrace = 3*time.Second + heartbeatInterval
 )
 
 // site is a set of entries and agents with the stand-ins that they use.
@@ -57,6 +63,8 @@
 	// taskResources maps a job's ID to the resources that one of its tasks uses.
 	taskResources map[string]steps.Resources
 	entryCount    int
+	// closed is closed at the end of the test.
+	closed chan struct{}
 }
 
 type entryProcess struct {
@@ -74,9 +82,22 @@
 	rack, zone       string
 	daemon           *stepagent.Daemon
 	heartbeatServer  *httpserver.Server
-	worker           *standinworker.Worker
-	// crashedWorkers are the earlier incarnations of the worker, oldest first.
+	// worker is nil while a worker that one of its runs has crashed is away.
+	// crashedWorkers are the earlier incarnations, oldest first. site.mu guards both.
+	worker         *standinworker.Worker
 	crashedWorkers []*standinworker.Worker
+	workerAddress  string
+}
+
+// workers lists all incarnations of the agent's worker, oldest first.
+func (s *site) workers(a *agentProcess) []*standinworker.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := slices.Clone(a.crashedWorkers)
+	if a.worker != nil {
+		all = append(all, a.worker)
+	}
+	return all
 }
 
 // capacity is the capacity of each worker.
@@ -90,7 +111,7 @@
 	c := qt.New(t)
 	store, err := standinstore.New("127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	s := &site{c: c, store: store, taskResources: map[string]steps.Resources{}, log: io.Discard}
+	s := &site{c: c, store: store, taskResources: map[string]steps.Resources{}, log: io.Discard, closed: make(chan struct{})}
 	if path := os.Getenv("SITEPROOF_LOG"); path != "" {
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		c.Assert(err, qt.IsNil)
@@ -162,11 +183,27 @@
 func (s *site) startWorker(a *agentProcess, address string) {
 	w, err := standinworker.New(address, standinworker.Config{
 		ID: fmt.Sprintf("i-%s", a.name), Service: "paint", Zone: a.zone, Rack: a.rack, Capacity: capacity,
-		MaxLease: maxLease, StopDuration: 100 * time.Millisecond, HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: 200 * time.Millisecond,
-		TaskResources: s.resourcesOfTask,
+		MaxLease: maxLease, StopDuration: 100 * time.Millisecond, HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: heartbeatInterval,
+		TaskResources: s.resourcesOfTask, ShrinkGrace: shrinkGrace,
+		OnCrash: func() { s.restartWorker(a, address) },
 	})
 	s.c.Assert(err, qt.IsNil)
-	a.worker = w
+	s.mu.Lock()
+	a.worker, a.workerAddress = w, w.Address()
+	s.mu.Unlock()
+}
+
+// restartWorker starts a new incarnation of a worker that one of its runs has crashed,
+// unless the test is over.
+func (s *site) restartWorker(a *agentProcess, address string) {
+	s.mu.Lock()
+	a.crashedWorkers, a.worker = append(a.crashedWorkers, a.worker), nil
+	s.mu.Unlock()
+	select {
+	case <-s.closed:
+	case <-time.After(workerRestart):
+		s.startWorker(a, address)
+	}
 }
 
 // crashWorker ends a worker and all its runs, and starts a new incarnation at
@@ -174,7 +211,9 @@
 func (s *site) crashWorker(a *agentProcess) {
 	address := a.worker.Address()
 	a.worker.Close()
+	s.mu.Lock()
 	a.crashedWorkers = append(a.crashedWorkers, a.worker)
+	s.mu.Unlock()
 	s.startWorker(a, address)
 }
 
@@ -188,7 +227,7 @@
 func (s *site) runAgent(a *agentProcess) {
 	d, err := stepagent.New(stepagent.Config{
 		Name: a.name, Zone: a.zone, Listen: a.listenAddress, Topic: topic,
-		Log: platform.NewStore(s.store.Address()), Worker: platform.NewWorker(a.worker.Address()),
+		Log: platform.NewStore(s.store.Address()), Worker: platform.NewWorker(a.workerAddress),
 	}, stepagent.WithOutput(s.log))
 	s.c.Assert(err, qt.IsNil)
 	h, err := httpserver.New(a.heartbeatAddress, 4, platform.HeartbeatHandler(d))
@@ -202,12 +241,15 @@
 }
 
 func (s *site) close() {
+	close(s.closed)
 	for _, e := range s.entries {
 		e.kill()
 	}
 	for _, a := range s.agents {
 		a.kill()
-		a.worker.Close()
+		for _, w := range s.workers(a) {
+			w.Close()
+		}
 	}
 	s.store.Close()
 }
@@ -283,7 +325,7 @@
 func (s *site) starts(id string) []standinworker.RunRecord {
 	var all []standinworker.RunRecord
 	for _, a := range s.agents {
-		for _, w := range append(slices.Clone(a.crashedWorkers), a.worker) {
+		for _, w := range s.workers(a) {
 			for _, b := range w.History() {
 				if strings.HasPrefix(b.Task, id+".") {
 					all = append(all, b)
@@ -317,7 +359,7 @@
 		}
 	}
 	for _, a := range s.agents {
-		for _, w := range append(slices.Clone(a.crashedWorkers), a.worker) {
+		for _, w := range s.workers(a) {
 			s.c.Check(w.Violations(), qt.HasLen, 0)
 		}
 	}
--- a/standinworker/standinworker.go
+++ b/standinworker/standinworker.go
@@ -4,12 +4,13 @@
 // announces itself to the agent of its VM, and has faults that can be switched
 // on. It records when the agent breaks one of these rules of the protocol: no two
 // runs of a task at the same time, no start later than drainGrace after the agent
-// acknowledged that the worker drains, no more tasks than the capacity allows.
+// acknowledged that the worker drains, no start that exceeds the capacity, which counts
+// as reduced from Config.ShrinkGrace after SetCapacity on.
 //
 // A run whose payload is a word and a number, such as "run 50", takes that many
 // milliseconds, one with any other payload 10 ms. It fails if the payload begins
-// with "fail" and succeeds otherwise. A Worker owns its runs. One mutex guards them and is not held while a
-// call waits.
+// with "fail", crashes the worker if it begins with "crash", and succeeds otherwise. A
+// Worker owns its runs. One mutex guards them and is not held while a call waits.
 package standinworker
 
 import (
@@ -58,6 +59,12 @@
 	// no start request for lack of capacity, but records a violation when its
 	// capacity is exceeded. If nil, the capacity is not checked.
 	TaskResources func(task string) steps.Resources
+	// ShrinkGrace is how long after SetCapacity a start may still rely on the larger
+	// capacity of before.
+	ShrinkGrace time.Duration
+	// OnCrash is called in a goroutine of its own when a run has crashed the worker, after
+	// Close.
+	OnCrash func()
 }
 
 // RunRecord describes a run that the worker has started.
@@ -98,6 +105,7 @@
 	startedAt  time.Time
 	stop       chan struct{}
 	goroutines sync.WaitGroup
+	crashOnce  sync.Once
 
 	mu            sync.Mutex
 	faults        Faults
@@ -120,6 +128,10 @@
 	history    []*RunRecord
 	violations []string
 	closed     bool
+	// capacity is what the worker announces. Until earlierCapacityUntil, a start may rely
+	// on earlierCapacity.
+	capacity, earlierCapacity steps.Resources
+	earlierCapacityUntil      time.Time
 }
 
 const (
@@ -137,7 +149,7 @@
 
 // New listens on the TCP address and starts the worker.
 func New(address string, cfg Config) (*Worker, error) {
-	w := &Worker{cfg: cfg, startedAt: time.Now(), stop: make(chan struct{}), running: map[string]*activeRun{}, highestRun: map[string]int{}, changed: make(chan struct{})}
+	w := &Worker{cfg: cfg, startedAt: time.Now(), stop: make(chan struct{}), running: map[string]*activeRun{}, highestRun: map[string]int{}, changed: make(chan struct{}), capacity: cfg.Capacity}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", w.handleStart)
 	mux.HandleFunc("POST /api/run-stop", w.handleStop)
@@ -190,6 +202,24 @@
 	w.mu.Unlock()
 }
 
+// SetCapacity changes the capacity that the worker announces. Runs in progress go on.
+func (w *Worker) SetCapacity(capacity steps.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.earlierCapacity, w.earlierCapacityUntil = w.capacity, time.Now().Add(w.cfg.ShrinkGrace)
+	w.capacity = capacity
+}
+
+// crash ends the worker under one of its runs.
+func (w *Worker) crash() {
+	w.crashOnce.Do(func() {
+		w.Close()
+		if w.cfg.OnCrash != nil {
+			w.cfg.OnCrash()
+		}
+	})
+}
+
 // History lists the runs in the order of their starts. EndedAt is zero while a
 // run is in progress.
 func (w *Worker) History() []RunRecord {
@@ -353,9 +383,10 @@
 	for task := range w.running {
 		sum = sum.Plus(w.cfg.TaskResources(task))
 	}
-	if !w.cfg.Capacity.Holds(sum) {
-		w.violations = append(w.violations, fmt.Sprintf("capacity %+v exceeded by %+v", w.cfg.Capacity, sum))
+	if w.capacity.Holds(sum) || time.Now().Before(w.earlierCapacityUntil) && w.earlierCapacity.Holds(sum) {
+		return
 	}
+	w.violations = append(w.violations, fmt.Sprintf("capacity %+v exceeded by %+v", w.capacity, sum))
 }
 
 func runDuration(spec string) time.Duration {
@@ -368,8 +399,11 @@
 }
 
 func endReason(spec string) string {
-	if strings.HasPrefix(spec, "fail") {
+	switch {
+	case strings.HasPrefix(spec, "fail"):
 		return "failed"
+	case strings.HasPrefix(spec, "crash"):
+		return "crashed"
 	}
 	return "done"
 }
@@ -382,6 +416,9 @@
 		return
 	}
 	switch {
+	case reason == "crashed":
+		go w.crash()
+		return
 	case w.faults.Hang && reason == "done":
 		return
 	case w.faults.FailAll && reason == "done":
@@ -518,7 +555,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"service": w.cfg.Service, "address": w.Address(), "zone": w.cfg.Zone, "version": "v1", "slots": 8, "state": state,
-		"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": w.cfg.Capacity.CPU, "mem_mb": w.cfg.Capacity.MemMB, "gpus": w.cfg.Capacity.GPUs},
+		"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": w.capacity.CPU, "mem_mb": w.capacity.MemMB, "gpus": w.capacity.GPUs},
 		"labels": []string{"a", w.cfg.Rack}, "clock_ms": w.clock().Milliseconds(), "sequence": w.announcementSequence, "born": w.startedAt.UnixMilli(),
 	})
 	w.mu.Unlock()
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -19,12 +19,17 @@
 // between them. It checks these invariants: no task has two executing runs, no
 // task starts after its success was stored or before the tasks that it depends on
 // have succeeded, no worker exceeds its capacity, and a job is stored as
-// completed only when all its tasks have succeeded.
+// completed only when all its tasks have succeeded. A task that crashes its workers is
+// started at most maxCrashingStarts times, not counting starts whose agent stopped before
+// it had reported the crash.
 
 const (
 	simLeaseDuration = 5 * time.Second
 	simVMs           = 3
 	simMaxAttempts   = 3
+	// maxCrashingStarts is the platform's bound: less than three further starts after
+	// three crashes.
+	maxCrashingStarts = 5
 )
 
 var simCapacity = steps.Resources{CPU: 8000, MemMB: 8000, GPUs: 8}
@@ -61,6 +66,10 @@
 	// unconfirmed holds start orders that the worker may still carry out.
 	unconfirmed []simOrder
 	draining    bool
+	// former holds the incarnations whose crash the agent has noticed. The first reported
+	// of them are known to the planner, and what follows from the first stored is stored.
+	former           []FormerWorker
+	reported, stored int
 }
 
 type simOrder struct {
@@ -83,12 +92,17 @@
 	// All members of a gang have the same key.
 	succeeded map[string]bool
 	session   int
+	// crashing holds the tasks that crash each worker that starts them, with the number
+	// of starts that their agents may have reported.
+	crashing map[string]int
+	// allCrash says that the first task of each job is one of them.
+	allCrash bool
 }
 
 func (w *simWorker) incarnationID() string { return fmt.Sprintf("%s/%d", w.name, w.restarts) }
 
 func newSim(t *rapid.T) *sim {
-	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}}
+	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}}
 	for i := range simVMs {
 		s.workers = append(s.workers, &simWorker{name: fmt.Sprintf("vm%d", i), running: map[string]simRun{}, highestRun: map[string]int{}})
 	}
@@ -126,6 +140,9 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
+	if s.allCrash || rapid.IntRange(0, 3).Draw(s.t, "crashing") == 0 {
+		s.crashing[steps.TaskID{Job: id}.String()] = 0
+	}
 	s.jobs[id] = j
 	s.scheduler.AddJob(j, s.now)
 }
@@ -139,6 +156,9 @@
 	for _, p := range o.Progress {
 		s.store(p)
 	}
+	for _, w := range s.workers {
+		w.stored = w.reported
+	}
 	for _, order := range o.Orders {
 		switch order := order.(type) {
 		case StartOrder:
@@ -214,6 +234,10 @@
 		s.scheduler.StartRefused(o, "unhealthy", s.now)
 	default:
 		s.start(w, o)
+		if o.Worker != w.incarnationID() {
+			s.scheduler.StartRefused(o, "otherWorker", s.now)
+			return
+		}
 		s.scheduler.StartAnswered(o, w.version, true)
 	}
 }
@@ -258,6 +282,13 @@
 	if used > simCapacity.GPUs {
 		s.t.Fatalf("%s runs tasks that need %d accelerators, but it has %d", w.name, used, simCapacity.GPUs)
 	}
+	if n, found := s.crashing[name]; found {
+		s.crashing[name] = n + 1
+		if n+1 > maxCrashingStarts {
+			s.t.Fatalf("%s is started %d times, and each start crashed a worker", name, n+1)
+		}
+		s.crash(w)
+	}
 }
 
 func (s *sim) sendStops() {
@@ -373,7 +404,7 @@
 	// while the agent reports it as unconfirmed.
 	r := Report{
 		Agent: w.name, Session: w.session, Version: w.version, WorkerPresent: true, Worker: w.incarnationID(), Service: "s", Rack: w.name,
-		Capacity: simCapacity, Draining: w.draining, RemainingMs: 5000, Ended: slices.Clone(w.ends),
+		Capacity: simCapacity, Draining: w.draining, RemainingMs: 5000, Ended: slices.Clone(w.ends), Former: slices.Clone(w.former),
 	}
 	for name, run := range w.running {
 		r.Running = append(r.Running, RunningTask{Running: worker.Running{Run: worker.Run{Task: name, Number: run.run}}})
@@ -384,6 +415,7 @@
 		}
 	}
 	s.scheduler.HandleReport(r, s.now)
+	w.reported = len(w.former)
 	s.scheduler.LeaseGranted(w.name, s.now)
 	w.deadline = s.now.Add(simLeaseDuration)
 	s.sendStops()
@@ -401,8 +433,16 @@
 	w.unconfirmed = nil
 }
 
-// crash restarts a worker, which loses its runs.
+// crash restarts a worker, which loses its runs. Its agent keeps what it had.
 func (s *sim) crash(w *simWorker) {
+	f := FormerWorker{Worker: w.incarnationID(), End: worker.IncarnationCrashed, Ended: w.ends}
+	for name, r := range w.running {
+		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: name, Number: r.run}, Age: 100 * time.Millisecond})
+	}
+	for _, o := range w.unconfirmed {
+		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: o.order.Task.String(), Number: o.order.Run}, Age: 100 * time.Millisecond})
+	}
+	w.former = append(w.former, f)
 	for name, r := range w.running {
 		s.breakGang(name, r.run)
 	}
@@ -412,6 +452,20 @@
 	w.version++
 }
 
+// restartAgent restarts a worker's agent, which forgets the incarnations that have ended.
+func (s *sim) restartAgent(w *simWorker) {
+	for _, f := range w.former[w.stored:] {
+		for _, r := range f.Running {
+			if _, found := s.crashing[r.Task]; found {
+				s.crashing[r.Task]--
+			}
+		}
+	}
+	w.former, w.reported, w.stored = nil, 0, 0
+	w.version, w.unconfirmed = 0, nil
+	s.disconnect(w)
+}
+
 // takeOver replaces the planner by another that restores the stored progress.
 func (s *sim) takeOver() {
 	s.scheduler = s.newScheduler()
@@ -420,7 +474,7 @@
 		s.scheduler.RestoreJob(stepfold.JobState{Job: &j, Progress: s.storedProgress[id], Cancelled: s.cancelled[id]}, earlierLeasesExpireBy, s.now, s.now)
 	}
 	for _, w := range s.workers {
-		w.session = 0
+		w.session, w.reported = 0, w.stored
 	}
 }
 
@@ -459,6 +513,7 @@
 			"settle": func(rt *rapid.T) { s.resolveUnconfirmed(anyWorker(rt)) },
 			"crash":  func(rt *rapid.T) { s.crash(anyWorker(rt)) },
 			"drain":  func(rt *rapid.T) { anyWorker(rt).draining = true },
+			"agent":  func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
 			"cancel": func(rt *rapid.T) {
 				if len(s.jobs) > 0 {
 					id := fmt.Sprintf("%016x", rapid.IntRange(0, len(s.jobs)-1).Draw(rt, "job"))
@@ -471,3 +526,43 @@
 		})
 	})
 }
+
+// Guards against interleavings of crashes with lost answers, silent and restarted agents
+// and changes of planner in which a task that crashes its workers is started again and
+// again.
+func TestCrashingTaskUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt)
+		s.allCrash = true
+		anyWorker := func(rt *rapid.T) *simWorker {
+			return s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]
+		}
+		reportAndPass := func(rt *rapid.T) {
+			s.advance(time.Duration(rapid.IntRange(10, 900).Draw(rt, "ms")) * time.Millisecond)
+			for _, w := range s.workers {
+				s.report(w)
+			}
+			s.runPass()
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"accept": func(*rapid.T) {
+				if len(s.jobs) < 2 {
+					s.submitJob()
+				}
+			},
+			"reportAndPass":  reportAndPass,
+			"reportAndPass2": reportAndPass,
+			"reportAndPass3": reportAndPass,
+			"pass":           func(*rapid.T) { s.runPass() },
+			"report":         func(rt *rapid.T) { s.report(anyWorker(rt)) },
+			"advanceLong":    func(*rapid.T) { s.advance(10 * time.Second) },
+			"cut":            func(rt *rapid.T) { w := anyWorker(rt); w.unreachable = true; s.disconnect(w) },
+			"heal":           func(rt *rapid.T) { anyWorker(rt).unreachable = false },
+			"settle":         func(rt *rapid.T) { s.resolveUnconfirmed(anyWorker(rt)) },
+			"crash":          func(rt *rapid.T) { s.crash(anyWorker(rt)) },
+			"agent":          func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
+			"takeOver":       func(*rapid.T) { s.takeOver() },
+			"":               func(*rapid.T) {},
+		})
+	})
+}
