stepplan: count ends that a crashed worker can no longer list

What callers saw: work that had succeeded ran a second time, if its worker crashed before a planner had stored the success, as around a change of planner.

Cause: the agent forgot the ends that it had read when the worker's incarnation ended, and the planner took the run for lost.

Change: the agent reports these ends with the former incarnation, and the planner applies them before it marks the rest as lost.

--- a/stepplan/former.go
+++ b/stepplan/former.go
@@ -19,6 +19,9 @@
 		if !slices.Contains(reported, f.Worker) {
 			sc.addEvent(formerEvent(vm, f))
 		}
+		for _, e := range f.Ended {
+			sc.applyEnd(vm, e, now)
+		}
 		for _, t := range sc.activeTasksOn(vm) {
 			if t.Worker == f.Worker {
 				sc.markLost(t, now, lostWith(f, t))
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -354,6 +354,12 @@
 		vm.LastEndNumber = e.EndNumber
 		sc.output.Orders = append(sc.output.Orders, EndsAck{Agent: vm.Agent, Worker: vm.Worker, LastNumber: e.EndNumber})
 	}
+	sc.applyEnd(vm, e, now)
+}
+
+// applyEnd applies the end of a run on the VM's worker or on one of its former
+// incarnations. An end that was applied before changes nothing.
+func (sc *Scheduler) applyEnd(vm *VM, e worker.Ended, now time.Time) {
 	id, err := steps.ParseTaskID(e.Task)
 	if err != nil {
 		return
