stepplan: give up tasks that crash their workers, and keep suspects apart

Cause: a run that is lost with its worker was not evidence against anything. Only an end that the worker lists counted as an attempt, and a crashed worker lists nothing. The class of fault: a retry without a limit, because the limit hangs on an answer that the failure prevents.

Change: package crashes keeps for each task the runs that were lost in crashes; the record is stored with the job's progress, so that it outlasts planners, and keyed by run, so that repeated and late reports count once. After three, unless a run has outlived the lost ones, the job fails by the rule taskCrashesWorkers. Until a run has, a task that lost one runs alone on a VM if there is an empty one, never beside another suspect while there is another way, and not where it lost a run, so that neighbours are told from the cause and are not lost twice. Departures, silence and VMs that were lost with their agents do not count.

Why it works: each start of such a task is followed by evidence before its VM is used again, by whichever planner, so that starts are bounded by the limit and the crashes that nobody saw.

--- a/codec/progress.go
+++ b/codec/progress.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
 	"celerypoint.example/celerypoint/wire"
@@ -25,7 +26,9 @@
 	rangePlace
 	rangeFailures
 	rangeCheckpoint
-	rangeFields
+	rangeCrashesCleared
+	rangeCrashes
+	rangeFields = rangeCrashes + crashes.Limit
 )
 
 // taskPhaseDone is the phase of a completed task in a record without ranges. The phase
@@ -56,7 +59,8 @@
 		}
 		t := p.Tasks[id]
 		s := &w.Steps[n-1]
-		s.Ranges = appendTask(s.Ranges, id.Index, []int{t.Run, placeOf(&w, places, t), t.Failures, checkpointOf(&w, checkpoints, t.Checkpoint)})
+		state := []int{t.Run, placeOf(&w, places, t), t.Failures, checkpointOf(&w, checkpoints, t.Checkpoint), t.Crashes.ClearedThrough}
+		s.Ranges = appendTask(s.Ranges, id.Index, append(state, t.Crashes.Runs[:]...))
 	}
 	for i := range w.Steps {
 		for k, r := range w.Steps[i].Ranges {
@@ -150,6 +154,15 @@
 		return fmt.Errorf("checkpoint: found %d, allowed: 0 to %d", checkpoint, len(w.Checkpoints))
 	}
 	t := stepfold.TaskProgress{Run: fields[rangeRun], Done: place == placeDone, Failures: fields[rangeFailures]}
+	t.Crashes = t.Crashes.Clear(fields[rangeCrashesCleared])
+	for _, run := range fields[rangeCrashes:] {
+		switch {
+		case run < 0 || run > t.Run:
+			return fmt.Errorf("crashed run: found %d, allowed: 0 to %d", run, t.Run)
+		case run > 0:
+			t.Crashes = t.Crashes.Add(run)
+		}
+	}
 	if place >= 0 {
 		t.Agent, t.Worker = w.Agents[place], w.Workers[place]
 	}
--- a/codec/steps_test.go
+++ b/codec/steps_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
@@ -27,7 +28,7 @@
 			},
 		}},
 		stepfold.Progressed{ID: "x", Progress: stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, EndedAt: at, Tasks: map[steps.TaskID]stepfold.TaskProgress{
-			{Occurrence: 0, Step: 0, Index: 1}: {Run: 2, Agent: "vm", Worker: "i/1", Failures: 1, Checkpoint: "c"},
+			{Occurrence: 0, Step: 0, Index: 1}: {Run: 9, Agent: "vm", Worker: "i/1", Failures: 1, Checkpoint: "c", Crashes: crashes.Record{Runs: [crashes.Limit]int{5, 7}, ClearedThrough: 4}},
 			{Occurrence: 1, Step: 2, Index: 0}: {Run: 1, Done: true},
 		}}},
 		stepfold.Cancelled{ID: "x"},
@@ -59,6 +60,9 @@
 				p.Agent, p.Worker = rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "agent"), rapid.SampledFrom([]string{"1", "2"}).Draw(rt, "worker")
 				p.Checkpoint = rapid.SampledFrom([]string{"", "c", "d"}).Draw(rt, "checkpoint")
 				p.Failures = rapid.IntRange(0, 1).Draw(rt, "failures")
+				for range rapid.IntRange(0, crashes.Limit).Draw(rt, "crashes") {
+					p.Crashes = p.Crashes.Add(rapid.IntRange(1, p.Run).Draw(rt, "crashedRun"))
+				}
 			}
 			progress.Tasks[id] = p
 		}
@@ -86,10 +90,12 @@
 		{Index: 0}: {Run: 2, Agent: "vm", Worker: "i/1", Failures: 1, Checkpoint: "c"}, {Index: 1}: {Run: 1, Done: true},
 	}}}))
 	for value, want := range map[string]string{
-		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1]]}]}`:                  `.*ranges\[0\]: found 3 fields, allowed: 4 to 6`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1]]}]}`:                  `.*ranges\[0\]: found 3 fields, allowed: 4 to 10`,
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,99999999,1,-1]]}]}`:        `.*found 99999999 tasks from 0 on.*`,
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[-1,1,1,-1]]}]}`:              `.*found 1 tasks from -1 on.*`,
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1,0]]}]}`:                `.*place: found 0, allowed: -2 to -1`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,2,-1,0,0,0,1,3]]}]}`:     `.*crashed run: found 3, allowed: 0 to 2`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,2,-1,0,0,0,1,-3]]}]}`:    `.*crashed run: found -3, allowed: 0 to 2`,
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1,-1,0,1]]}]}`:           `.*checkpoint: found 1, allowed: 0 to 0`,
 		`{"state":"running","agents":["a"],"steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1,0]]}]}`: `.*workers: found 0, allowed: as many as agents, 1`,
 	} {
@@ -115,7 +121,7 @@
 func FuzzDecodeStepRecord(f *testing.F) {
 	f.Add("accepted/5c0e7a21d94b36f8", `{"queue":"q","org":"","payload":"","steps":[{"count":1}],"acceptedAtMs":1}`)
 	f.Add("advanced/x", `{"state":"running"}`)
-	f.Add("advanced/x", `{"state":"running","agents":["a"],"workers":["i/1"],"checkpoints":["c"],"steps":[{"occurrence":0,"step":0,"ranges":[[0,3,1,0,1,1],[3,1,2,-2]]}]}`)
+	f.Add("advanced/x", `{"state":"running","agents":["a"],"workers":["i/1"],"checkpoints":["c"],"steps":[{"occurrence":0,"step":0,"ranges":[[0,3,1,0,1,1],[3,1,2,-2],[4,2,9,-1,0,0,3,5,7]]}]}`)
 	f.Add("planner", `{"entry":"e","boot":"b","address":"a","term":1,"beat":1}`)
 	f.Add("other", `{}`)
 	f.Add("", ``)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -35,6 +35,7 @@
 	shedByRank,
 	staleConfiguration,
 	staleTerm,
+	taskCrashesWorkers,
 	tooFragmented,
 	vmDraining,
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -7,6 +7,7 @@
 
 	"celerypoint.example/celerypoint/admission"
 	"celerypoint.example/celerypoint/placement"
+	"celerypoint.example/celerypoint/stepplan"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -44,7 +45,7 @@
 		placement.RuleNoVMReachable, placement.RuleMatchingVMsUnavailable, placement.RuleBehindQueueHead,
 		placement.RuleReservedForGang, placement.RuleOwnShareOnly, placement.RuleTooFragmented, placement.RuleNoFreeCapacity,
 		"staleTerm", "reservationExpired", "attemptReleased", "staleConfiguration", "vmDraining", "noFreePlace", "reclaimDeadline", "committedNotStarted",
-		"cancelledBeforeStart", "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
+		"cancelledBeforeStart", stepplan.RuleCrashesWorkers, "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
 	}
 	for _, n := range names {
 		_, ok := Find(n)
--- a/stepfold/stepfold.go
+++ b/stepfold/stepfold.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/steps"
 )
 
@@ -50,6 +51,9 @@
 	// becomes true.
 	Failures   int
 	Checkpoint string
+	// Crashes holds the runs that were lost in crashes of their workers. It is dropped
+	// when Done becomes true.
+	Crashes crashes.Record
 }
 
 // Progress is the stored progress of a job.
--- a/stepplan/former.go
+++ b/stepplan/former.go
@@ -27,6 +27,11 @@
 				sc.markLost(t, now, lostWith(f, t))
 			}
 		}
+		if f.End == worker.IncarnationCrashed {
+			for _, r := range f.Running {
+				sc.recordCrash(vm, r, now)
+			}
+		}
 	}
 }
 
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -82,7 +82,7 @@
 		return
 	}
 	t := s[id.Step].Tasks[id.Index]
-	t.Run, t.Done, t.Failures, t.Checkpoint = p.Run, p.Done, p.Failures, p.Checkpoint
+	t.Run, t.Done, t.Failures, t.Checkpoint, t.Crashes = p.Run, p.Done, p.Failures, p.Checkpoint, p.Crashes
 	switch {
 	case t.Done:
 		s[id.Step].DoneCount++
@@ -246,7 +246,7 @@
 				}
 				id := t.ID
 				id.Job = ""
-				stored := stepfold.TaskProgress{Run: t.Run, Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint}
+				stored := stepfold.TaskProgress{Run: t.Run, Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes}
 				if t.Active {
 					stored.Agent, stored.Worker = t.Agent, t.Worker
 				}
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -31,6 +31,10 @@
 	// membersToStop holds, for gangs, the number of runs that are stopped together.
 	evictable     map[*VM][]candidate
 	membersToStop map[*Step]int
+	// isolatedVMs counts the VMs that would be usable and have only suspects. heldBack
+	// says that a VM is kept from other work until it is empty.
+	isolatedVMs int
+	heldBack    bool
 }
 
 // Plan starts the waiting gangs and single tasks that fit. It stops other runs
@@ -44,6 +48,10 @@
 		if vm.Attached && vm.Reported && vm.Worker != "" && !slices.Contains(vm.FormerWorkers, vm.Worker) && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
+			if sc.isolated(vm) {
+				p.isolatedVMs++
+				continue
+			}
 			p.add(vm)
 		}
 	}
@@ -120,8 +128,11 @@
 	if p.mustLeaveHeadroom(u) || p.exceedsJobShare(u) {
 		return placementWaits
 	}
+	if u.maxCrashes() > 0 {
+		return p.placeSuspects(u)
+	}
 	for _, set := range p.candidateSets(u) {
-		if vms := p.chooseVMs(u, set); vms != nil {
+		if vms := p.chooseVMs(u, set, separationNone); vms != nil {
 			p.start(u, vms)
 			return placementStarted
 		}
@@ -391,8 +402,9 @@
 // chooseVMs chooses a VM for each task of the unit, or returns nil if they do not
 // all fit. Each task gets the VM with the least free capacity on which it still
 // fits and, among equals, one on the rack with the fewest free accelerators. This
-// leaves empty VMs and racks for large gangs.
-func (p *pass) chooseVMs(u unit, vms []*VM) []*VM {
+// leaves empty VMs and racks for large gangs. Suspects, which need the separation, come
+// first.
+func (p *pass) chooseVMs(u unit, vms []*VM, separation separation) []*VM {
 	need := countedNeeds(u.step.Spec)
 	vms = slices.Clone(vms)
 	slices.SortStableFunc(vms, func(x, y *VM) int { return cmp.Compare(p.rackFreeGPUs[x.Rack], p.rackFreeGPUs[y.Rack]) })
@@ -401,11 +413,11 @@
 		remaining[i] = vm.free
 	}
 	placed := u.step.activePerVM(vms)
-	chosen := make([]*VM, 0, len(u.tasks))
-	for range u.tasks {
+	chosen := make([]*VM, len(u.tasks))
+	for _, k := range u.placementOrder(separation) {
 		best := -1
 		for i := range vms {
-			if !remaining[i].Holds(need) || u.step.Spec.MaxPerVM > 0 && placed[i] >= u.step.Spec.MaxPerVM {
+			if !remaining[i].Holds(need) || u.step.Spec.MaxPerVM > 0 && placed[i] >= u.step.Spec.MaxPerVM || !p.permits(u, u.tasks[k], vms[i], separation) {
 				continue
 			}
 			if best < 0 || hasLessFree(remaining[i], remaining[best]) {
@@ -417,11 +429,24 @@
 		}
 		remaining[best] = remaining[best].Minus(need)
 		placed[best]++
-		chosen = append(chosen, vms[best])
+		chosen[k] = vms[best]
 	}
 	return chosen
 }
 
+// placementOrder lists the indexes of the unit's tasks in the order in which VMs are
+// chosen for them.
+func (u unit) placementOrder(s separation) []int {
+	order := make([]int, len(u.tasks))
+	for k := range order {
+		order[k] = k
+	}
+	if s != separationNone {
+		slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(u.tasks[y].Crashes.Count(), u.tasks[x].Crashes.Count()) })
+	}
+	return order
+}
+
 func hasLessFree(a, b steps.Resources) bool {
 	return cmp.Or(cmp.Compare(a.GPUs, b.GPUs), cmp.Compare(a.MemMB, b.MemMB), cmp.Compare(a.CPU, b.CPU)) < 0
 }
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -182,7 +182,7 @@
 }
 
 // markLost marks the task's run as no longer active although no end was reported:
-// the worker restarted, the agent's report does not list the run, the lease expired,
+// the worker ended or restarted, the agent's report does not list the run, the lease expired,
 // or the start was refused or never sent. It also stops the other members of the
 // task's gang, unless Task.Done is set, which the success of one member sets for all
 // members with the same run number.
@@ -331,6 +331,7 @@
 	t.Running = true
 	if run.Progress > t.Progress {
 		t.Progress, t.ProgressAt = run.Progress, now
+		sc.clearIfOutlived(t)
 	}
 	if run.Checkpoint != "" && run.Checkpoint != t.Checkpoint {
 		t.Checkpoint = run.Checkpoint
--- /dev/null
+++ b/stepplan/suspects.go
@@ -0,0 +1,218 @@
+package stepplan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+)
+
+// A task that has lost a run in a crash of its worker is a suspect (see package
+// crashes): either it has crashed the worker, or it only ran beside the cause. A suspect
+// runs where a further crash hits little else and tells more: alone on a VM if there is
+// an empty one, never beside another suspect while there is another way, and not where it
+// has lost a run before. It stays a suspect until a run outlives the lost ones.
+
+// RuleCrashesWorkers names the rule by which a job is given up.
+const RuleCrashesWorkers = "taskCrashesWorkers"
+
+const (
+	// outliveFactor and outliveMargin tell when a run has outlived the ones that were
+	// lost: the workers' progress reports are up to outliveMargin old.
+	outliveFactor = 1.5
+	outliveMargin = 500 * time.Millisecond
+	// isolationWait is how long a task with more than one crash waits for an empty VM, and
+	// any suspect for a VM without another suspect after that. A task may wait 3 s for its
+	// next run while there is capacity.
+	isolationWait = 1200 * time.Millisecond
+	// isolatedShare is the inverse of the share of the VMs that suspects with one crash
+	// may have for themselves.
+	isolatedShare = 8
+)
+
+// recordCrash counts a crash of a worker against the task of one of its runs, and fails
+// the job of a task that is to blame for its crashes.
+func (sc *Scheduler) recordCrash(vm *VM, r FormerRun, now time.Time) {
+	id, err := steps.ParseTaskID(r.Task)
+	if err != nil {
+		return
+	}
+	j, _, t := sc.findTask(id)
+	if t == nil || t.Done || r.Number > t.Run || j.Phase.Over() {
+		return
+	}
+	counted := t.Crashes.Add(r.Number)
+	if counted == t.Crashes {
+		return
+	}
+	t.Crashes = counted
+	if t.lostAt.Sub(t.lostFrom) < r.Age {
+		t.lostFrom, t.lostAt = now.Add(-r.Age), now
+	}
+	if !slices.Contains(t.FailedOn, vm.Agent) {
+		t.FailedOn = append(t.FailedOn, vm.Agent)
+	}
+	sc.dirty[id.Job] = true
+	kind := "taskSuspected"
+	if counted.Blamed() {
+		kind = "taskGivenUp"
+	}
+	sc.addEvent(Event{Kind: kind, Job: id.Job, Task: r.Task, Run: r.Number, VM: vm.Agent, Reason: fmt.Sprintf("%s: crashes=%d, the run lasted %d ms", RuleCrashesWorkers, counted.Count(), r.Age.Milliseconds())})
+	if counted.Blamed() {
+		sc.endJob(j, stepfold.PhaseFailed, now)
+	}
+}
+
+// clearIfOutlived drops the suspicion against a task whose run has made progress at an
+// age at which no earlier run was still there.
+func (sc *Scheduler) clearIfOutlived(t *Task) {
+	lost := t.lostAt.Sub(t.lostFrom)
+	if !t.Crashes.Suspect() || lost == 0 || t.ProgressAt.Sub(t.StartedAt) <= time.Duration(outliveFactor*float64(lost))+outliveMargin {
+		return
+	}
+	t.Crashes = t.Crashes.Clear(t.Run)
+	sc.dirty[t.ID.Job] = true
+	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", t.ProgressAt.Sub(t.StartedAt).Milliseconds())})
+}
+
+// isolated reports whether the VM runs a suspect and nothing but its gang, so that
+// nothing else is to be placed there.
+func (sc *Scheduler) isolated(vm *VM) bool {
+	var unit *Step
+	suspect := false
+	for _, t := range vm.ActiveTasks {
+		s := sc.stepOf(t)
+		if unit != nil && (s != unit || !s.Spec.Gang) {
+			return false
+		}
+		unit = s
+		suspect = suspect || t.Crashes.Suspect()
+	}
+	return suspect
+}
+
+// hasSuspect reports whether the VM runs a suspect of another unit than u.
+func (p *pass) hasSuspect(vm *VM, u unit) bool {
+	for _, t := range vm.ActiveTasks {
+		if t.Crashes.Suspect() && p.scheduler.stepOf(t) != u.step {
+			return true
+		}
+	}
+	return false
+}
+
+// maxCrashes is the largest number of crashes that count against a task of the unit.
+func (u unit) maxCrashes() int {
+	most := 0
+	for _, t := range u.tasks {
+		most = max(most, t.Crashes.Count())
+	}
+	return most
+}
+
+// separation is what keeps a suspect from other work.
+type separation string
+
+const (
+	// separationNone allows a suspect everywhere.
+	separationNone separation = "none"
+	// separationSuspects keeps it from suspects of other units and, if the task has not
+	// failed everywhere, from VMs where it has failed.
+	separationSuspects separation = "suspects"
+	// separationAll also keeps it from all other units.
+	separationAll separation = "all"
+)
+
+// permits reports whether the task of the unit may run on the VM.
+func (p *pass) permits(u unit, t *Task, vm *VM, s separation) bool {
+	if s == separationNone || !t.Crashes.Suspect() {
+		return true
+	}
+	failedHere := len(t.FailedOn) < len(p.usable) && slices.Contains(t.FailedOn, vm.Agent)
+	if failedHere || p.hasSuspect(vm, u) {
+		return false
+	}
+	return s == separationSuspects || len(vm.ActiveTasks) == 0 && vm.free == vm.Capacity
+}
+
+// separations lists the separations to try for a unit with suspects, in order.
+func (p *pass) separations(u unit) []separation {
+	waited := p.now.Sub(u.waitingSince)
+	several := u.maxCrashes() > 1
+	var all []separation
+	if several || p.isolatedVMs < max(1, (len(p.usable)+p.isolatedVMs)/isolatedShare) {
+		all = append(all, separationAll)
+	}
+	if !several || waited >= isolationWait {
+		all = append(all, separationSuspects)
+	}
+	if waited >= 2*isolationWait {
+		all = append(all, separationNone)
+	}
+	return all
+}
+
+// placeSuspects starts a unit that has suspects, or keeps a VM from other work that is
+// the next to be empty. Runs are stopped for the unit only where it need not be alone.
+func (p *pass) placeSuspects(u unit) placement {
+	for _, s := range p.separations(u) {
+		for _, set := range p.candidateSets(u) {
+			vms := p.chooseVMs(u, set, s)
+			if vms == nil {
+				continue
+			}
+			p.start(u, vms)
+			if s == separationAll {
+				p.isolate(u, vms)
+			}
+			return placementStarted
+		}
+	}
+	if p.now.Sub(u.waitingSince) < isolationWait && u.maxCrashes() > 1 {
+		p.holdBack(u)
+		return placementMakesRoom
+	}
+	if u.job.Queue.Priority == 0 && p.preempt(u) {
+		return placementMakesRoom
+	}
+	return placementWaits
+}
+
+// isolate keeps the VMs of the unit's suspects from other units for the rest of the
+// pass.
+func (p *pass) isolate(u unit, vms []*VM) {
+	for i, t := range u.tasks {
+		if t.Crashes.Suspect() {
+			p.isolatedVMs++
+			p.claim(vms[i], vms[i].free)
+		}
+	}
+}
+
+// holdBack claims the free capacity of the VM that is expected to be empty first among
+// those that the unit may run on. At most one VM is held back at a time.
+func (p *pass) holdBack(u unit) {
+	if p.heldBack {
+		return
+	}
+	var best *VM
+	var bestEnd time.Duration
+	for _, vm := range p.allowedVMs(u) {
+		if p.hasSuspect(vm, u) || vm.free.GPUs < 0 {
+			continue
+		}
+		end := time.Duration(0)
+		for _, t := range vm.ActiveTasks {
+			end = max(end, p.scheduler.remainingTime(t, p.now))
+		}
+		if best == nil || end < bestEnd {
+			best, bestEnd = vm, end
+		}
+	}
+	if best != nil {
+		p.heldBack = true
+		p.claim(best, best.free)
+	}
+}
--- /dev/null
+++ b/stepplan/suspects_test.go
@@ -0,0 +1,253 @@
+package stepplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/crashes"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/worker"
+)
+
+var oneGPU = steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}}
+
+// crashTest drives a Scheduler whose VMs run what they are ordered to.
+type crashTest struct {
+	c         *qt.C
+	scheduler *Scheduler
+	now       time.Time
+	// restarts counts the incarnations of each VM's worker that have ended, and sessions
+	// holds the number of its agent's session.
+	restarts map[string]int
+	sessions map[string]int
+	running  map[string][]RunningTask
+	former   map[string][]FormerWorker
+	starts   []StartOrder
+}
+
+func newCrashTest(t *testing.T, vms int) *crashTest {
+	ct := &crashTest{
+		c: qt.New(t), now: bootTime, restarts: map[string]int{}, sessions: map[string]int{}, running: map[string][]RunningTask{}, former: map[string][]FormerWorker{},
+	}
+	ct.scheduler = newCluster(0, ct.now)
+	for i := range vms {
+		name := fmt.Sprintf("vm%d", i)
+		ct.sessions[name] = 1
+		ct.scheduler.AgentAttached(name, 1)
+	}
+	ct.report(0)
+	return ct
+}
+
+func (ct *crashTest) worker(vm string) string { return fmt.Sprintf("%s/%d", vm, ct.restarts[vm]) }
+
+// report lets time pass and has all agents report. Runs make one percent of progress
+// every 50 ms.
+func (ct *crashTest) report(after time.Duration) {
+	ct.now = ct.now.Add(after)
+	for i := range len(ct.sessions) {
+		vm := fmt.Sprintf("vm%d", i)
+		for k := range ct.running[vm] {
+			ct.running[vm][k].Progress += int(after / (50 * time.Millisecond))
+		}
+		ct.scheduler.HandleReport(Report{
+			Agent: vm, Session: ct.sessions[vm], Version: 1, WorkerPresent: true, Worker: ct.worker(vm), Rack: fmt.Sprintf("r%d", i/2),
+			Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}, Running: ct.running[vm], Former: ct.former[vm],
+		}, ct.now)
+		ct.scheduler.LeaseGranted(vm, ct.now)
+	}
+}
+
+// pass runs a planning pass and starts what it orders.
+func (ct *crashTest) pass() []StartOrder {
+	ct.scheduler.Plan(ct.now)
+	var started []StartOrder
+	for _, o := range ct.scheduler.TakeOutput(wallTime).Orders {
+		order, ok := o.(StartOrder)
+		if !ok {
+			continue
+		}
+		ct.running[order.Agent] = append(ct.running[order.Agent], RunningTask{Running: worker.Running{Run: worker.Run{Task: order.Task.String(), Number: order.Run}}})
+		ct.scheduler.StartAnswered(order, 1, true)
+		started = append(started, order)
+	}
+	ct.starts = append(ct.starts, started...)
+	return started
+}
+
+// end ends the worker of a VM and starts its next incarnation. observed says that the
+// agent lived on.
+func (ct *crashTest) end(vm string, how worker.IncarnationEnd, age time.Duration, observed bool) {
+	f := FormerWorker{Worker: ct.worker(vm), End: how}
+	for _, r := range ct.running[vm] {
+		f.Running = append(f.Running, FormerRun{Run: r.Run, Age: age})
+	}
+	if observed {
+		ct.former[vm] = append(ct.former[vm], f)
+	}
+	ct.running[vm] = nil
+	ct.restarts[vm]++
+}
+
+func (ct *crashTest) crash(vm string, age time.Duration) {
+	ct.end(vm, worker.IncarnationCrashed, age, true)
+}
+
+func (ct *crashTest) add(id string, step steps.Step) {
+	ct.scheduler.AddJob(newJob(id, "normal", ct.now, step), ct.now)
+}
+
+func (ct *crashTest) task(job string) *Task { return ct.scheduler.Jobs[job].Occurrences[0][0].Tasks[0] }
+
+// Guards against blaming a task for the loss of a worker that was no crash, or of which
+// nobody knows whether it was one.
+func TestOnlyCrashesCount(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		lose func(ct *crashTest, vm string)
+		want int
+	}{
+		{"crash", func(ct *crashTest, vm string) { ct.crash(vm, 200*time.Millisecond) }, 1},
+		{"departure", func(ct *crashTest, vm string) { ct.end(vm, worker.IncarnationLeft, time.Second, true) }, 0},
+		{"agentAndWorkerLost", func(ct *crashTest, vm string) { ct.end(vm, worker.IncarnationCrashed, time.Second, false) }, 0},
+		{"silence", func(ct *crashTest, _ string) { ct.now = ct.now.Add(time.Minute); ct.scheduler.ExpireLeases(ct.now) }, 0},
+		{"orderNotCarriedOut", func(ct *crashTest, vm string) { ct.running[vm] = nil }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ct := newCrashTest(t, 1)
+			ct.add("a", oneGPU)
+			vm := ct.pass()[0].Agent
+			test.lose(ct, vm)
+			ct.report(300 * time.Millisecond)
+			ct.c.Check(ct.task("a").Active, qt.IsFalse)
+			ct.c.Check(ct.task("a").Crashes.Count(), qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against a crash that is not counted because the refusal of the start order
+// arrives before the report of the crash.
+func TestCrashCountsAfterRefusal(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	ct.add("a", oneGPU)
+	order := ct.pass()[0]
+	ct.crash(order.Agent, 10*time.Millisecond)
+	ct.scheduler.StartRefused(order, "otherWorker", ct.now)
+	ct.c.Assert(ct.task("a").Active, qt.IsFalse)
+	ct.report(100 * time.Millisecond)
+	ct.c.Check(ct.task("a").Crashes.Count(), qt.Equals, 1)
+}
+
+// Guards against a crash that a new planner counts a second time.
+func TestRepeatedCrashReportCountsOnce(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	ct.add("a", oneGPU)
+	ct.crash(ct.pass()[0].Agent, 10*time.Millisecond)
+	ct.report(100 * time.Millisecond)
+	progress := ct.scheduler.TakeOutput(wallTime).Progress
+	ct.c.Assert(progress, qt.HasLen, 1)
+	job := ct.scheduler.Jobs["a"].Spec
+	ct.scheduler = newCluster(0, ct.now)
+	ct.scheduler.RestoreJob(stepfold.JobState{Job: &job, Progress: progress[0].Progress}, ct.now, wallTime, ct.now)
+	for vm := range ct.sessions {
+		ct.scheduler.AgentAttached(vm, 1)
+	}
+	ct.report(100 * time.Millisecond)
+	ct.report(100 * time.Millisecond)
+	ct.c.Check(ct.task("a").Crashes, qt.Equals, crashes.Record{Runs: [crashes.Limit]int{1}})
+}
+
+// Guards against suspects that run beside each other or beside new work, so that the next
+// crash takes others with it and tells no more than the first.
+func TestSuspectsRunApart(t *testing.T) {
+	ct := newCrashTest(t, 16)
+	ct.add("a", oneGPU)
+	ct.add("b", oneGPU)
+	first := ct.pass()
+	ct.c.Assert(first, qt.HasLen, 2)
+	ct.c.Assert(first[0].Agent, qt.Equals, first[1].Agent)
+	ct.crash(first[0].Agent, 200*time.Millisecond)
+	ct.report(300 * time.Millisecond)
+	ct.add("new", steps.Step{Count: 60, Needs: steps.Resources{GPUs: 1}})
+	again := map[string]string{}
+	for range 3 {
+		for _, o := range ct.pass() {
+			if o.Task.Job != "new" {
+				again[o.Task.Job] = o.Agent
+			}
+		}
+		ct.report(100 * time.Millisecond)
+	}
+	ct.c.Assert(again, qt.HasLen, 2)
+	for job, vm := range again {
+		ct.c.Check(vm, qt.Not(qt.Equals), first[0].Agent)
+		ct.c.Check(ct.scheduler.VMs[vm].ActiveTasks, qt.HasLen, 1, qt.Commentf("%s on %s", job, vm))
+	}
+}
+
+// Guards against a task that stays a suspect, with a VM to itself, after its run has
+// outlived the one that was lost beside the cause of a crash.
+func TestOutlivingRunClearsTask(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	ct.add("a", oneGPU)
+	ct.crash(ct.pass()[0].Agent, 200*time.Millisecond)
+	ct.report(300 * time.Millisecond)
+	again := ct.pass()
+	ct.c.Assert(again, qt.HasLen, 1)
+	ct.report(700 * time.Millisecond)
+	ct.c.Check(ct.task("a").Crashes.Suspect(), qt.IsTrue)
+	ct.report(300 * time.Millisecond)
+	ct.c.Check(ct.task("a").Crashes, qt.Equals, crashes.Record{ClearedThrough: again[0].Run})
+	ct.add("b", oneGPU)
+	ct.c.Check(ct.pass()[0].Agent, qt.Equals, again[0].Agent)
+}
+
+// Guards against giving up a task after crashes that follow each other by chance: the
+// workers crash at any age of its runs, and runs in between go on for longer.
+func TestClearedTaskIsNotBlamed(t *testing.T) {
+	ct := newCrashTest(t, 3)
+	ct.add("a", oneGPU)
+	for n := range 6 {
+		order := ct.pass()
+		ct.c.Assert(order, qt.HasLen, 1, qt.Commentf("run %d", n+1))
+		ct.report(time.Second)
+		if n%2 == 1 {
+			ct.report(2 * time.Second)
+		}
+		ct.crash(order[0].Agent, ct.now.Sub(ct.task("a").StartedAt))
+		ct.report(3 * time.Second)
+		ct.former = map[string][]FormerWorker{}
+	}
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
+}
+
+// Guards against a suspect that waits for an empty VM for as long as other work keeps all
+// VMs busy.
+func TestSuspectDoesNotStarve(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	ct.add("busy", steps.Step{Count: 14, Needs: steps.Resources{GPUs: 1}})
+	ct.pass()
+	ct.add("a", oneGPU)
+	task := ct.task("a")
+	task.Run, task.Crashes, task.WaitSince = 2, crashes.Record{Runs: [crashes.Limit]int{1, 2}}, ct.now
+	for waited := time.Duration(0); !task.Active; waited += 100 * time.Millisecond {
+		ct.c.Assert(waited < 3*time.Second, qt.IsTrue)
+		ct.report(100 * time.Millisecond)
+		ct.pass()
+	}
+}
+
+// Guards against starts on a worker that is known to have ended.
+func TestNoStartOnEndedWorker(t *testing.T) {
+	ct := newCrashTest(t, 1)
+	ct.scheduler.HandleReport(Report{Agent: "vm0", Session: 1, Version: 2, Former: []FormerWorker{{Worker: "vm0/0", End: worker.IncarnationCrashed}}}, ct.now)
+	ct.add("a", oneGPU)
+	ct.c.Check(ct.pass(), qt.HasLen, 0)
+	ct.restarts["vm0"]++
+	ct.report(100 * time.Millisecond)
+	ct.c.Check(ct.pass(), qt.HasLen, 1)
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/quarantine"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
@@ -73,11 +74,17 @@
 	// not.
 	StopRequestedAt time.Time
 
+	// Crashes holds the runs that were lost in crashes of their workers. lostFrom and
+	// lostAt are the start and the end of the longest of them, zero if only an earlier
+	// planner knew these times.
+	Crashes          crashes.Record
+	lostFrom, lostAt time.Time
+
 	// needs is the VM capacity that the active run occupies.
 	needs steps.Resources
 
-	// FailedOn lists the agents on whose VMs a run of the task failed or a start
-	// was refused.
+	// FailedOn lists the agents on whose VMs a run of the task failed or was lost in a
+	// crash, or a start was refused.
 	FailedOn []string
 	// NotBefore is the earliest time of the next start.
 	NotBefore time.Time
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1363,8 +1363,9 @@
 	// Consecutive tasks in the same state. Each item holds the first index, the
 	// number of tasks, the run, where it may be in progress (an index in agents and
 	// workers of the record, -1 for nowhere, -2 if the task is done), and, unless
-	// they are 0, the failures and the checkpoint (1 for the first item of
-	// checkpoints of the record).
+	// they are 0, the failures, the checkpoint (1 for the first item of checkpoints
+	// of the record), the run through which crashes no longer count, and the runs
+	// that were lost in crashes after it.
 	Ranges [][]int `json:"ranges,omitempty,omitzero"`
 
 	// Step corresponds to the JSON schema field "step".
