stepagent, stepplan: no start relies on capacity that a worker may have lost

What callers saw: nothing yet; the platform's workers do not guard their capacity, and may lose some of it while they run.

Cause: an agent reported a changed capacity only with its next periodic report; a start whose record took long to store was sent although its VM had shrunk since; and an agent that resumed after a pause reported, and started on, the capacity of before the pause until the worker's next announcement.

Change: a changed capacity is reported at once. StartWanted checks the capacity again. The capacity in an announcement can be relied on for one interval and the platform's grace, less a second for the order, counted on the boot-time clock (heartbeatMs and capacityGraceMs of the agent's settings); after that the agent reports the worker as unhealthy and refuses starts, also the repetition of one.

Evidence: stepagent TestCapacityChangeIsReportedAtOnce and TestOldAnnouncementIsNoCapacity, stepplan TestNoStartBeyondShrunkCapacity, all failing before. siteproof TestShrunkCapacityIsKept passed before and passes: its 0.2 s between announcements leave time for the periodic report.

--- a/cli/site.go
+++ b/cli/site.go
@@ -140,14 +140,24 @@
 	return err
 }
 
+// siteAgentConfig converts the settings of an agent on the users' platform to the
+// configuration of its daemon.
+func siteAgentConfig(s settings.SiteAgent) stepagent.Config {
+	c := stepagent.Config{
+		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic,
+		Log: platform.NewStore(s.StoreAddress), Worker: platform.NewWorker(s.WorkerAddress),
+	}
+	if s.HeartbeatInterval > 0 && s.CapacityGrace > 0 {
+		c.AnnouncementValidity = stepagent.AnnouncementValidity(s.HeartbeatInterval, s.CapacityGrace)
+	}
+	return c
+}
+
 func (p *program) runSiteAgent(ctx context.Context, s settings.SiteAgent, path string, load func() (settings.SiteAgent, error)) error {
 	limitProcess(s.MemoryMiB)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
-	d, err := stepagent.New(stepagent.Config{
-		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic,
-		Log: platform.NewStore(s.StoreAddress), Worker: platform.NewWorker(s.WorkerAddress),
-	}, stepagent.WithOutput(p.stdout))
+	d, err := stepagent.New(siteAgentConfig(s), stepagent.WithOutput(p.stdout))
 	if err != nil {
 		return err
 	}
--- a/settings/site.go
+++ b/settings/site.go
@@ -39,6 +39,10 @@
 	// HeartbeatAddress is the address on which the agent listens for the
 	// worker's heartbeats.
 	WorkerAddress, HeartbeatAddress string
+	// HeartbeatInterval is the time between two announcements of the worker, and
+	// CapacityGrace how long, beyond one such interval, a start may rely on capacity that
+	// the worker has lost. Both are 0 if they are not known.
+	HeartbeatInterval, CapacityGrace time.Duration
 }
 
 // SiteNode holds the settings that entries and agents on the users' platform
@@ -133,6 +137,10 @@
 		connectAddress(func(a *SiteAgent) *string { return &a.WorkerAddress })},
 	{Key{Section: "agent", Name: "heartbeatAddress", Allowed: "IP:PORT", Help: "address to listen on for the worker's heartbeats"},
 		connectAddress(func(a *SiteAgent) *string { return &a.HeartbeatAddress })},
+	{Key{Section: "agent", Name: "heartbeatMs", Optional: true, Allowed: durationMsAllowed, Help: "time between two announcements of the worker, in ms"},
+		durationMs(func(a *SiteAgent) *time.Duration { return &a.HeartbeatInterval })},
+	{Key{Section: "agent", Name: "capacityGraceMs", Optional: true, Allowed: durationMsAllowed, Help: "how long, beyond heartbeatMs, a start may rely on capacity that the worker has lost, in ms"},
+		durationMs(func(a *SiteAgent) *time.Duration { return &a.CapacityGrace })},
 }...)
 
 // SiteEntryKeys lists the keys of an entry's settings on the users' platform.
--- /dev/null
+++ b/stepagent/announcement_test.go
@@ -0,0 +1,72 @@
+package stepagent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/wire"
+	"celerypoint.example/celerypoint/worker"
+)
+
+// TestCapacityChangeIsReportedAtOnce guards against starts that rely on capacity which a
+// worker has not had since its last announcement.
+func TestCapacityChangeIsReportedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	table := newWorkerTable(time.Minute)
+	a := worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s", Capacity: steps.Resources{GPUs: 8}}
+	reported := func() bool {
+		select {
+		case <-table.reportDue:
+			return true
+		default:
+			return false
+		}
+	}
+	table.applyAnnouncement(a)
+	c.Assert(reported(), qt.IsTrue)
+	a.Sequence++
+	table.applyAnnouncement(a)
+	c.Assert(reported(), qt.IsFalse)
+	a.Sequence++
+	a.Capacity.GPUs = 2
+	table.applyAnnouncement(a)
+	c.Assert(reported(), qt.IsTrue)
+}
+
+// TestOldAnnouncementIsNoCapacity guards against starts that rely on an announcement of
+// before a pause of the agent's process: the worker may have less capacity since.
+func TestOldAnnouncementIsNoCapacity(t *testing.T) {
+	c := qt.New(t)
+	m := unresponsiveWorker{make(chan worker.StartRequest, 100)}
+	d := newDaemon(Config{Name: "vm", Worker: m})
+	defer d.log.Close()
+	defer d.pool.Close()
+	d.session.follow(1, 1, "planner", &rpc.Conn{})
+	announce := func(sequence int64) {
+		d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s", Sequence: sequence, Capacity: steps.Resources{GPUs: 8}})
+	}
+	announce(1)
+	d.table.statusRead, d.table.lease = true, time.Minute
+	c.Assert(d.readStatus(context.Background(), 0), qt.IsNil)
+	d.table.announcementUntil = boottime.Now().Add(-time.Millisecond)
+	result := d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 1, Worker: "i/1", Task: "a.0.0.0", Run: 1})
+	c.Check(result, qt.DeepEquals, wire.StartRunResult{Reason: reasonOldAnnouncement, Version: result.Version})
+	c.Check(m.starts, qt.HasLen, 0)
+	c.Check(d.buildReport().Worker.Unhealthy, qt.IsTrue)
+	announce(2)
+	c.Check(d.buildReport().Worker.Unhealthy, qt.IsFalse)
+	go d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 1, Worker: "i/1", Task: "a.0.0.0", Run: 1})
+	<-m.starts
+	// The order is not sent again once the announcement is too old.
+	d.table.mu.Lock()
+	d.table.announcementUntil = boottime.Now().Add(-time.Millisecond)
+	d.table.mu.Unlock()
+	time.Sleep(2 * callTimeout)
+	c.Check(m.starts, qt.HasLen, 0)
+}
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -211,6 +211,8 @@
 		reason = "agentLeaving"
 	case t.lease == 0:
 		reason = "noLease"
+	case !t.announcementValid():
+		reason = reasonOldAnnouncement
 	case t.runs[key] != nil:
 		return wire.StartRunResult{Started: t.runs[key].confirmed, Version: t.version, Reason: agent.ReasonOutcomeUnknown}, true
 	}
@@ -237,9 +239,13 @@
 	outcomeRetry outcome = "again"
 )
 
-// reasonOtherWorker is the reason of a refusal because the worker's incarnation that the
-// order is for has ended.
-const reasonOtherWorker = "otherWorker"
+// Reasons of refusals. With the first, the incarnation of the worker that the order is for
+// has ended. With the second, the worker has announced nothing for so long that its
+// capacity may have shrunk.
+const (
+	reasonOtherWorker     = "otherWorker"
+	reasonOldAnnouncement = "oldAnnouncement"
+)
 
 // sendStart makes one attempt to start the run, for which the worker has the given time.
 // It returns a reason with the outcomes outcomeRefused and outcomeUnknown.
@@ -259,6 +265,9 @@
 		// removes it from the table, which it does after this refusal.
 		t.mu.Unlock()
 		return outcomeRefused, "supersededSession"
+	case !t.announcementValid():
+		t.mu.Unlock()
+		return outcomeRefused, reasonOldAnnouncement
 	}
 	_, token := t.nextCall()
 	r.absentAfter = token
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -73,6 +73,23 @@
 	Topic  string
 	Log    recordlog.Log
 	Worker worker.Client
+	// AnnouncementValidity is how long the capacity in an announcement of the worker can
+	// be relied on; 0 means DefaultAnnouncementValidity.
+	AnnouncementValidity time.Duration
+}
+
+// DefaultAnnouncementValidity is the validity of announcements of a worker that announces
+// itself every 1.5 s; see AnnouncementValidity.
+const DefaultAnnouncementValidity = 3500 * time.Millisecond
+
+// orderTime is the time from the last check of an order until the worker has carried it
+// out.
+const orderTime = time.Second
+
+// AnnouncementValidity returns the validity of announcements at the given interval, if a
+// start may rely on capacity that the worker lost up to grace and one interval ago.
+func AnnouncementValidity(interval, grace time.Duration) time.Duration {
+	return max(interval, interval+grace-orderTime)
 }
 
 // session is the agent's session with the planner that it follows. conn is nil
@@ -131,7 +148,7 @@
 func newDaemon(c Config, options ...Option) *Daemon {
 	d := &Daemon{
 		cfg: c, bootID: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(),
-		pool: workpool.New(orderWorkers, orderQueue), table: newWorkerTable(),
+		pool: workpool.New(orderWorkers, orderQueue), table: newWorkerTable(cmp.Or(c.AnnouncementValidity, DefaultAnnouncementValidity)),
 	}
 	for _, o := range options {
 		o(d)
@@ -356,7 +373,7 @@
 	w.Worker = wire.WorkerState{
 		Present: true, Boot: t.incarnation(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels,
 		Cpu: a.Capacity.CPU, MemMB: a.Capacity.MemMB, Gpus: a.Capacity.GPUs,
-		Draining: a.Draining || t.down, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy,
+		Draining: a.Draining || t.down, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy || !t.announcementValid(),
 	}
 	for key, r := range t.runs {
 		w.Running = append(w.Running, wire.RunningTask{Task: key.Task, Run: key.Number, Checkpoint: r.checkpoint, Progress: r.progress, Unsettled: !r.confirmed})
--- a/stepagent/former_test.go
+++ b/stepagent/former_test.go
@@ -28,7 +28,7 @@
 		{"endedWhileDraining", true, func(t *workerTable) { t.retire(false, time.Now()) }, worker.IncarnationLeft},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			table := newWorkerTable()
+			table := newWorkerTable(time.Minute)
 			a := first
 			a.Draining = test.draining
 			table.applyAnnouncement(a)
@@ -57,7 +57,7 @@
 // although it answers again.
 func TestAnsweringWorkerIsNoFormerWorker(t *testing.T) {
 	c := qt.New(t)
-	table := newWorkerTable()
+	table := newWorkerTable(time.Minute)
 	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
 	table.down = true
 	table.retire(false, time.Now())
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/worker"
 )
 
@@ -52,6 +53,11 @@
 	// the first.
 	announced worker.Announcement
 	known     bool
+	// announcementValidity is how long the capacity in an announcement can be relied on.
+	// announcementUntil is when that of the newest one ends, on the boot-time clock,
+	// which also counts the time for which the VM is suspended.
+	announcementValidity time.Duration
+	announcementUntil    time.Time
 	// statusRead is true once a status of the worker's current incarnation has
 	// been read.
 	statusRead bool
@@ -98,8 +104,8 @@
 	reportDue chan struct{}
 }
 
-func newWorkerTable() *workerTable {
-	return &workerTable{runs: map[worker.Run]*run{}, reportDue: make(chan struct{}, 1)}
+func newWorkerTable(announcementValidity time.Duration) *workerTable {
+	return &workerTable{announcementValidity: announcementValidity, runs: map[worker.Run]*run{}, reportDue: make(chan struct{}, 1)}
 }
 
 // requestReport counts a change of the table and has it reported to the planner
@@ -140,8 +146,9 @@
 		t.resetIncarnation()
 		newIncarnation = true
 	}
-	changed := newIncarnation || nowDraining || t.down
+	changed := newIncarnation || nowDraining || t.down || a.Capacity != t.announced.Capacity || !t.announcementValid()
 	t.announced, t.known, t.down = a, true, false
+	t.announcementUntil = boottime.Now().Add(t.announcementValidity)
 	t.readClock(a.Clock)
 	if changed {
 		t.requestReport()
@@ -149,6 +156,10 @@
 	return newIncarnation, nowDraining
 }
 
+// announcementValid reports whether the capacity of the newest announcement can be
+// relied on. The caller holds the mutex.
+func (t *workerTable) announcementValid() bool { return boottime.Now().Before(t.announcementUntil) }
+
 // resetIncarnation discards everything that belongs to the worker's earlier
 // incarnation.
 func (t *workerTable) resetIncarnation() {
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -130,3 +130,26 @@
 	sc.Plan(now)
 	c.Check(sc.runsPerRack("job"), qt.HasLen, 1)
 }
+
+// Guards against sending start orders that were placed before their VM lost capacity, and
+// whose records took long to store.
+func TestNoStartBeyondShrunkCapacity(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	sc := newCluster(1, now)
+	sc.AddJob(newJob("job", "urgent", now, steps.Step{Count: 4, Needs: steps.Resources{GPUs: 2}}), now)
+	sc.Plan(now)
+	orders := sc.TakeOutput(now).Orders
+	c.Assert(orders, qt.HasLen, 4)
+	sc.HandleReport(Report{Agent: "vm0", Session: 1, WorkerPresent: true, Worker: "vm0", Rack: "r0", Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 4}}, now)
+	wanted := 0
+	for _, o := range orders {
+		start := o.(StartOrder)
+		if sc.StartWanted(start) {
+			wanted++
+			continue
+		}
+		sc.StartWithdrawn(start, "the run is no longer wanted", now)
+	}
+	c.Check(wanted, qt.Equals, 2)
+}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -138,14 +138,15 @@
 }
 
 // StartWanted reports whether the order still has to be sent: its run is active,
-// was not requested to stop, its job is not over, and its VM takes new runs.
+// was not requested to stop, its job is not over, and its VM takes new runs and has not
+// lost capacity that the runs there need.
 func (sc *Scheduler) StartWanted(o StartOrder) bool {
 	t := sc.taskOfOrder(o)
 	if t == nil || !t.StopRequestedAt.IsZero() || sc.Jobs[o.Task.Job].Phase.Over() {
 		return false
 	}
 	vm := sc.VMs[o.Agent]
-	return !vm.Draining && !sc.Evacuated[vm.Zone]
+	return !vm.Draining && !sc.Evacuated[vm.Zone] && vm.Capacity.Holds(vm.used)
 }
 
 // Waiting times after a refused start, until the task is started again and until
