entryd, agentd, jobfold: give up jobs that crash the runtimes of their VMs

What callers saw: on the product's own interface an idempotent job whose tasks crash the worker runtime was started again and again, on the same VM.

Cause: the same as on the platform. The agent reported the loss as 'stopped', which counts against nothing; only an error of the job itself was counted.

Change: agents report a task that its restarted runtime no longer knows as crashed. The job avoids the VM for some time. Short requests count in the entry that owns them.

--- a/agentd/attempt.go
+++ b/agentd/attempt.go
@@ -65,6 +65,8 @@
 	// notFound counts the calls about the task that failed because the runtime did
 	// not know a task with its ID; see maxNotFound.
 	notFound int
+	// runtimeLost says that the runtime has restarted since it started the task.
+	runtimeLost bool
 	// checkpointed says that the task has saved its progress since its start here.
 	// checkpointMs is the progress from which the next attempt can start it, in
 	// milliseconds of run time. It can come from an earlier attempt.
@@ -282,6 +284,8 @@
 		p.Result = wire.TaskResultEvicted
 	case a.stopReason == ledger.StopReasonLeaseExpired || e.Kind == wire.TaskEventKindLeaseLapsed:
 		p.Result = wire.TaskResultLapsed
+	case t.runtimeLost:
+		p.Result = wire.TaskResultCrashed
 	default:
 		p.Result = wire.TaskResultStopped
 	}
@@ -371,6 +375,7 @@
 		if t := a.task(rank); t != nil {
 			t.notFound++
 			ended = t.notFound >= maxNotFound
+			t.runtimeLost = ended
 		}
 		return nil
 	})
--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -281,6 +281,9 @@
 		result.Status = wire.RunStatusFailed
 	default:
 		result.Status = wire.RunStatusStopped
+		if a.tasks[0].runtimeLost && a.stopReason == "" {
+			result.Status = wire.RunStatusCrashed
+		}
 		result.Reason = stopMessage(a, e)
 	}
 	return result
--- a/crashes/record.go
+++ b/crashes/record.go
@@ -7,11 +7,29 @@
 // The package uses no clock, owns no state and takes no lock.
 package crashes
 
+import "time"
+
 // Limit is the number of crashes after which a task is to blame. The users' platform
 // allows less than three further starts after three crashes. The difference covers
 // crashes that nobody could observe, such as those of a VM whose agent stopped too.
 const Limit = 3
 
+// Rule names the rule by which a job is given up because of its crashes.
+const Rule = "taskCrashesWorkers"
+
+// A run outlives an earlier one that was lost after the time lost if it is still there
+// after outliveFactor times as long and outliveMargin, by which reports may be late.
+const (
+	outliveFactor = 1.5
+	outliveMargin = 500 * time.Millisecond
+)
+
+// Outlives reports whether a run of the given age has outlived runs that were lost after
+// the time lost or earlier, 0 if that time is not known.
+func Outlives(age, lost time.Duration) bool {
+	return lost > 0 && age > time.Duration(outliveFactor*float64(lost))+outliveMargin
+}
+
 // Record holds the crashes during runs of one task. The zero value has none. Records can
 // be compared with ==.
 type Record struct {
--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -169,10 +169,12 @@
 		return gang.TaskEnded{Part: outcome.Part{VM: p.VM, Attempt: p.Attempt, Rank: p.Rank, Length: int64(p.Length), Checksum: sum}}, nil
 	case wire.TaskResultFailed:
 		return gang.TaskFailed{VM: p.VM, Reason: p.Reason}, nil
-	case wire.TaskResultStopped, wire.TaskResultEvicted, wire.TaskResultLapsed:
-		return gang.TaskStopped{VM: p.VM, Rank: p.Rank, Reason: string(p.Result) + ": " + p.Reason, CheckpointMs: int64(p.CheckpointMs)}, nil
+	case wire.TaskResultStopped, wire.TaskResultEvicted, wire.TaskResultLapsed, wire.TaskResultCrashed:
+		return gang.TaskStopped{
+			VM: p.VM, Rank: p.Rank, Reason: string(p.Result) + ": " + p.Reason, CheckpointMs: int64(p.CheckpointMs), Crashed: p.Result == wire.TaskResultCrashed,
+		}, nil
 	default:
-		return nil, fmt.Errorf("result: found %q, allowed: answered, failed, stopped, evicted, lapsed", p.Result)
+		return nil, fmt.Errorf("result: found %q, allowed: answered, failed, stopped, evicted, lapsed, crashed", p.Result)
 	}
 }
 
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/gang"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/jobfold"
@@ -38,7 +40,7 @@
 	j := a.job
 	r := d.jobs.byID[a.JobID]
 	if before != gang.PhaseRunning && next.Phase == gang.PhaseRunning && r != nil && r.outcome == nil {
-		r.phase, r.startedAt = job.PhaseRunning, now
+		r.phase, r.startedAt, a.runningSince = job.PhaseRunning, now, now
 	}
 	if refused, ok := e.(gang.Refused); ok && r != nil {
 		r.avoidUntil[refused.VM] = now.Add(avoidDuration)
@@ -318,6 +320,35 @@
 	})
 }
 
+// ranFor is the time since the attempt began to run, 0 if it did not or if that is not
+// known.
+func (d *Daemon) ranFor(attemptID string) time.Duration {
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	a := d.jobs.attempts[attemptID]
+	if a == nil || a.runningSince.IsZero() {
+		return 0
+	}
+	return time.Since(a.runningSince)
+}
+
+// recordCrash keeps the job away from the VM for some time. It reports whether the job is
+// to blame for the crashes of its attempts, including this one, and is then about to end.
+func (d *Daemon) recordCrash(r *trackedJob, vmID string, ran time.Duration) bool {
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	r.avoidUntil[vmID] = time.Now().Add(avoidDuration)
+	e := d.jobs.logState.Jobs[r.job.ID]
+	blamed := e != nil && e.CrashesAfter(ran).Blamed()
+	kind := "jobSuspected"
+	if blamed {
+		kind, r.endPending = "jobGivenUp", true
+		d.count(crashes.Rule)
+	}
+	d.ring.Add(timeline.Event{Kind: kind, Job: r.job.ID, Org: r.job.Org, VM: vmID, Detail: fmt.Sprintf("the worker runtime crashed after %d ms", ran.Milliseconds())})
+	return blamed
+}
+
 // abort appends the record that ends an attempt without an outcome, so that the
 // job waits again. When the job has failed with its own error on too many VMs, it
 // ends the job as failed instead.
@@ -333,8 +364,16 @@
 		d.runOnLogPool(func() { d.appendEnd(a.JobID, a.ID, failed) })
 		return
 	}
-	d.count("attemptAborted")
 	record := jobfold.Abort{JobID: a.JobID, Attempt: a.ID, Reason: o.Reason, Term: a.Term, CheckpointMs: o.CheckpointMs}
+	if r != nil && o.CrashedVM != "" {
+		record.Crashed, record.Ran = true, d.ranFor(a.ID)
+		if blamed := d.recordCrash(r, o.CrashedVM, record.Ran); blamed {
+			failed := outcome.Failed{Reason: crashes.Rule + ": most recently on VM " + o.CrashedVM + ": " + o.Reason}
+			d.runOnLogPool(func() { d.appendEnd(a.JobID, a.ID, failed) })
+			return
+		}
+	}
+	d.count("attemptAborted")
 	d.runOnLogPool(func() {
 		d.appendUntilKnown("abort", record, func() bool {
 			d.jobs.mu.Lock()
--- /dev/null
+++ b/entryd/crash_test.go
@@ -0,0 +1,70 @@
+package entryd
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/job"
+	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/shape"
+	"celerypoint.example/celerypoint/standinruntime"
+	"celerypoint.example/celerypoint/wire"
+)
+
+// maxCrashingStarts is the largest number of starts of a job that crashes the runtime of
+// each VM that starts it, as on the users' platform.
+const maxCrashingStarts = 5
+
+// TestJobThatCrashesRuntimesIsGivenUp guards against a job that is started without limit
+// although it crashes the runtime of each VM that starts it.
+func TestJobThatCrashesRuntimesIsGivenUp(t *testing.T) {
+	for _, urgency := range []job.Urgency{job.UrgencyNormal, job.UrgencyUrgent} {
+		t.Run(string(urgency), func(t *testing.T) {
+			s := startCluster(t, 1, 6)
+			s.putOrg("paint", shape.Shape{})
+			v, err := s.entries[0].Submit(s.context(), job.Job{
+				Org: "paint", Tasks: 1, AcceleratorsPerTask: 1, Urgency: urgency, Idempotent: true, Deadline: time.Now().Add(time.Minute), Payload: []byte(`{"runMs":60000}`),
+			})
+			qt.Assert(t, err, qt.IsNil)
+			starts := 0
+			var end outcome.Outcome
+			s.waitFor("the job ends", func() bool {
+				starts += s.crashRuntimes(v.ID)
+				if starts > maxCrashingStarts {
+					t.Fatalf("the job was started %d times", starts)
+				}
+				view, found, err := s.entries[0].Job(s.context(), v.ID)
+				end = view.Outcome
+				return err == nil && found && end != nil
+			})
+			failed, ok := end.(outcome.Failed)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", end))
+			qt.Assert(t, failed.Reason, qt.Matches, "taskCrashesWorkers: .*")
+		})
+	}
+}
+
+// crashRuntimes restarts the runtimes that have started the job, and returns their number.
+func (s *cluster) crashRuntimes(jobID string) int {
+	crashed := 0
+	for i, r := range s.runtimes {
+		started := false
+		for _, record := range r.Records() {
+			started = started || record.Job == jobID && record.Kind == wire.RuntimeRecordKindStarted
+		}
+		if !started {
+			continue
+		}
+		crashed++
+		r.Close()
+		time.Sleep(50 * time.Millisecond)
+		next, err := standinruntime.New(standinruntime.Config{Listen: r.Address(), VM: fmt.Sprintf("v%d", i+1), Accelerators: 8})
+		qt.Assert(s.t, err, qt.IsNil)
+		s.t.Cleanup(next.Close)
+		s.runtimes[i] = next
+	}
+	return crashed
+}
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -33,6 +33,8 @@
 	log     *standinlog.Log
 	entries []*Daemon
 	agents  []*agentd.Daemon
+	// runtimes are the worker runtimes of the agents.
+	runtimes []*standinruntime.Runtime
 }
 
 // startCluster starts a cluster whose VMs have 8 accelerators and whose racks have 3
@@ -92,7 +94,7 @@
 	})
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(a.Kill)
-	s.agents = append(s.agents, a)
+	s.agents, s.runtimes = append(s.agents, a), append(s.runtimes, r)
 	return a
 }
 
--- a/entryd/short.go
+++ b/entryd/short.go
@@ -12,6 +12,7 @@
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/rpc"
@@ -202,6 +203,18 @@
 			return
 		}
 		d.retryShort(r, vmID, result.Rule)
+	case wire.RunStatusCrashed:
+		d.jobs.mu.Lock()
+		r.crashes = r.crashes.Add(r.tries)
+		blamed := r.crashes.Blamed()
+		d.jobs.mu.Unlock()
+		if blamed {
+			d.count(crashes.Rule)
+			d.endShort(r, outcome.Failed{Reason: crashes.Rule + ": most recently on VM " + vmID + ": " + result.Reason})
+			return
+		}
+		d.count("shortRetriedCrashed")
+		d.retryShort(r, vmID, result.Reason)
 	default:
 		d.retryShort(r, vmID, result.Reason)
 	}
--- a/entryd/tables.go
+++ b/entryd/tables.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/estimate"
 	"celerypoint.example/celerypoint/gang"
 	"celerypoint.example/celerypoint/job"
@@ -128,6 +129,8 @@
 	// mayHaveRun says that a try of a short request ended in another way than
 	// a refusal by the agent. The outcome NotRun is then ruled out.
 	mayHaveRun bool
+	// crashes holds the tries of a short request under which a worker runtime crashed.
+	crashes crashes.Record
 }
 
 // attempt is an attempt to run a recorded job, a gang or a single task, that
@@ -135,6 +138,9 @@
 type attempt struct {
 	gang.Attempt
 	job job.Job
+	// runningSince is when the attempt began to run, zero before that and for an attempt
+	// that was taken over.
+	runningSince time.Time
 }
 
 // jobTable holds the jobs and the attempts to run them. Its lock is the last in
--- a/gang/abort.go
+++ b/gang/abort.go
@@ -83,7 +83,7 @@
 	if s.Idempotent && !s.Cancelled {
 		s.Phase = PhaseEnded
 		s.CheckpointMs = s.commonCheckpoint()
-		s.addOrder(Abort{Reason: s.Reason, CheckpointMs: s.CheckpointMs, FailedVM: s.FailedVM})
+		s.addOrder(Abort{Reason: s.Reason, CheckpointMs: s.CheckpointMs, FailedVM: s.FailedVM, CrashedVM: s.CrashedVM})
 		return
 	}
 	s.end(s.stoppedOutcome())
--- a/gang/step.go
+++ b/gang/step.go
@@ -258,6 +258,9 @@
 		!slices.ContainsFunc(m.Checkpoints, func(c Checkpoint) bool { return c.Rank == e.Rank }) {
 		m.Checkpoints = append(m.Checkpoints, Checkpoint{Rank: e.Rank, Ms: e.CheckpointMs})
 	}
+	if e.Crashed && s.CrashedVM == "" && s.Phase != PhaseAborting {
+		s.CrashedVM = e.VM
+	}
 	s.extendForEarlierPlanner()
 	s.abort(e.VM + " stopped a task: " + e.Reason)
 }
--- a/gang/types.go
+++ b/gang/types.go
@@ -151,6 +151,9 @@
 	// FailedVM is the VM on which an error of the job itself ended the attempt,
 	// empty for none.
 	FailedVM string
+	// CrashedVM is the VM on which a crash of the worker runtime ended the attempt, empty
+	// for none.
+	CrashedVM string
 	// Result is the outcome of the job that the attempt ended with. It is nil
 	// before PhaseEnded, and in PhaseEnded if the job waits for another attempt.
 	Result outcome.Outcome
@@ -214,10 +217,12 @@
 	TaskFailed struct{ VM, Reason string }
 	// TaskStopped reports that one task was stopped or evicted, or that its lease
 	// expired. CheckpointMs is the progress it can resume from, 0 for none.
+	// Crashed says that the worker runtime of the VM crashed under the task.
 	TaskStopped struct {
 		VM, Reason   string
 		Rank         int
 		CheckpointMs int64
+		Crashed      bool
 	}
 	// Released reports that the VM has stopped the member's tasks or dropped its
 	// reservation, and will not start the tasks from now on. BootID is the boot
@@ -295,12 +300,13 @@
 	}
 	// Abort appends the abort record to the log, after which the job waits for
 	// another attempt. FailedVM is set if an error of the job itself ended the
-	// attempt on that VM. The caller counts the VMs on which the job failed, and
+	// attempt on that VM, and CrashedVM if a crash of its worker runtime did. The caller counts the VMs on which the job failed, and
 	// when they are too many it appends an end record with outcome.Failed instead.
 	Abort struct {
 		Reason       string
 		CheckpointMs int64
 		FailedVM     string
+		CrashedVM    string
 	}
 	// End appends the end record, which closes the job with the outcome.
 	End struct{ Outcome outcome.Outcome }
--- a/jobfold/apply.go
+++ b/jobfold/apply.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/job"
 )
 
@@ -135,9 +137,23 @@
 	}
 	e.Phase = PhaseWaiting
 	e.CheckpointMs = max(e.CheckpointMs, r.CheckpointMs)
+	if r.Crashed {
+		e.Crashes = e.CrashesAfter(r.Ran)
+		e.LongestLost = max(e.LongestLost, r.Ran)
+	}
 	return Valid{}
 }
 
+// CrashesAfter is the record of crashes if the newest committed attempt is lost in one
+// after it has run for the given time.
+func (e *JobState) CrashesAfter(ran time.Duration) crashes.Record {
+	r := e.Crashes
+	if crashes.Outlives(ran, e.LongestLost) {
+		r = r.Clear(e.CommitCount - 1)
+	}
+	return r.Add(e.CommitCount)
+}
+
 func (s *State) cancel(r CancelRequested) Result {
 	e, void := s.activeJob(r.JobID)
 	if e == nil {
--- a/jobfold/types.go
+++ b/jobfold/types.go
@@ -1,6 +1,9 @@
 package jobfold
 
 import (
+	"time"
+
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/gang"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/outcome"
@@ -40,6 +43,10 @@
 	// CommitCount is the number of valid commits. It is at most 1 for a job that
 	// is not idempotent.
 	CommitCount int
+	// Crashes holds the attempts, by CommitCount, that were lost in crashes of worker
+	// runtimes. LongestLost is the longest time that one of them had run.
+	Crashes     crashes.Record
+	LongestLost time.Duration
 	// CancelRequested is true when a cancel record came before the end record.
 	CancelRequested bool
 	// Outcome is nil until PhaseEnded.
@@ -94,6 +101,10 @@
 		JobID, Attempt, Reason string
 		Term                   int64
 		CheckpointMs           int64
+		// Crashed says that a worker runtime crashed under the attempt after it had run
+		// for Ran, 0 if that is not known.
+		Crashed bool
+		Ran     time.Duration
 	}
 	// CancelRequested requests the cancellation of a job that has not ended.
 	CancelRequested struct{ JobID string }
--- a/platformlog/jobs.go
+++ b/platformlog/jobs.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/gang"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/jobfold"
@@ -24,7 +26,7 @@
 	case jobfold.Commit:
 		return wire.JobRecord{Kind: wire.JobRecordKindCommit, JobID: r.JobID, Attempt: r.Attempt, Term: int(r.Term), Members: encodeMembers(r.Members)}
 	case jobfold.Abort:
-		return wire.JobRecord{Kind: wire.JobRecordKindAbort, JobID: r.JobID, Attempt: r.Attempt, Term: int(r.Term), Reason: r.Reason, CheckpointMs: int(r.CheckpointMs)}
+		return wire.JobRecord{Kind: wire.JobRecordKindAbort, JobID: r.JobID, Attempt: r.Attempt, Term: int(r.Term), Reason: r.Reason, CheckpointMs: int(r.CheckpointMs), Crashed: r.Crashed, RanMs: int(r.Ran.Milliseconds())}
 	case jobfold.CancelRequested:
 		return wire.JobRecord{Kind: wire.JobRecordKindCancel, JobID: r.JobID}
 	case jobfold.Ended:
@@ -93,7 +95,10 @@
 		members, err := decodeMembers(w.Members)
 		return jobfold.Commit{JobID: w.JobID, Attempt: w.Attempt, Term: int64(w.Term), Members: members}, err
 	case wire.JobRecordKindAbort:
-		return jobfold.Abort{JobID: w.JobID, Attempt: w.Attempt, Reason: w.Reason, Term: int64(w.Term), CheckpointMs: int64(w.CheckpointMs)}, nil
+		if w.RanMs < 0 {
+			return nil, fmt.Errorf("ranMs: found %d, allowed: at least 0", w.RanMs)
+		}
+		return jobfold.Abort{JobID: w.JobID, Attempt: w.Attempt, Reason: w.Reason, Term: int64(w.Term), CheckpointMs: int64(w.CheckpointMs), Crashed: w.Crashed, Ran: time.Duration(w.RanMs) * time.Millisecond}, nil
 	case wire.JobRecordKindCancel:
 		return jobfold.CancelRequested{JobID: w.JobID}, nil
 	case wire.JobRecordKindEnded:
@@ -145,6 +150,7 @@
 			Members: encodeMembers(e.Members), CheckpointMs: int(e.CheckpointMs),
 			Tries: e.CommitCount, Outcome: codec.EncodeOutcome(e.Outcome),
 			EndedAtOffset: int(e.EndedOffset), Cancelled: e.CancelRequested,
+			Crashes: countedRuns(e.Crashes), CrashesCleared: e.Crashes.ClearedThrough, LongestLostMs: int(e.LongestLost.Milliseconds()),
 		})
 	}
 	for _, region := range slices.Sorted(maps.Keys(s.Terms)) {
@@ -154,6 +160,14 @@
 	return w
 }
 
+// countedRuns lists the runs that count in the record.
+func countedRuns(r crashes.Record) []int {
+	if n := r.Count(); n > 0 {
+		return r.Runs[:n]
+	}
+	return nil
+}
+
 // maxPartBytes is the maximum size of the jobs in one record of a snapshot as JSON. It
 // leaves room below MaxBatchBytes for the rest of the record. A snapshot of the size
 // that the system is designed for, with thousands of jobs and their payloads, does not
@@ -246,6 +260,13 @@
 		Job: j, Region: w.Region, Attempt: w.Attempt, TriedAttempts: w.Tried,
 		CommitOffset: int64(w.CommitOffset), Members: members, CheckpointMs: int64(w.CheckpointMs),
 		CommitCount: w.Tries, CancelRequested: w.Cancelled, Outcome: o, EndedOffset: int64(w.EndedAtOffset),
+		Crashes: crashes.Record{}.Clear(w.CrashesCleared), LongestLost: time.Duration(w.LongestLostMs) * time.Millisecond,
+	}
+	for _, attempt := range w.Crashes {
+		if attempt < 1 || attempt > w.Tries {
+			return nil, fmt.Errorf("crashes: found attempt %d, allowed: 1 to %d", attempt, w.Tries)
+		}
+		e.Crashes = e.Crashes.Add(attempt)
 	}
 	for p, name := range wirePhases {
 		if name == w.Phase {
--- a/platformlog/records_test.go
+++ b/platformlog/records_test.go
@@ -73,7 +73,7 @@
 		jobfold.Accepted{Job: newJob("j3", true), Region: "r"},
 		jobfold.Accepted{Job: newJob("j4", true), Region: "r"},
 		jobfold.Commit{JobID: "j1", Attempt: "a1", Term: 1, Members: member},
-		jobfold.Abort{JobID: "j1", Attempt: "a1", Term: 1, Reason: "lost", CheckpointMs: 12},
+		jobfold.Abort{JobID: "j1", Attempt: "a1", Term: 1, Reason: "lost", CheckpointMs: 12, Crashed: true, Ran: 1500 * time.Millisecond},
 		jobfold.Commit{JobID: "j1", Attempt: "a2", Term: 1, Members: member},
 		jobfold.Commit{JobID: "j2", Attempt: "b1", Term: 1, Members: member},
 		jobfold.Ended{JobID: "j2", Attempt: "b1", Term: 1, Outcome: outcome.Unknown{Reason: "lost"}},
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"celerypoint.example/celerypoint/admission"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/placement"
-	"celerypoint.example/celerypoint/stepplan"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -45,7 +45,7 @@
 		placement.RuleNoVMReachable, placement.RuleMatchingVMsUnavailable, placement.RuleBehindQueueHead,
 		placement.RuleReservedForGang, placement.RuleOwnShareOnly, placement.RuleTooFragmented, placement.RuleNoFreeCapacity,
 		"staleTerm", "reservationExpired", "attemptReleased", "staleConfiguration", "vmDraining", "noFreePlace", "reclaimDeadline", "committedNotStarted",
-		"cancelledBeforeStart", stepplan.RuleCrashesWorkers, "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
+		"cancelledBeforeStart", crashes.Rule, "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
 	}
 	for _, n := range names {
 		_, ok := Find(n)
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
 )
@@ -15,14 +16,7 @@
 // an empty one, never beside another suspect while there is another way, and not where it
 // has lost a run before. It stays a suspect until a run outlives the lost ones.
 
-// RuleCrashesWorkers names the rule by which a job is given up.
-const RuleCrashesWorkers = "taskCrashesWorkers"
-
 const (
-	// outliveFactor and outliveMargin tell when a run has outlived the ones that were
-	// lost: the workers' progress reports are up to outliveMargin old.
-	outliveFactor = 1.5
-	outliveMargin = 500 * time.Millisecond
 	// isolationWait is how long a task with more than one crash waits for an empty VM, and
 	// any suspect for a VM without another suspect after that. A task may wait 3 s for its
 	// next run while there is capacity.
@@ -59,7 +53,7 @@
 	if counted.Blamed() {
 		kind = "taskGivenUp"
 	}
-	sc.addEvent(Event{Kind: kind, Job: id.Job, Task: r.Task, Run: r.Number, VM: vm.Agent, Reason: fmt.Sprintf("%s: crashes=%d, the run lasted %d ms", RuleCrashesWorkers, counted.Count(), r.Age.Milliseconds())})
+	sc.addEvent(Event{Kind: kind, Job: id.Job, Task: r.Task, Run: r.Number, VM: vm.Agent, Reason: fmt.Sprintf("%s: crashes=%d, the run lasted %d ms", crashes.Rule, counted.Count(), r.Age.Milliseconds())})
 	if counted.Blamed() {
 		sc.endJob(j, stepfold.PhaseFailed, now)
 	}
@@ -69,7 +63,7 @@
 // age at which no earlier run was still there.
 func (sc *Scheduler) clearIfOutlived(t *Task) {
 	lost := t.lostAt.Sub(t.lostFrom)
-	if !t.Crashes.Suspect() || lost == 0 || t.ProgressAt.Sub(t.StartedAt) <= time.Duration(outliveFactor*float64(lost))+outliveMargin {
+	if !t.Crashes.Suspect() || !crashes.Outlives(t.ProgressAt.Sub(t.StartedAt), lost) {
 		return
 	}
 	t.Crashes = t.Crashes.Clear(t.Run)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -586,6 +586,9 @@
 	// CheckpointMs corresponds to the JSON schema field "checkpointMs".
 	CheckpointMs int `json:"checkpointMs,omitempty,omitzero"`
 
+	// A worker runtime crashed under the attempt.
+	Crashed bool `json:"crashed,omitempty,omitzero"`
+
 	// Entry corresponds to the JSON schema field "entry".
 	Entry string `json:"entry,omitempty,omitzero"`
 
@@ -604,6 +607,9 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
 
+	// How long the attempt ran until a runtime crashed.
+	RanMs int `json:"ranMs,omitempty,omitzero"`
+
 	// Reason corresponds to the JSON schema field "reason".
 	Reason string `json:"reason,omitempty,omitzero"`
 
@@ -641,12 +647,21 @@
 	// CommitOffset corresponds to the JSON schema field "commitOffset".
 	CommitOffset int `json:"commitOffset,omitempty,omitzero"`
 
+	// The attempts, by their number, that were lost in crashes of worker runtimes.
+	Crashes []int `json:"crashes,omitempty,omitzero"`
+
+	// The attempt through which crashes no longer count.
+	CrashesCleared int `json:"crashesCleared,omitempty,omitzero"`
+
 	// EndedAtOffset corresponds to the JSON schema field "endedAtOffset".
 	EndedAtOffset int `json:"endedAtOffset,omitempty,omitzero"`
 
 	// Job corresponds to the JSON schema field "job".
 	Job Job `json:"job"`
 
+	// LongestLostMs corresponds to the JSON schema field "longestLostMs".
+	LongestLostMs int `json:"longestLostMs,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members []Member `json:"members,omitempty,omitzero"`
 
@@ -1160,6 +1175,7 @@
 type RunStatus string
 
 const RunStatusAnswered RunStatus = "answered"
+const RunStatusCrashed RunStatus = "crashed"
 const RunStatusFailed RunStatus = "failed"
 const RunStatusRefused RunStatus = "refused"
 const RunStatusStopped RunStatus = "stopped"
@@ -1743,6 +1759,7 @@
 type TaskResult string
 
 const TaskResultAnswered TaskResult = "answered"
+const TaskResultCrashed TaskResult = "crashed"
 const TaskResultEvicted TaskResult = "evicted"
 const TaskResultFailed TaskResult = "failed"
 const TaskResultLapsed TaskResult = "lapsed"
