stepplan, stepentry: an unexpected error about one job ends no planner

An unexpected error while the tasks of one job are placed would have ended the entry's process, and then that of each successor, because each restores the same job: a request that takes server after server down.

Cause: planning passes run outside the pools that recover from panics.

Change: deciding about a unit is apart from carrying the decision out, as a sealed interface with a type switch. A panic elsewhere in a pass ends the term, not the process.

No input is known that causes such an error.

--- a/stepentry/panic_test.go
+++ b/stepentry/panic_test.go
@@ -1,6 +1,7 @@
 package stepentry
 
 import (
+	"context"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -11,6 +12,29 @@
 	"celerypoint.example/celerypoint/stepplan"
 )
 
+// TestPanicInPassEndsTerm guards against an entry that an unexpected error in a planning
+// pass ends: the next entry would plan with the same jobs and end as well.
+func TestPanicInPassEndsTerm(t *testing.T) {
+	c := qt.New(t)
+	store, err := standinstore.New("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer store.Close()
+	d, err := New(Config{
+		Name: "e", Listen: "127.0.0.1:0", Topic: "t", ConfigTopic: platform.TopicConfiguration, Log: platform.NewStore(store.Address()),
+		DecodeOperator: platform.DecodeOperatorRecord,
+	})
+	c.Assert(err, qt.IsNil)
+	defer d.Kill()
+	d.planner.mu.Lock()
+	d.planner.scheduler, d.planner.cancel = stepplan.New(stepplan.Timing{}), func() {}
+	d.planner.scheduler.VMs["vm"] = nil
+	d.planner.mu.Unlock()
+	_, _, ok := d.runPass(context.Background())
+	c.Check(ok, qt.IsFalse)
+	c.Check(d.isPlanner(), qt.IsFalse)
+	c.Check(metrics.GetOrRegisterCounter("panicRecovered", d.Metrics()).Count(), qt.Equals, int64(1))
+}
+
 // TestPanicEndsTerm guards against an entry that one message ends, and against a planner
 // that goes on with a scheduler that the handling of the message has left half changed.
 func TestPanicEndsTerm(t *testing.T) {
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"celerypoint.example/celerypoint/boottime"
@@ -77,8 +78,18 @@
 
 // runPass runs one planning pass and returns its output with the fence for the
 // next append. It sends stop orders at once, because they do not depend on
-// stored records. It reports false when the term has ended.
-func (d *Daemon) runPass(ctx context.Context) (stepplan.Output, recordlog.Fence, bool) {
+// stored records. It reports false when the term has ended. A pass that panics ends the
+// term, because the scheduler may be half changed.
+func (d *Daemon) runPass(ctx context.Context) (o stepplan.Output, f recordlog.Fence, ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			d.logPanic("planning pass", v, debug.Stack())
+			d.planner.mu.Lock()
+			defer d.planner.mu.Unlock()
+			d.endTerm("unexpected error in a planning pass")
+			o, ok = stepplan.Output{}, false
+		}
+	}()
 	now := boottime.Now()
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
@@ -91,7 +102,7 @@
 	scheduler.PruneJobs(now)
 	scheduler.Plan(now)
 	d.sendStops()
-	o := scheduler.TakeOutput(time.Now())
+	o = scheduler.TakeOutput(time.Now())
 	d.logEvents(o.Events)
 	return o, d.planner.fence, true
 }
--- a/stepplan/order.go
+++ b/stepplan/order.go
@@ -37,27 +37,12 @@
 func (p *pass) waitingUnits() []unit {
 	var all []unit
 	for _, j := range p.scheduler.Jobs {
-		if j.Phase.Over() {
+		if j.Phase.Over() || j.SetAside {
 			continue
 		}
-		for occurrenceNumber, occurrence := range j.Occurrences {
-			latestEnd := p.latestEnd(j, occurrenceNumber, occurrence)
-			following := estimatedFollowing(occurrence)
-			for i, s := range occurrence {
-				if s.DoneCount == len(s.Tasks) || !predecessorsDone(occurrence, s) {
-					continue
-				}
-				u, waits := s.waitingUnit(j, p.now)
-				if !waits {
-					continue
-				}
-				u.guaranteed = j.Queue.Priority == 0 && p.orgsWithinGuarantee[j.Spec.Org]
-				if j.Queue.Priority > 0 {
-					u.latestStart = latestEnd.Add(-s.Spec.Estimate - following[i])
-					u.objectiveMissed = p.now.After(u.latestStart)
-				}
-				all = append(all, u)
-			}
+		var units []unit
+		if p.scheduler.guard(j, func() { units = p.waitingUnitsOf(j) }) {
+			all = append(all, units...)
 		}
 	}
 	slices.SortFunc(all, func(x, y unit) int {
@@ -73,6 +58,31 @@
 	return all
 }
 
+// waitingUnitsOf lists the units of the job that wait for a start.
+func (p *pass) waitingUnitsOf(j *Job) []unit {
+	var all []unit
+	for occurrenceNumber, occurrence := range j.Occurrences {
+		latestEnd := p.latestEnd(j, occurrenceNumber, occurrence)
+		following := estimatedFollowing(occurrence)
+		for i, s := range occurrence {
+			if s.DoneCount == len(s.Tasks) || !predecessorsDone(occurrence, s) {
+				continue
+			}
+			u, waits := s.waitingUnit(j, p.now)
+			if !waits {
+				continue
+			}
+			u.guaranteed = j.Queue.Priority == 0 && p.orgsWithinGuarantee[j.Spec.Org]
+			if j.Queue.Priority > 0 {
+				u.latestStart = latestEnd.Add(-s.Spec.Estimate - following[i])
+				u.objectiveMissed = p.now.After(u.latestStart)
+			}
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
 func compareTrueFirst(x, y bool) int {
 	switch {
 	case x == y:
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -121,28 +121,85 @@
 	placementWaits     placement = "waits"
 )
 
-// place starts the unit if it fits. If it does not fit and its queue has priority
-// 0, place stops other runs to make room for it. A unit that has to leave the
-// headroom free or that exceeds its job's share waits.
+// decision is what to do for a unit. It is sealed; its implementations are startUnit,
+// stopOthers, holdBack and wait.
+type decision interface{ decision() }
+
+type (
+	// startUnit starts the unit's tasks on vms, one for each task. With isolate, the VMs
+	// of suspects are kept from other units.
+	startUnit struct {
+		vms     []*VM
+		isolate bool
+	}
+	// stopOthers stops other runs to make room for the unit.
+	stopOthers struct{ eviction *eviction }
+	// holdBack keeps the free capacity of a VM from other units, so that it becomes
+	// empty. vm is nil if there is none.
+	holdBack struct{ vm *VM }
+	// wait leaves the unit to a later pass.
+	wait struct{}
+)
+
+func (startUnit) decision()  {}
+func (stopOthers) decision() {}
+func (holdBack) decision()   {}
+func (wait) decision()       {}
+
+// place decides about the unit and carries out the decision.
 func (p *pass) place(u unit) placement {
-	if p.mustLeaveHeadroom(u) || p.exceedsJobShare(u) {
+	if u.job.SetAside {
 		return placementWaits
 	}
-	if u.maxCrashes() > 0 {
-		return p.placeSuspects(u)
+	var d decision
+	if !p.scheduler.guard(u.job, func() { d = p.decide(u) }) {
+		return placementWaits
 	}
-	for _, set := range p.candidateSets(u) {
-		if vms := p.chooseVMs(u, set, separationNone); vms != nil {
-			p.start(u, vms)
-			return placementStarted
+	switch d := d.(type) {
+	case startUnit:
+		p.start(u, d.vms)
+		if d.isolate {
+			p.isolate(u, d.vms)
+		}
+		return placementStarted
+	case stopOthers:
+		p.evict(u, d.eviction)
+		return placementMakesRoom
+	case holdBack:
+		if d.vm != nil {
+			p.heldBack = true
+			p.claim(d.vm, d.vm.free)
 		}
-	}
-	if u.job.Queue.Priority == 0 && p.preempt(u) {
 		return placementMakesRoom
 	}
 	return placementWaits
 }
 
+// decide starts the unit if it fits. If it does not fit and its queue has priority
+// 0, other runs are stopped to make room for it. A unit that has to leave the
+// headroom free or that exceeds its job's share waits.
+func (p *pass) decide(u unit) decision {
+	if p.mustLeaveHeadroom(u) || p.exceedsJobShare(u) {
+		return wait{}
+	}
+	for _, s := range p.separations(u) {
+		for _, set := range p.candidateSets(u) {
+			if vms := p.chooseVMs(u, set, s); vms != nil {
+				return startUnit{vms: vms, isolate: s == separationAll}
+			}
+		}
+	}
+	if p.waitsForEmptyVM(u) {
+		return holdBack{p.nextEmptyVM(u)}
+	}
+	if u.job.Queue.Priority == 0 {
+		if e := p.chooseEviction(u); e != nil {
+			return stopOthers{e}
+		}
+	}
+	return wait{}
+}
+
 // placeSingles places the tasks of a step, each as a unit. The tasks need the same,
 // so that once one has to wait that may start on every VM, and has waited longest,
 // the others have to wait too.
--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -23,12 +23,11 @@
 	return needs
 }
 
-// preempt makes room for the unit, so that it fits in a later pass: it requests runs to
-// stop, and counts on runs that are about to end. For the rest of this pass, it claims
-// the capacity that the unit needs. A unit of an organisation within its guarantee may
-// always preempt, others only if the lost work is not more than estimatedWork of the
-// unit. It reports whether it has claimed capacity.
-func (p *pass) preempt(u unit) bool {
+// chooseEviction chooses VMs for a unit that does not fit, and runs to stop so that it
+// fits in a later pass. It counts on runs that are about to end. A unit of an organisation
+// within its guarantee may always preempt, others only if the lost work is not more than
+// estimatedWork of the unit. It returns nil if there is no such choice.
+func (p *pass) chooseEviction(u unit) *eviction {
 	var best *eviction
 	for _, set := range p.candidateSets(u) {
 		e := p.planEviction(u, set)
@@ -37,16 +36,21 @@
 		}
 	}
 	if best == nil || !p.orgsWithinGuarantee[u.job.Spec.Org] && best.cost > p.estimatedWork(u) {
-		return false
+		return nil
 	}
-	for _, t := range best.victims {
+	return best
+}
+
+// evict requests the victims to stop and, for the rest of this pass, claims the capacity
+// that the unit needs.
+func (p *pass) evict(u unit, e *eviction) {
+	for _, t := range e.victims {
 		p.scheduler.requestStop(t, p.now, "preempted for "+u.tasks[0].ID.String())
 		delete(p.evictable, p.scheduler.VMs[t.Agent])
 	}
-	for _, vm := range best.chosen {
+	for _, vm := range e.chosen {
 		p.claim(vm, countedNeeds(u.step.Spec))
 	}
-	return true
 }
 
 // estimatedWork is the work of the unit according to the caller's estimate, in
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -131,15 +131,18 @@
 	return s == separationSuspects || len(vm.ActiveTasks) == 0 && vm.free == vm.Capacity
 }
 
-// separations lists the separations to try for a unit with suspects, in order.
+// separations lists the separations to try for the unit, in order.
 func (p *pass) separations(u unit) []separation {
+	most := u.maxCrashes()
+	if most == 0 {
+		return []separation{separationNone}
+	}
 	waited := p.now.Sub(u.waitingSince)
-	several := u.maxCrashes() > 1
 	var all []separation
-	if several || p.isolatedVMs < max(1, (len(p.usable)+p.isolatedVMs)/isolatedShare) {
+	if most > 1 || p.isolatedVMs < max(1, (len(p.usable)+p.isolatedVMs)/isolatedShare) {
 		all = append(all, separationAll)
 	}
-	if !several || waited >= isolationWait {
+	if most == 1 || waited >= isolationWait {
 		all = append(all, separationSuspects)
 	}
 	if waited >= 2*isolationWait {
@@ -148,30 +151,9 @@
 	return all
 }
 
-// placeSuspects starts a unit that has suspects, or keeps a VM from other work that is
-// the next to be empty. Runs are stopped for the unit only where it need not be alone.
-func (p *pass) placeSuspects(u unit) placement {
-	for _, s := range p.separations(u) {
-		for _, set := range p.candidateSets(u) {
-			vms := p.chooseVMs(u, set, s)
-			if vms == nil {
-				continue
-			}
-			p.start(u, vms)
-			if s == separationAll {
-				p.isolate(u, vms)
-			}
-			return placementStarted
-		}
-	}
-	if p.now.Sub(u.waitingSince) < isolationWait && u.maxCrashes() > 1 {
-		p.holdBack(u)
-		return placementMakesRoom
-	}
-	if u.job.Queue.Priority == 0 && p.preempt(u) {
-		return placementMakesRoom
-	}
-	return placementWaits
+// waitsForEmptyVM reports whether a unit that has found no place has to be alone.
+func (p *pass) waitsForEmptyVM(u unit) bool {
+	return u.maxCrashes() > 1 && p.now.Sub(u.waitingSince) < isolationWait
 }
 
 // isolate keeps the VMs of the unit's suspects from other units for the rest of the
@@ -185,11 +167,11 @@
 	}
 }
 
-// holdBack claims the free capacity of the VM that is expected to be empty first among
-// those that the unit may run on. At most one VM is held back at a time.
-func (p *pass) holdBack(u unit) {
+// nextEmptyVM is the VM that is expected to be empty first among those that the unit may
+// run on. It returns nil if one is already held back.
+func (p *pass) nextEmptyVM(u unit) *VM {
 	if p.heldBack {
-		return
+		return nil
 	}
 	var best *VM
 	var bestEnd time.Duration
@@ -205,8 +187,5 @@
 			best, bestEnd = vm, end
 		}
 	}
-	if best != nil {
-		p.heldBack = true
-		p.claim(best, best.free)
-	}
+	return best
 }
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -130,6 +130,9 @@
 	heldGPUs int
 	// EndedAt is when the job ended, zero before that.
 	EndedAt time.Time
+	// SetAside says that the planner starts none of the job's tasks, because deciding
+	// about them has failed unexpectedly. It is not stored.
+	SetAside bool
 }
 
 // VM is what the planner knows about an agent and the worker on the same VM.
