--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -19,6 +19,8 @@
 	// often it repeats a submission or a cancellation at most.
 	requestTimeout = 3 * time.Second
 	maxRetries     = 4
+	// crashingShare is the inverse of the share of jobs that crash their workers.
+	crashingShare = 20
 )
 
 // submission is a job as the client that submitted it knows it.
@@ -26,6 +28,8 @@
 	id, spec  string
 	taskCount int
 	gang      bool
+	// crashes says that each task of the job crashes the worker that starts it.
+	crashes bool
 	// accepted reports whether a submission was answered with 200. mayBeAccepted
 	// reports whether a submission had no response, or one that does not show
 	// whether the job was accepted.
@@ -39,8 +43,11 @@
 type client struct {
 	system *system
 	random *rand.Rand
-	http   http.Client
-	id     int
+	// crashRandom chooses the jobs that crash their workers. It is apart from random, so
+	// that a seed gives the same schedule as before there were such jobs.
+	crashRandom *rand.Rand
+	http        http.Client
+	id          int
 
 	mu   sync.Mutex
 	jobs []*submission
@@ -48,7 +55,7 @@
 
 func (s *system) newClient(i int) *client {
 	return &client{
-		system: s, id: i, random: rand.New(rand.NewPCG(s.seed, uint64(100+i))),
+		system: s, id: i, random: rand.New(rand.NewPCG(s.seed, uint64(100+i))), crashRandom: rand.New(rand.NewPCG(s.seed, uint64(200+i))),
 		http: http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -119,6 +126,9 @@
 	}
 	j := &submission{id: fmt.Sprintf("%08x%08x", c.id, n), taskCount: count, gang: c.random.IntN(2) == 0}
 	j.spec = fmt.Sprintf("run %d %s", runMs, j.id)
+	if j.crashes = c.crashRandom.IntN(crashingShare) == 0; j.crashes {
+		j.spec = fmt.Sprintf("crash %d %s", 5+c.crashRandom.IntN(300), j.id)
+	}
 	c.system.mu.Lock()
 	c.system.taskResources[j.id] = steps.Resources{CPU: 1000, MemMB: 1024, GPUs: gpus}
 	c.system.mu.Unlock()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,8 +4,8 @@
 // the programs. A loopback proxy delays or cuts network links, or blocks them
 // in one or both directions. Signals stop, pause and kill processes, which are
 // then restarted or resumed. The store and the workers misbehave,
-// configurations change, and API keys are revoked. Faults follow each other and
-// overlap.
+// configurations change, API keys are revoked, and workers lose capacity. Some jobs
+// crash each worker that starts them. Faults follow each other and overlap.
 //
 // The test checks the system's invariants from what clients and workers
 // observe. A seed determines the schedule of faults, but not the timing of the
@@ -14,7 +14,7 @@
 //	go test ./soak -soak.seeds 50 -soak.parallel 4
 //	go test ./soak -soak.seed 1234 -soak.keep /tmp/soak
 //
-// testdata/seeds.txt lists every seed that has ever failed, with the cause. The
-// test cannot step the clocks of the processes from outside. Instead, it pauses
+// testdata/seeds.txt lists every seed that has ever failed, with the cause, and
+// testdata/ci.txt further seeds that CI runs. The test cannot step the clocks of the processes from outside. Instead, it pauses
 // processes, which then miss the time that passes.
 package soak
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -9,11 +9,12 @@
 	"celerypoint.example/celerypoint/faultproxy"
 	"celerypoint.example/celerypoint/standinstore"
 	"celerypoint.example/celerypoint/standinworker"
+	"celerypoint.example/celerypoint/steps"
 )
 
 // fault is a fault that the test can inject. It is sealed: linkFault,
 // signalFault, stopFault, storeFault, workerFault, drainFault, crashFault,
-// compactFault, revokeFault, hangupFault.
+// compactFault, revokeFault, hangupFault, capacityFault.
 type fault interface{ fault() }
 
 type (
@@ -49,18 +50,21 @@
 	revokeFault struct{}
 	// hangupFault sends SIGHUP to all processes.
 	hangupFault struct{}
+	// capacityFault reduces the capacity of a worker for the duration of the fault.
+	capacityFault struct{ agent, gpus int }
 )
 
-func (linkFault) fault()    {}
-func (signalFault) fault()  {}
-func (stopFault) fault()    {}
-func (storeFault) fault()   {}
-func (workerFault) fault()  {}
-func (drainFault) fault()   {}
-func (crashFault) fault()   {}
-func (compactFault) fault() {}
-func (revokeFault) fault()  {}
-func (hangupFault) fault()  {}
+func (linkFault) fault()     {}
+func (signalFault) fault()   {}
+func (stopFault) fault()     {}
+func (storeFault) fault()    {}
+func (workerFault) fault()   {}
+func (drainFault) fault()    {}
+func (crashFault) fault()    {}
+func (compactFault) fault()  {}
+func (revokeFault) fault()   {}
+func (hangupFault) fault()   {}
+func (capacityFault) fault() {}
 
 // scheduledFault is a fault with its start time, measured from the start of the
 // schedule, and its duration.
@@ -100,6 +104,16 @@
 	return all
 }
 
+// drawCapacityFaults chooses reductions of capacity, with a random generator of their own.
+func (s *system) drawCapacityFaults(length time.Duration) []scheduledFault {
+	r := rand.New(rand.NewPCG(s.seed, 2))
+	var all []scheduledFault
+	for at := time.Duration(r.IntN(4000)) * time.Millisecond; at < length; at += time.Duration(3000+r.IntN(6000)) * time.Millisecond {
+		all = append(all, scheduledFault{at, time.Duration(1000+r.IntN(8000)) * time.Millisecond, capacityFault{r.IntN(len(s.agents)), r.IntN(capacity.GPUs)}})
+	}
+	return all
+}
+
 func pick[T any](r *rand.Rand, all []T) T { return all[r.IntN(len(all))] }
 
 // drawFault chooses a fault with the seeded random generator.
@@ -190,6 +204,11 @@
 		return func() { s.replaceWorker(f.agent) }
 	case crashFault:
 		s.replaceWorker(f.agent)
+	case capacityFault:
+		reduced := capacity
+		reduced.GPUs = f.gpus
+		s.setCapacity(f.agent, reduced)
+		return func() { s.setCapacity(f.agent, capacity) }
 	case compactFault:
 		s.store.Compact("keyed.celerypoint")
 		s.store.Compact("keyed.op")
@@ -213,6 +232,13 @@
 	a.worker.SetFaults(f)
 }
 
+func (s *system) setCapacity(i int, c steps.Resources) {
+	a := s.agents[i]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.worker.SetCapacity(c)
+}
+
 // revoke adds a new API key, and then revokes the one that was the newest. Until
 // the configuration without the old key is stored, its time of revocation is an
 // hour ahead: configure already leaves the key out, but probeRevokedKeys does
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,7 +75,9 @@
 	// endExpected reports whether the test has asked the process to end since its
 	// last start, and retired whether it is not started again.
 	endExpected, retired bool
-	fail                 func(format string, args ...any)
+	// endedAt lists the times at which its processes ended.
+	endedAt []time.Time
+	fail    func(format string, args ...any)
 }
 
 // start starts the process. The caller holds p.mu.
@@ -94,6 +97,7 @@
 	<-spawned.exited
 	p.mu.Lock()
 	endExpected := p.endExpected
+	p.endedAt = append(p.endedAt, time.Now())
 	p.mu.Unlock()
 	if !endExpected {
 		p.fail("%s ended unexpectedly: %v", p.name, spawned.err)
@@ -139,6 +143,13 @@
 	}
 }
 
+// endedBetween reports whether a process of p ended in that time.
+func (p *process) endedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.endedAt, func(t time.Time) bool { return t.After(from) && t.Before(to) })
+}
+
 // retire kills the process, waits for its end and does not start it again.
 func (p *process) retire() {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -16,12 +17,13 @@
 	"testing"
 	"time"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/standinworker"
 )
 
 var (
 	oneSeed       = flag.Uint64("soak.seed", 0, "run this seed only")
-	freshSeeds    = flag.Int("soak.seeds", 1, "number of random seeds in addition to those of testdata/seeds.txt")
+	freshSeeds    = flag.Int("soak.seeds", 0, "number of random seeds in addition to those of testdata/seeds.txt and testdata/ci.txt")
 	maxParallel   = flag.Int("soak.parallel", 3, "number of seeds that run at once; each starts about 10 processes")
 	faultDuration = flag.Duration("soak.length", 20*time.Second, "how long faults are injected")
 	keepDir       = flag.String("soak.keep", "", "directory in which the logs of all seeds are kept; without it, only logs of failed seeds are kept")
@@ -43,10 +45,10 @@
 	quietTime = time.Second
 )
 
-// keptSeeds reads testdata/seeds.txt, the seeds that have failed before. The
-// text after # is the cause of the failure.
-func keptSeeds(t *testing.T) []uint64 {
-	f, err := os.Open("testdata/seeds.txt")
+// readSeeds reads a file with a seed in each line. The text after # is a comment, in
+// testdata/seeds.txt the cause of the failure.
+func readSeeds(t *testing.T, path string) []uint64 {
+	f, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +61,7 @@
 		}
 		seed, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			t.Fatalf("testdata/seeds.txt: %v", err)
+			t.Fatalf("%s: %v", path, err)
 		}
 		all = append(all, seed)
 	}
@@ -69,10 +71,10 @@
 // TestSoak guards against violations of the system's invariants that faults
 // outside the programs can cause: two runs of a task at once, a start after a
 // success, a refused or cancelled job that runs, an accepted job that is lost, a
-// worker whose capacity is exceeded, a revoked API key that is still accepted, a
+// worker whose capacity is exceeded, a task that crashes one worker after another, a revoked API key that is still accepted, a
 // process that ends by itself, and a process that uses more memory than it may.
 func TestSoak(t *testing.T) {
-	all := keptSeeds(t)
+	all := append(readSeeds(t, "testdata/seeds.txt"), readSeeds(t, "testdata/ci.txt")...)
 	for range *freshSeeds {
 		all = append(all, rand.Uint64N(1_000_000_000))
 	}
@@ -111,7 +113,9 @@
 	defer stopProbe()
 	var probes sync.WaitGroup
 	probes.Go(func() { prober.probeRevokedKeys(probing) })
-	s.injectFaults(s.drawSchedule(*faultDuration))
+	schedule := append(s.drawSchedule(*faultDuration), s.drawCapacityFaults(*faultDuration)...)
+	slices.SortStableFunc(schedule, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
+	s.injectFaults(schedule)
 	stop()
 	// A client may be in the middle of a submission.
 	busy.Wait()
@@ -231,20 +235,23 @@
 const maxAttempts = 4
 
 // checkFailed checks that a job that is reported as failed has used up its
-// attempts. Failures of several members of a gang in runs with the same
+// attempts, or that workers have crashed during crashes.Limit runs of one of its tasks. Failures of several members of a gang in runs with the same
 // number, standinworker.RunRecord.Run, count as one.
 func (s *system) checkFailed(j *submission) {
 	failures := map[int]bool{}
 	runs := s.runsByTask()
 	for i := range j.taskCount {
-		n := 0
+		n, crashed := 0, 0
 		for _, b := range runs[fmt.Sprintf("%s.0.0.%d", j.id, i)] {
-			if b.EndReason == "failed" {
+			switch b.EndReason {
+			case "failed":
 				n++
 				failures[b.Run] = true
+			case "crashed":
+				crashed++
 			}
 		}
-		if n >= maxAttempts {
+		if n >= maxAttempts || crashed >= crashes.Limit {
 			return
 		}
 	}
@@ -269,6 +276,9 @@
 		if !j.accepted && !j.mayBeAccepted {
 			s.fail("%s was started, but every submission of its job was refused", task)
 		}
+		if n := s.observedCrashes(runs); j.crashes && n > maxCrashingStarts {
+			s.fail("%s was started %d times, and each start crashed a worker", task, n)
+		}
 		for i, b := range runs {
 			if b.Spec != j.spec {
 				s.fail("%s ran %q instead of %q", task, b.Spec, j.spec)
@@ -296,6 +306,42 @@
 	}
 }
 
+// maxCrashingStarts is the platform's bound on the starts of a task that crashes its
+// workers: less than three further starts after three crashes.
+const maxCrashingStarts = 5
+
+// crashReportTime is how long an agent reports a crash, at least until the planner that
+// follows one or two others has stored it.
+const crashReportTime = 30 * time.Second
+
+// observedCrashes counts the runs that crashed their worker, other than those whose agent
+// ended before it certainly had reported the crash.
+func (s *system) observedCrashes(runs []standinworker.RunRecord) int {
+	n := 0
+	for _, b := range runs {
+		a := s.agentOf(b)
+		if b.EndReason == "crashed" && (a == nil || !a.endedBetween(b.StartedAt, b.EndedAt.Add(crashReportTime))) {
+			n++
+		}
+	}
+	return n
+}
+
+// agentOf returns the agent whose worker recorded the run.
+func (s *system) agentOf(b standinworker.RunRecord) *agentNode {
+	for _, a := range s.agents {
+		a.mu.Lock()
+		workers := append(slices.Clone(a.earlierWorkers), a.worker)
+		a.mu.Unlock()
+		for _, w := range workers {
+			if slices.Contains(w.History(), b) {
+				return a
+			}
+		}
+	}
+	return nil
+}
+
 // report fails the test if there were violations, and names the directory with
 // the logs of the processes. It removes the logs of a seed without violations,
 // unless -soak.keep is set.
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -37,6 +37,15 @@
 	entryMemoryMB, agentMemoryMB = 284, 152
 )
 
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	// capacityGrace is the platform's contact_ms: a start may rely on capacity that the
+	// worker lost up to this time and one heartbeat ago.
+	capacityGrace = 3 * time.Second
+	// workerRestart is the time from the crash of a worker to its next start.
+	workerRestart = 500 * time.Millisecond
+)
+
 // capacity is the capacity of each worker.
 var capacity = steps.Resources{CPU: 32000, MemMB: 128 << 10, GPUs: 8}
 
@@ -84,6 +93,8 @@
 	// newRecordsHidden reports whether the store's reads currently hide new
 	// records.
 	newRecordsHidden atomic.Bool
+	// ended says that workers are not started again.
+	ended atomic.Bool
 }
 
 // fail records a violation, with the time since the system was started.
@@ -246,12 +257,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
+		s.ended.Store(true)
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.worker.Close()
 	})
 	a.process = s.newProcess(t, "agent", name, agentMemoryMB, nodeSettings(name, ports, a.peerProxy.Address(), a.storeProxy.Address(), agentMemoryMB)+
-		fmt.Sprintf("[agent]\nworkerAddress = %s\nheartbeatAddress = %s\n", a.workerAddress, a.heartbeatAddress))
+		fmt.Sprintf("[agent]\nworkerAddress = %s\nheartbeatAddress = %s\nheartbeatMs = %d\ncapacityGraceMs = %d\n",
+			a.workerAddress, a.heartbeatAddress, heartbeatInterval.Milliseconds(), capacityGrace.Milliseconds()))
 	s.agents = append(s.agents, a)
 }
 
@@ -260,7 +273,8 @@
 func (s *system) startWorker(a *agentNode, i int) error {
 	w, err := standinworker.New(a.workerAddress, standinworker.Config{
 		ID: fmt.Sprintf("i-%d", i), Service: "paint", Zone: "a", Rack: a.rack, Capacity: capacity, MaxLease: maxLease, StopDuration: stopDuration,
-		HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: 500 * time.Millisecond, TaskResources: s.resourcesOfTask,
+		HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: heartbeatInterval, TaskResources: s.resourcesOfTask,
+		ShrinkGrace: heartbeatInterval + capacityGrace, OnCrash: func() { s.restartWorker(i) },
 	})
 	if err == nil {
 		a.worker = w
@@ -268,6 +282,22 @@
 	return err
 }
 
+// restartWorker starts a new incarnation of a worker that one of its runs has crashed. A
+// fault may have replaced it already.
+func (s *system) restartWorker(i int) {
+	time.Sleep(workerRestart)
+	a := s.agents[i]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s.ended.Load() || !a.worker.Closed() {
+		return
+	}
+	a.earlierWorkers = append(a.earlierWorkers, a.worker)
+	if err := s.startWorker(a, i); err != nil {
+		s.fail("stand-in worker %d did not start: %v", i, err)
+	}
+}
+
 // replaceWorker ends a worker and all its runs, and starts a new incarnation at
 // the same address.
 func (s *system) replaceWorker(i int) {
--- a/standinworker/standinworker.go
+++ b/standinworker/standinworker.go
@@ -188,6 +188,13 @@
 	w.goroutines.Wait()
 }
 
+// Closed reports whether the worker has been closed or has crashed.
+func (w *Worker) Closed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
 // SetFaults replaces the faults.
 func (w *Worker) SetFaults(f Faults) {
 	w.mu.Lock()
@@ -272,7 +279,7 @@
 		return req, false
 	}
 	w.mu.Lock()
-	unresponsive := w.faults.Unresponsive
+	unresponsive := w.faults.Unresponsive || w.closed
 	w.mu.Unlock()
 	if unresponsive {
 		w.leaveUnanswered(rw)
@@ -489,12 +496,22 @@
 		case <-time.After(time.Duration(req.WaitMs) * time.Millisecond):
 		}
 	}
-	httpserver.JSON(rw, http.StatusOK, w.status())
+	status, ok := w.status()
+	if !ok {
+		w.leaveUnanswered(rw)
+		return
+	}
+	httpserver.JSON(rw, http.StatusOK, status)
 }
 
-func (w *Worker) status() map[string]any {
+// status returns the body of a status, or false if the worker has ended. It then answers
+// nothing, in particular no list without the runs that it had.
+func (w *Worker) status() (map[string]any, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed {
+		return nil, false
+	}
 	runs, ends := []any{}, []any{}
 	for task, r := range w.running {
 		progress := 0
@@ -506,7 +523,7 @@
 	for _, e := range w.ends {
 		ends = append(ends, []any{e.number, e.task, e.run, e.reason, ""})
 	}
-	return map[string]any{"clock_ms": w.clock().Milliseconds(), "born": w.startedAt.UnixMilli(), "running": runs, "finished": ends}
+	return map[string]any{"clock_ms": w.clock().Milliseconds(), "born": w.startedAt.UnixMilli(), "running": runs, "finished": ends}, true
 }
 
 // expireLeases ends all runs when the lease has expired, until the worker
