stepplan: tasks with one crash never wait to be kept apart

Change: a task with one crash is kept from suspects of the same crash, and from VMs where it lost a run, only where there is room, without a wait and without a VM to itself. A task with more than one crash runs alone, as before.

--- a/stepplan/former.go
+++ b/stepplan/former.go
@@ -29,7 +29,7 @@
 		}
 		if f.End == worker.IncarnationCrashed {
 			for _, r := range f.Running {
-				sc.recordCrash(vm, r, now)
+				sc.recordCrash(vm, f.Worker, r, now)
 			}
 		}
 	}
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -31,10 +31,8 @@
 	// membersToStop holds, for gangs, the number of runs that are stopped together.
 	evictable     map[*VM][]candidate
 	membersToStop map[*Step]int
-	// isolatedVMs counts the VMs that would be usable and have only suspects. heldBack
-	// says that a VM is kept from other work until it is empty.
-	isolatedVMs int
-	heldBack    bool
+	// heldBack says that a VM is kept from other work until it is empty.
+	heldBack bool
 }
 
 // Plan starts the waiting gangs and single tasks that fit. It stops other runs
@@ -48,11 +46,9 @@
 		if vm.Attached && vm.Reported && vm.Worker != "" && !slices.Contains(vm.FormerWorkers, vm.Worker) && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
-			if sc.isolated(vm) {
-				p.isolatedVMs++
-				continue
+			if !sc.isolated(vm) {
+				p.add(vm)
 			}
-			p.add(vm)
 		}
 	}
 	slices.SortFunc(p.usable, func(x, y *VM) int { return cmp.Compare(x.Agent, y.Agent) })
@@ -127,7 +123,7 @@
 
 type (
 	// startUnit starts the unit's tasks on vms, one for each task. With isolate, the VMs
-	// of suspects are kept from other units.
+	// of tasks with more than one crash are kept from other units.
 	startUnit struct {
 		vms     []*VM
 		isolate bool
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -11,24 +11,21 @@
 )
 
 // A task that has lost a run in a crash of its worker is a suspect (see package
-// crashes): either it has crashed the worker, or it only ran beside the cause. A suspect
-// runs where a further crash hits little else and tells more: alone on a VM if there is
-// an empty one, never beside another suspect while there is another way, and not where it
-// has lost a run before. It stays a suspect until a run outlives the lost ones.
-
-const (
-	// isolationWait is how long a task with more than one crash waits for an empty VM, and
-	// any suspect for a VM without another suspect after that. A task may wait 3 s for its
-	// next run while there is capacity.
-	isolationWait = 1200 * time.Millisecond
-	// isolatedShare is the inverse of the share of the VMs that suspects with one crash
-	// may have for themselves.
-	isolatedShare = 8
-)
-
-// recordCrash counts a crash of a worker against the task of one of its runs, and fails
-// the job of a task that is to blame for its crashes.
-func (sc *Scheduler) recordCrash(vm *VM, r FormerRun, now time.Time) {
+// crashes): either it has crashed the worker, or it only ran beside the cause. Where there
+// is room, suspects of the same crash do not start beside each other, so that the next
+// crash tells them apart, nor where they have lost a run. None of them waits for that,
+// because most crashes have other causes. A task with more than one crash runs alone on a
+// VM, where a further crash hits nothing else and shows the cause. A task stays a suspect
+// until a run outlives the lost ones.
+
+// isolationWait is how long a task with more than one crash waits for an empty VM, and then
+// for a VM without another suspect. A task may wait 3 s for its next run while there is
+// capacity.
+const isolationWait = 1200 * time.Millisecond
+
+// recordCrash counts the crash of a worker's incarnation against the task of one of its
+// runs, and fails the job of a task that is to blame for its crashes.
+func (sc *Scheduler) recordCrash(vm *VM, former string, r FormerRun, now time.Time) {
 	id, err := steps.ParseTaskID(r.Task)
 	if err != nil {
 		return
@@ -41,7 +38,7 @@
 	if counted == t.Crashes {
 		return
 	}
-	t.Crashes = counted
+	t.Crashes, t.lostWith = counted, former
 	if t.lostAt.Sub(t.lostFrom) < r.Age {
 		t.lostFrom, t.lostAt = now.Add(-r.Age), now
 	}
@@ -71,26 +68,28 @@
 	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", t.ProgressAt.Sub(t.StartedAt).Milliseconds())})
 }
 
-// isolated reports whether the VM runs a suspect and nothing but its gang, so that
-// nothing else is to be placed there.
+// isolated reports whether the VM runs a task with more than one crash and nothing but its
+// gang, so that nothing else is to be placed there.
 func (sc *Scheduler) isolated(vm *VM) bool {
 	var unit *Step
-	suspect := false
+	isolated := false
 	for _, t := range vm.ActiveTasks {
 		s := sc.stepOf(t)
 		if unit != nil && (s != unit || !s.Spec.Gang) {
 			return false
 		}
 		unit = s
-		suspect = suspect || t.Crashes.Suspect()
+		isolated = isolated || t.Crashes.Count() > 1
 	}
-	return suspect
+	return isolated
 }
 
-// hasSuspect reports whether the VM runs a suspect of another unit than u.
-func (p *pass) hasSuspect(vm *VM, u unit) bool {
-	for _, t := range vm.ActiveTasks {
-		if t.Crashes.Suspect() && p.scheduler.stepOf(t) != u.step {
+// hasFellowSuspect reports whether the VM runs a suspect of another unit that the task has
+// to be told from: one of the same crash, or any if the task has more than one crash.
+func (p *pass) hasFellowSuspect(vm *VM, u unit, t *Task) bool {
+	for _, other := range vm.ActiveTasks {
+		fellow := t.Crashes.Count() > 1 || other.lostWith == t.lostWith && t.lostWith != ""
+		if fellow && other.Crashes.Suspect() && p.scheduler.stepOf(other) != u.step {
 			return true
 		}
 	}
@@ -112,10 +111,10 @@
 const (
 	// separationNone allows a suspect everywhere.
 	separationNone separation = "none"
-	// separationSuspects keeps it from suspects of other units and, if the task has not
+	// separationSuspects keeps it from suspects of the same crash and, if the task has not
 	// failed everywhere, from VMs where it has failed.
 	separationSuspects separation = "suspects"
-	// separationAll also keeps it from all other units.
+	// separationAll keeps it from all other units.
 	separationAll separation = "all"
 )
 
@@ -125,10 +124,10 @@
 		return true
 	}
 	failedHere := len(t.FailedOn) < len(p.usable) && slices.Contains(t.FailedOn, vm.Agent)
-	if failedHere || p.hasSuspect(vm, u) {
+	if failedHere || p.hasFellowSuspect(vm, u, t) {
 		return false
 	}
-	return s == separationSuspects || len(vm.ActiveTasks) == 0 && vm.free == vm.Capacity
+	return s == separationSuspects || t.Crashes.Count() == 1 || len(vm.ActiveTasks) == 0 && vm.free == vm.Capacity
 }
 
 // separations lists the separations to try for the unit, in order.
@@ -137,12 +136,12 @@
 	if most == 0 {
 		return []separation{separationNone}
 	}
-	waited := p.now.Sub(u.waitingSince)
-	var all []separation
-	if most > 1 || p.isolatedVMs < max(1, (len(p.usable)+p.isolatedVMs)/isolatedShare) {
-		all = append(all, separationAll)
+	if most == 1 {
+		return []separation{separationSuspects, separationNone}
 	}
-	if most == 1 || waited >= isolationWait {
+	waited := p.now.Sub(u.waitingSince)
+	all := []separation{separationAll}
+	if waited >= isolationWait {
 		all = append(all, separationSuspects)
 	}
 	if waited >= 2*isolationWait {
@@ -156,12 +155,11 @@
 	return u.maxCrashes() > 1 && p.now.Sub(u.waitingSince) < isolationWait
 }
 
-// isolate keeps the VMs of the unit's suspects from other units for the rest of the
-// pass.
+// isolate keeps the VMs of the unit's tasks with more than one crash from other units for
+// the rest of the pass.
 func (p *pass) isolate(u unit, vms []*VM) {
 	for i, t := range u.tasks {
-		if t.Crashes.Suspect() {
-			p.isolatedVMs++
+		if t.Crashes.Count() > 1 {
 			p.claim(vms[i], vms[i].free)
 		}
 	}
@@ -176,7 +174,7 @@
 	var best *VM
 	var bestEnd time.Duration
 	for _, vm := range p.allowedVMs(u) {
-		if p.hasSuspect(vm, u) || vm.free.GPUs < 0 {
+		if vm.free.GPUs < 0 || slices.ContainsFunc(u.tasks, func(t *Task) bool { return p.hasFellowSuspect(vm, u, t) }) {
 			continue
 		}
 		end := time.Duration(0)
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -77,8 +77,11 @@
 	// Crashes holds the runs that were lost in crashes of their workers. lostFrom and
 	// lostAt are the start and the end of the longest of them, zero if only an earlier
 	// planner knew these times.
+	// lostWith is the incarnation of a worker that crashed under the newest of them, empty
+	// if only an earlier planner knew it.
 	Crashes          crashes.Record
 	lostFrom, lostAt time.Time
+	lostWith         string
 
 	// needs is the VM capacity that the active run occupies.
 	needs steps.Resources
