stepplan: find VMs with a single suspect without a look at every run

Change: the scheduler keeps the tasks with more than one crash. A function that had the name of a field is renamed.

--- a/gang/types.go
+++ b/gang/types.go
@@ -300,8 +300,9 @@
 	}
 	// Abort appends the abort record to the log, after which the job waits for
 	// another attempt. FailedVM is set if an error of the job itself ended the
-	// attempt on that VM, and CrashedVM if a crash of its worker runtime did. The caller counts the VMs on which the job failed, and
-	// when they are too many it appends an end record with outcome.Failed instead.
+	// attempt on that VM, and CrashedVM if a crash of the VM's worker runtime did.
+	// The caller counts both, and when there are too many it appends an end record
+	// with outcome.Failed instead.
 	Abort struct {
 		Reason       string
 		CheckpointMs int64
--- a/stepplan/former.go
+++ b/stepplan/former.go
@@ -24,7 +24,7 @@
 		}
 		for _, t := range sc.activeTasksOn(vm) {
 			if t.Worker == f.Worker {
-				sc.markLost(t, now, lostWith(f, t))
+				sc.markLost(t, now, lossReason(f, t))
 			}
 		}
 		if f.End == worker.IncarnationCrashed {
@@ -48,8 +48,8 @@
 	return Event{Kind: kind, VM: vm.Agent, Reason: fmt.Sprintf("worker=%s running=[%s]", f.Worker, strings.Join(running, ", "))}
 }
 
-// lostWith is the reason for the loss of the task's run with its worker.
-func lostWith(f FormerWorker, t *Task) string {
+// lossReason is the reason for the loss of the task's run with its worker.
+func lossReason(f FormerWorker, t *Task) string {
 	inProgress := slices.ContainsFunc(f.Running, func(r FormerRun) bool { return r.Task == t.ID.String() && r.Number == t.Run })
 	switch {
 	case !inProgress:
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -83,6 +83,9 @@
 	}
 	t := s[id.Step].Tasks[id.Index]
 	t.Run, t.Done, t.Failures, t.Checkpoint, t.Crashes = p.Run, p.Done, p.Failures, p.Checkpoint, p.Crashes
+	if t.Crashes.Count() > 1 {
+		sc.severalCrashes[t.ID] = t
+	}
 	switch {
 	case t.Done:
 		s[id.Step].DoneCount++
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -42,11 +42,12 @@
 		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), rackFreeGPUs: map[string]int{},
 		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{},
 	}
+	isolated := sc.isolatedVMs()
 	for _, vm := range sc.VMs {
 		if vm.Attached && vm.Reported && vm.Worker != "" && !slices.Contains(vm.FormerWorkers, vm.Worker) && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
-			if !sc.isolated(vm) {
+			if !isolated[vm.Agent] {
 				p.add(vm)
 			}
 		}
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -39,6 +39,9 @@
 		return
 	}
 	t.Crashes, t.lostWith = counted, former
+	if counted.Count() > 1 {
+		sc.severalCrashes[t.ID] = t
+	}
 	if t.lostAt.Sub(t.lostFrom) < r.Age {
 		t.lostFrom, t.lostAt = now.Add(-r.Age), now
 	}
@@ -68,22 +71,33 @@
 	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", t.ProgressAt.Sub(t.StartedAt).Milliseconds())})
 }
 
-// isolated reports whether the VM runs a task with more than one crash and nothing but its
+// isolatedVMs lists the VMs that run a task with more than one crash and nothing but its
 // gang, so that nothing else is to be placed there.
-func (sc *Scheduler) isolated(vm *VM) bool {
-	var unit *Step
-	isolated := false
-	for _, t := range vm.ActiveTasks {
-		s := sc.stepOf(t)
-		if unit != nil && (s != unit || !s.Spec.Gang) {
-			return false
+func (sc *Scheduler) isolatedVMs() map[string]bool {
+	isolated := map[string]bool{}
+	for id, t := range sc.severalCrashes {
+		j := sc.Jobs[id.Job]
+		switch {
+		case j == nil || j.Phase.Over() || t.Done || t.Crashes.Count() < 2:
+			delete(sc.severalCrashes, id)
+		case t.Active && sc.runsOnlyUnitOf(sc.VMs[t.Agent], t):
+			isolated[t.Agent] = true
 		}
-		unit = s
-		isolated = isolated || t.Crashes.Count() > 1
 	}
 	return isolated
 }
 
+// runsOnlyUnitOf reports whether the VM runs nothing but the task and members of its gang.
+func (sc *Scheduler) runsOnlyUnitOf(vm *VM, t *Task) bool {
+	s := sc.stepOf(t)
+	for _, other := range vm.ActiveTasks {
+		if other != t && !(s.Spec.Gang && sc.stepOf(other) == s) {
+			return false
+		}
+	}
+	return true
+}
+
 // hasFellowSuspect reports whether the VM runs a suspect of another unit that the task has
 // to be told from: one of the same crash, or any if the task has more than one crash.
 func (p *pass) hasFellowSuspect(vm *VM, u unit, t *Task) bool {
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -349,6 +349,9 @@
 	// Evacuated holds the zones on whose VMs no task starts.
 	Evacuated map[string]bool
 
+	// severalCrashes holds the tasks with more than one crash. It can also hold tasks that
+	// no longer have, until the next pass.
+	severalCrashes map[steps.TaskID]*Task
 	// dirty holds the IDs of the jobs whose progress has to be stored.
 	dirty  map[string]bool
 	output Output
@@ -367,6 +370,6 @@
 func New(t Timing) *Scheduler {
 	return &Scheduler{
 		Timing: t, Jobs: map[string]*Job{}, Cancelled: map[string]time.Time{}, VMs: map[string]*VM{}, Queues: map[string]access.Queue{}, Orgs: map[string]access.Org{},
-		Quarantine: quarantine.New(quarantine.WithDurations(initialQuarantine, maxQuarantine)), dirty: map[string]bool{},
+		Quarantine: quarantine.New(quarantine.WithDurations(initialQuarantine, maxQuarantine)), dirty: map[string]bool{}, severalCrashes: map[steps.TaskID]*Task{},
 	}
 }
