--- a/review/cases/plays.go
+++ b/review/cases/plays.go
@@ -195,28 +195,13 @@
 	if err := awaitRunning(s, one, 1, 10*time.Second); err != nil {
 		return "", err
 	}
+	trafficEnd := s.Log.Now()
 	time.Sleep(5 * time.Second)
 	unit := one + ".0.0.0"
 	if trouble && !workerOf(s, runningNow(s, one)[unit]).Fail(unit) {
 		return "", fmt.Errorf("no run to fail")
 	}
-	time.Sleep(50 * time.Second)
-	_, state := s.NewClient(key).Call(http.MethodGet, "/ordinary/"+one, nil)
-	runs, done := 0, false
-	for _, w := range s.Workers {
-		s.Log.Add("check     worker %s has %d of %d accelerators in use", w.ID, usedGPUs(w), w.Room.GPUs)
-		for _, r := range w.Runs() {
-			if r.Task == unit {
-				runs++
-				done = done || r.How == "done"
-			}
-		}
-	}
-	s.Log.Add("check     work unit %s has had %d runs, 3 may fail; room for %d such work units is free", unit, runs, fitting(s, "a", 4))
-	if done || runs > 1 || fitting(s, "a", 4) < 2 {
-		return "", nil
-	}
-	return "50 s after the only run of " + unit + " failed nothing of the job runs, it is shown as " + state + ", and there is room for it twice over", nil
+	return nothingRuns(s, s.NewClient(key), "/ordinary/", one, "a", trafficEnd, 55*time.Second), nil
 }
 
 // jobShare: a worker is lost for good on which work units that last are at work.
@@ -349,14 +334,15 @@
 	if err := client.Submit("/other/"+after, standin.Job{Spec: "run 1000", Steps: []standin.Step{{Count: 1, CPU: 1000, Mem: 1000, GPUs: 1, Estimate: 1000}}}); err != nil {
 		return "", err
 	}
-	broken, err := neverStarted(s, client, "/other/", after, 25*time.Second)
+	gpusOf[after] = 1
+	broken := nothingRuns(s, client, "/other/", after, "a", s.Log.Now(), 25*time.Second)
 	runs := 0
 	for _, w := range s.Workers {
 		runs += len(w.Runs())
 	}
 	refused, largest := s.Store.Refused()
 	s.Log.Add("check     %d runs were started; the store refused %d appends, the largest record had %d bytes", runs, refused, largest)
-	return broken, err
+	return broken, nil
 }
 
 // strangeHeartbeat: a heartbeat of another writer arrives.
@@ -439,29 +425,57 @@
 	if err := client.Submit("/other/"+after, standin.Job{Spec: "run 1000", Steps: []standin.Step{{Count: 1, CPU: 1000, Mem: 1000, GPUs: 1, Estimate: 1000, Requirements: "b"}}}); err != nil {
 		return "", err
 	}
-	return neverStarted(s, client, "/other/", after, 40*time.Second)
+	gpusOf[after] = 1
+	return nothingRuns(s, client, "/other/", after, "b", s.Log.Now(), 40*time.Second), nil
 }
 
-// neverStarted watches an accepted job of which nothing has been started. It returns what
-// breaks the rule if nothing is started within the given time.
-func neverStarted(s *standin.Site, client *standin.Client, prefix, id string, watch time.Duration) (string, error) {
-	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+// finish is the time after the end of the traffic from which on jobs are asked for.
+const finish = 14 * time.Second
+
+// nothingRuns watches an accepted job of one work unit, the last that was handed in, and
+// returns what breaks the rule: from finish after the end of the traffic on, for unitWaits
+// on end, nothing of the job runs although the work unit isn't done, there is room for it
+// twice over on workers of the kind, and under half of the service's capacity is in use.
+func nothingRuns(s *standin.Site, client *standin.Client, prefix, id, kind string, trafficEnd, watch time.Duration) string {
+	unit, broken := id+".0.0.0", ""
+	var since time.Duration
+	for end := trafficEnd + watch; s.Log.Now() < end; time.Sleep(50 * time.Millisecond) {
+		now := s.Log.Now()
+		fits, used, total, done := fitting(s, kind, gpusOf[id]), 0, 0, false
 		for _, w := range s.Workers {
+			if !w.Down() {
+				used, total = used+usedGPUs(w), total+w.Room.GPUs
+			}
 			for _, r := range w.Runs() {
-				if strings.HasPrefix(r.Task, id+".") {
-					s.Log.Add("check     a work unit of job %s was started on %s", id, w.ID)
-					return "", nil
-				}
+				done = done || r.Task == unit && r.How == "done"
 			}
 		}
+		if done {
+			break
+		}
+		if now < trafficEnd+finish || len(runningNow(s, id)) > 0 || fits < 2 || 2*used >= total {
+			since = 0
+			continue
+		}
+		if since == 0 {
+			since = now
+		}
+		if broken == "" && now-since > unitWaits {
+			broken = fmt.Sprintf("nothing of job %s has run for %.1f s, %.1f s after the end of the traffic, while there is room for %d such work units and %d of %d accelerators are in use", id, (now - since).Seconds(), (now - trafficEnd).Seconds(), fits, used, total)
+			s.Log.Add("check     %s", broken)
+		}
 	}
+	_, state := client.Call(http.MethodGet, prefix+id, nil)
+	runs := 0
 	for _, w := range s.Workers {
-		if !w.Down() {
-			s.Log.Add("check     worker %s is up, of kind %s, and has %d of %d accelerators in use", w.ID, w.Kind, usedGPUs(w), w.Room.GPUs)
+		for _, r := range w.Runs() {
+			if r.Task == unit {
+				runs++
+			}
 		}
 	}
-	_, state := client.Call(http.MethodGet, prefix+id, nil)
-	return fmt.Sprintf("job %s was accepted %s ago, has nothing running and is shown as %s, while there is room for it", id, watch, state), nil
+	s.Log.Add("check     at the end of the watch job %s has had %d runs, %d are running, and it is shown as %s", id, runs, len(runningNow(s, id)), state)
+	return broken
 }
 
 // sameID: a worker that has been up for three days crashes and is back under its id.
