stepagent, stepplan: log the sign from which a worker's end is concluded

Cause: workerEnded named neither what the agent had seen nor whether the worker answered later, so that a real crash, refused connections and a foreign announcement looked the same. Change: the line has the sign; workerRevived names an incarnation that answers after it was taken for ended; workerUnreachable and workerReachable bound a time without answers; unknownRun names a run that a planner finds on a VM where it expects none. Result: go test ./stepagent ./stepplan passes. No decision changed.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -41,6 +41,7 @@
 // call also extends the worker's lease as far as the planner has granted.
 func (d *Daemon) poll(ctx context.Context) {
 	failures := 0
+	var failingSince time.Time
 	for ctx.Err() == nil {
 		d.table.mu.Lock()
 		known := d.table.known
@@ -51,13 +52,20 @@
 		}
 		err := d.readStatus(ctx, statusWait)
 		if err == nil {
-			failures = 0
+			if !failingSince.IsZero() {
+				d.log.Add("workerReachable", eventlog.Fields{"failingMs": time.Since(failingSince).Milliseconds()})
+			}
+			failures, failingSince = 0, time.Time{}
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		d.counters.Count("workerCallFailed")
+		if failingSince.IsZero() {
+			failingSince = time.Now()
+			d.log.Add("workerUnreachable", eventlog.Fields{"cause": err.Error()})
+		}
 		d.markUnhealthy()
 		failures++
 		if !errors.Is(err, errNoListener) {
@@ -85,7 +93,7 @@
 	t := d.table
 	t.mu.Lock()
 	t.down = true
-	t.retire(false, time.Now())
+	t.retire(signRefusedConnections, time.Now())
 	t.requestReport()
 	t.mu.Unlock()
 	d.log.Add("workerDown", eventlog.Fields{"cause": cause.Error()})
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -156,7 +156,7 @@
 	if d.log == nil {
 		d.log = eventlog.New(io.Discard, c.Name, d.counters.Registry)
 	}
-	d.table.onRetired = d.logRetired
+	d.table.onRetired, d.table.onRevived = d.logRetired, d.logRevived
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
--- a/stepagent/former.go
+++ b/stepagent/former.go
@@ -19,6 +19,15 @@
 	maxFormer = 8
 )
 
+// endSign is an observation from which the agent concludes that an incarnation has ended.
+type endSign string
+
+const (
+	signRefusedConnections endSign = "refusedConnections"
+	signOtherAnnouncement  endSign = "otherAnnouncement"
+	signAnnouncedEnd       endSign = "announcedEnd"
+)
+
 // formerRun is a run that may have been in progress when its incarnation ended.
 type formerRun struct {
 	worker.Run
@@ -29,7 +38,9 @@
 type formerWorker struct {
 	incarnation string
 	end         worker.IncarnationEnd
-	endedAt     time.Time
+	// sign is what the agent concluded the end from.
+	sign    endSign
+	endedAt time.Time
 	// running is sorted by task.
 	running []formerRun
 	// ended are the ends that the planner had not stored. The worker can no longer list
@@ -39,14 +50,14 @@
 	reportUntil time.Time
 }
 
-// retire records that the current incarnation of the worker has ended, and forgets its
-// runs. left says that the worker announced its end. The caller holds the mutex.
-func (t *workerTable) retire(left bool, now time.Time) {
+// retire records that the current incarnation of the worker has ended, as the sign shows,
+// and forgets its runs. The caller holds the mutex.
+func (t *workerTable) retire(sign endSign, now time.Time) {
 	if !t.known || t.retired && len(t.runs) == 0 && len(t.endedRuns) == 0 {
 		return
 	}
-	f := formerWorker{incarnation: t.incarnation(), end: worker.IncarnationCrashed, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
-	if left || t.announced.Draining {
+	f := formerWorker{incarnation: t.incarnation(), end: worker.IncarnationCrashed, sign: sign, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
+	if sign == signAnnouncedEnd || t.announced.Draining {
 		f.end = worker.IncarnationLeft
 	}
 	for key, r := range t.runs {
@@ -71,6 +82,9 @@
 		return
 	}
 	t.retired = false
+	if t.onRevived != nil {
+		t.onRevived(t.incarnation())
+	}
 	incarnation := t.incarnation()
 	t.former = slices.DeleteFunc(t.former, func(f formerWorker) bool { return f.incarnation == incarnation })
 }
@@ -106,5 +120,11 @@
 		running = append(running, r.Task)
 	}
 	d.counters.Count("workerEnded." + string(f.end))
-	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "running": running, "unstoredEnds": len(f.ended)})
+	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "sign": string(f.sign), "running": running, "unstoredEnds": len(f.ended)})
+}
+
+// logRevived logs and counts that an incarnation which was taken for ended has answered.
+func (d *Daemon) logRevived(incarnation string) {
+	d.counters.Count("workerRevived")
+	d.log.Add("workerRevived", eventlog.Fields{"worker": incarnation})
 }
--- a/stepagent/former_test.go
+++ b/stepagent/former_test.go
@@ -22,10 +22,10 @@
 		want     worker.IncarnationEnd
 	}{
 		{"restarted", false, func(t *workerTable) { t.applyAnnouncement(second) }, worker.IncarnationCrashed},
-		{"refusesConnections", false, func(t *workerTable) { t.down = true; t.retire(false, time.Now()) }, worker.IncarnationCrashed},
-		{"refusesConnectionsThenRestarts", false, func(t *workerTable) { t.retire(false, time.Now()); t.applyAnnouncement(second) }, worker.IncarnationCrashed},
+		{"refusesConnections", false, func(t *workerTable) { t.down = true; t.retire(signRefusedConnections, time.Now()) }, worker.IncarnationCrashed},
+		{"refusesConnectionsThenRestarts", false, func(t *workerTable) { t.retire(signRefusedConnections, time.Now()); t.applyAnnouncement(second) }, worker.IncarnationCrashed},
 		{"announcedItsEnd", false, func(t *workerTable) { t.markLeft("i") }, worker.IncarnationLeft},
-		{"endedWhileDraining", true, func(t *workerTable) { t.retire(false, time.Now()) }, worker.IncarnationLeft},
+		{"endedWhileDraining", true, func(t *workerTable) { t.retire(signRefusedConnections, time.Now()) }, worker.IncarnationLeft},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			table := newWorkerTable(time.Minute)
@@ -60,7 +60,7 @@
 	table := newWorkerTable(time.Minute)
 	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
 	table.down = true
-	table.retire(false, time.Now())
+	table.retire(signRefusedConnections, time.Now())
 	c.Assert(table.reportedFormer(time.Now()), qt.HasLen, 1)
 	c.Assert(table.merge(worker.Status{StartedAtUnixMs: 1, Complete: true}, 1, 1), qt.IsTrue)
 	c.Check(table.reportedFormer(time.Now()), qt.HasLen, 0)
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -96,10 +96,12 @@
 	version int
 	// retired says that the current incarnation is known to have ended and is in former,
 	// which holds the incarnations that ended a short time ago, oldest first. onRetired
-	// is called with each and does not wait.
+	// is called with each, and onRevived with the name of one that has answered
+	// afterwards. They do not wait.
 	retired   bool
 	former    []formerWorker
 	onRetired func(formerWorker)
+	onRevived func(incarnation string)
 	// reportDue is signalled when a report has to be sent at once.
 	reportDue chan struct{}
 }
@@ -142,7 +144,7 @@
 	}
 	nowDraining = a.Draining && (!sameIncarnation || !t.announced.Draining)
 	if !sameIncarnation {
-		t.retire(false, time.Now())
+		t.retire(signOtherAnnouncement, time.Now())
 		t.resetIncarnation()
 		newIncarnation = true
 	}
@@ -174,7 +176,7 @@
 	defer t.mu.Unlock()
 	if t.known && t.announced.ID == id {
 		t.down = true
-		t.retire(true, time.Now())
+		t.retire(signAnnouncedEnd, time.Now())
 		t.requestReport()
 	}
 }
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -291,6 +291,7 @@
 // first after a time of silence.
 func (sc *Scheduler) reconcileRuns(vm *VM, r Report, silent bool, now time.Time) {
 	present := map[steps.TaskID]RunningTask{}
+	unknownBefore := vm.UnknownRuns
 	vm.UnknownRuns = 0
 	for _, run := range r.Running {
 		id, err := steps.ParseTaskID(run.Task)
@@ -307,7 +308,9 @@
 			sc.updateRun(t, run, now)
 			continue
 		}
-		vm.UnknownRuns++
+		if vm.UnknownRuns++; unknownBefore == 0 && vm.UnknownRuns == 1 {
+			sc.addEvent(Event{Kind: "unknownRun", Job: id.Job, Task: run.Task, Run: run.Number, VM: vm.Agent, Reason: fmt.Sprintf("worker=%s started=%t", r.Worker, !run.StartUnconfirmed)})
+		}
 		if !run.StartUnconfirmed {
 			sc.stops = append(sc.stops, StopOrder{Agent: vm.Agent, Worker: r.Worker, Session: vm.Session, Task: id, Run: run.Number, Reason: "the planner does not know the run"})
 		}
