standinworker: refuse connections, restart in place, count calls

Change: RefuseConnections and AcceptConnections, Restart, Calls, LateStarts, Config.FirstHeartbeatDelay, Config.Uptime and Faults.NoHeartbeats. A start that was put off is carried out by the incarnation that lives then. The harness of siteproof takes options for the worker's configuration.

--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -171,28 +171,39 @@
 	e.storeProxy.Close()
 }
 
-func (s *site) startAgent(i int) *agentProcess {
+func (s *site) startAgent(i int, options ...workerOption) *agentProcess {
 	a := &agentProcess{name: fmt.Sprintf("vm-%d", i), listenAddress: loopback.Address(), heartbeatAddress: loopback.Address(), rack: fmt.Sprintf("r%d", i/2), zone: string("ab"[i/2%2])}
-	s.startWorker(a, loopback.Address())
+	s.startWorker(a, loopback.Address(), options...)
 	s.runAgent(a)
 	s.agents = append(s.agents, a)
 	return a
 }
 
+// workerOption changes the configuration of one incarnation of a worker.
+type workerOption func(*standinworker.Config)
+
 // startWorker starts a new incarnation of the agent's worker.
-func (s *site) startWorker(a *agentProcess, address string) {
-	w, err := standinworker.New(address, standinworker.Config{
-		ID: fmt.Sprintf("i-%s", a.name), Service: "paint", Zone: a.zone, Rack: a.rack, Capacity: capacity,
-		MaxLease: maxLease, StopDuration: 100 * time.Millisecond, HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: heartbeatInterval,
-		TaskResources: s.resourcesOfTask, ShrinkGrace: shrinkGrace,
-		OnCrash: func() { s.restartWorker(a, address) },
-	})
+func (s *site) startWorker(a *agentProcess, address string, options ...workerOption) {
+	w, err := standinworker.New(address, s.workerConfig(a, address, options...))
 	s.c.Assert(err, qt.IsNil)
 	s.mu.Lock()
 	a.worker, a.workerAddress = w, w.Address()
 	s.mu.Unlock()
 }
 
+func (s *site) workerConfig(a *agentProcess, address string, options ...workerOption) standinworker.Config {
+	cfg := standinworker.Config{
+		ID: fmt.Sprintf("i-%s", a.name), Service: "paint", Zone: a.zone, Rack: a.rack, Capacity: capacity,
+		MaxLease: maxLease, StopDuration: 100 * time.Millisecond, HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: heartbeatInterval,
+		TaskResources: s.resourcesOfTask, ShrinkGrace: shrinkGrace,
+		OnCrash: func() { s.restartWorker(a, address) },
+	}
+	for _, o := range options {
+		o(&cfg)
+	}
+	return cfg
+}
+
 // restartWorker starts a new incarnation of a worker that one of its runs has crashed,
 // unless the test is over.
 func (s *site) restartWorker(a *agentProcess, address string) {
--- a/standinworker/standinworker.go
+++ b/standinworker/standinworker.go
@@ -10,7 +10,8 @@
 // A run whose payload is a word and a number, such as "run 50", takes that many
 // milliseconds, one with any other payload 10 ms. It fails if the payload begins
 // with "fail", crashes the worker if it begins with "crash", and succeeds otherwise. A
-// Worker owns its runs. One mutex guards them and is not held while a call waits.
+// Worker owns its runs. Its mutex guards them, that of its listener guards which worker
+// answers there. Neither is held while a call waits, and neither is locked under the other.
 package standinworker
 
 import (
@@ -32,7 +33,8 @@
 	// answered.
 	LoseAnswers int
 	// ApplyLate is how many of the next starts are carried out only after
-	// ApplyDelay and are not answered. It takes precedence over LoseAnswers.
+	// ApplyDelay and are not answered. It takes precedence over LoseAnswers. If the
+	// worker has been restarted by then, its next incarnation carries them out.
 	ApplyLate  int
 	ApplyDelay time.Duration
 	// FailAll makes runs fail that would otherwise succeed.
@@ -42,6 +44,8 @@
 	// Unresponsive answers no valid call: the connection of each call is closed
 	// after unansweredDuration.
 	Unresponsive bool
+	// NoHeartbeats suppresses announcements.
+	NoHeartbeats bool
 }
 
 // Config configures a Worker.
@@ -55,6 +59,11 @@
 	HeartbeatAddress string
 	// HeartbeatInterval is the interval between announcements.
 	HeartbeatInterval time.Duration
+	// FirstHeartbeatDelay is the time from the start of the worker to its first
+	// announcement.
+	FirstHeartbeatDelay time.Duration
+	// Uptime is how long ago the worker counts as started when New returns it.
+	Uptime time.Duration
 	// TaskResources returns the resources that a task takes. The worker refuses
 	// no start request for lack of capacity, but records a violation when its
 	// capacity is exceeded. If nil, the capacity is not checked.
@@ -101,7 +110,7 @@
 // Worker is a running stand-in. It is safe for concurrent use.
 type Worker struct {
 	cfg        Config
-	http       *httpserver.Server
+	listener   *listener
 	startedAt  time.Time
 	stop       chan struct{}
 	goroutines sync.WaitGroup
@@ -128,6 +137,11 @@
 	history    []*RunRecord
 	violations []string
 	closed     bool
+	// next is the incarnation that Restart has returned.
+	next *Worker
+	// calls is the number of calls received. lateStarts is that of the starts to which
+	// Faults.ApplyLate applied.
+	calls, lateStarts int
 	// capacity is what the worker announces. Until earlierCapacityUntil, a start may rely
 	// on earlierCapacity.
 	capacity, earlierCapacity steps.Resources
@@ -149,43 +163,94 @@
 
 // New listens on the TCP address and starts the worker.
 func New(address string, cfg Config) (*Worker, error) {
-	w := &Worker{cfg: cfg, startedAt: time.Now(), stop: make(chan struct{}), running: map[string]*activeRun{}, highestRun: map[string]int{}, changed: make(chan struct{}), capacity: cfg.Capacity}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/run-start", w.handleStart)
-	mux.HandleFunc("POST /api/run-stop", w.handleStop)
-	mux.HandleFunc("POST /api/hold", w.handleStatus)
-	h, err := httpserver.New(address, maxConcurrentRequests, mux)
-	if err != nil {
+	l := &listener{address: address}
+	w := newWorker(l, cfg)
+	l.worker = w
+	if err := l.open(); err != nil {
 		return nil, fmt.Errorf("stand-in worker: %w", err)
 	}
-	w.http = h
+	w.run()
+	return w, nil
+}
+
+func newWorker(l *listener, cfg Config) *Worker {
+	return &Worker{cfg: cfg, listener: l, startedAt: time.Now().Add(-cfg.Uptime), stop: make(chan struct{}), running: map[string]*activeRun{}, highestRun: map[string]int{}, changed: make(chan struct{}), capacity: cfg.Capacity}
+}
+
+func (w *Worker) run() {
 	w.goroutines.Go(w.sendAnnouncements)
 	w.goroutines.Go(w.expireLeases)
-	return w, nil
 }
 
 // Address is the IP address and port that the worker receives calls on.
-func (w *Worker) Address() string { return w.http.Address() }
+func (w *Worker) Address() string { return w.listener.Address() }
+
+// Calls is the number of calls that the worker has received.
+func (w *Worker) Calls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
+// LateStarts is the number of starts that the worker has put off because of
+// Faults.ApplyLate.
+func (w *Worker) LateStarts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lateStarts
+}
+
+// RefuseConnections closes the listener and all connections, while the worker goes on.
+func (w *Worker) RefuseConnections() { w.listener.close() }
+
+// AcceptConnections listens again at the same address after RefuseConnections.
+func (w *Worker) AcceptConnections() error {
+	if err := w.listener.open(); err != nil {
+		return fmt.Errorf("stand-in worker: %w", err)
+	}
+	return nil
+}
+
+// Restart ends the worker as Close does and returns its next incarnation, which answers
+// at the same address at once, so that no connection is refused. The worker must not have
+// been closed before.
+func (w *Worker) Restart(cfg Config) *Worker {
+	next := newWorker(w.listener, cfg)
+	w.end(next)
+	w.listener.setWorker(next)
+	close(w.stop)
+	next.run()
+	w.goroutines.Wait()
+	return next
+}
 
 // Close stops the worker as a crash would: all runs end and are not reported.
 // Closing it again does nothing.
 func (w *Worker) Close() {
+	if !w.end(nil) {
+		return
+	}
+	close(w.stop)
+	w.listener.close()
+	w.goroutines.Wait()
+}
+
+// end ends all runs. next is the incarnation that follows, or nil. It reports false if
+// the worker has been closed before.
+func (w *Worker) end(next *Worker) bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.closed {
-		w.mu.Unlock()
-		return
+		return false
 	}
-	w.closed = true
+	w.closed, w.next = true, next
 	now := time.Now()
 	for _, r := range w.running {
 		r.timer.Stop()
 		r.record.EndedAt, r.record.EndReason = now, "crashed"
 	}
 	w.running = map[string]*activeRun{}
-	w.mu.Unlock()
-	close(w.stop)
-	w.http.Close(100 * time.Millisecond)
-	w.goroutines.Wait()
+	return true
 }
 
 // Closed reports whether the worker has been closed or has crashed.
@@ -279,6 +344,7 @@
 		return req, false
 	}
 	w.mu.Lock()
+	w.calls++
 	unresponsive := w.faults.Unresponsive || w.closed
 	w.mu.Unlock()
 	if unresponsive {
@@ -320,11 +386,8 @@
 	switch {
 	case late:
 		w.faults.ApplyLate--
-		time.AfterFunc(w.faults.ApplyDelay, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.startRun(req, true)
-		})
+		w.lateStarts++
+		time.AfterFunc(w.faults.ApplyDelay, func() { w.startLate(req) })
 	case loseAnswer:
 		w.faults.LoseAnswers--
 		w.startRun(req, false)
@@ -339,6 +402,19 @@
 	w.reply(rw, status, reason)
 }
 
+// startLate carries out a start order that was put off, in the newest incarnation.
+func (w *Worker) startLate(req request) {
+	w.mu.Lock()
+	next := w.next
+	if next == nil {
+		w.startRun(req, true)
+	}
+	w.mu.Unlock()
+	if next != nil {
+		next.startLate(req)
+	}
+}
+
 // startRun starts a run, unless the request is refused, and returns the status of
 // the answer and the reason of a refusal. late says that the worker itself delayed
 // the request (Faults.ApplyLate), so that the agent may have sent it before the
@@ -551,6 +627,11 @@
 // worker closes.
 func (w *Worker) sendAnnouncements() {
 	client := http.Client{Timeout: time.Second}
+	select {
+	case <-w.stop:
+		return
+	case <-time.After(w.cfg.FirstHeartbeatDelay):
+	}
 	ticker := time.NewTicker(w.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -565,6 +646,10 @@
 
 func (w *Worker) announce(client *http.Client) {
 	w.mu.Lock()
+	if w.faults.NoHeartbeats {
+		w.mu.Unlock()
+		return
+	}
 	w.announcementSequence++
 	state := "ready"
 	if w.draining {
