--- /dev/null
+++ b/siteproof/lives_test.go
@@ -0,0 +1,79 @@
+package siteproof
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/standinworker"
+)
+
+// settleTime is how long a test goes on after its jobs have completed, so that a further
+// start is seen.
+const settleTime = 500 * time.Millisecond
+
+// awaitStart waits for the first start of a job's tasks, and returns the agent whose
+// worker has started it.
+func (s *site) awaitStart(id string) *agentProcess {
+	s.c.Helper()
+	var started *agentProcess
+	s.eventually("job "+id+" runs", func() bool {
+		for _, a := range s.agents {
+			if len(startsOn(a, id)) > 0 {
+				started = a
+			}
+		}
+		return started != nil
+	})
+	return started
+}
+
+// startsOn returns the starts of a job's tasks on the newest incarnation of a worker.
+func startsOn(a *agentProcess, id string) []standinworker.RunRecord {
+	var all []standinworker.RunRecord
+	for _, r := range a.worker.History() {
+		if strings.HasPrefix(r.Task, id+".") {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// TestRefusedConnectionsStartNothingTwice guards against taking a worker for crashed whose
+// address refuses connections for a while.
+func TestRefusedConnectionsStartNothingTwice(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		spec         string
+		refusedFor   time.Duration
+		noHeartbeats bool
+		// oneStart says that the lease outlasts the refusals.
+		oneStart bool
+	}{
+		{"shortly", "run 1500", 600 * time.Millisecond, false, true},
+		{"shortlyWithoutHeartbeats", "run 1500", 600 * time.Millisecond, true, true},
+		{"beyondLease", "run 3000", 8 * time.Second, false, false},
+		{"beyondLeaseWithoutHeartbeats", "run 3000", 8 * time.Second, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, 1, 2)
+			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), test.spec, 1, 1, false))
+			a := s.awaitStart(jobID(1))
+			time.Sleep(100 * time.Millisecond)
+			refusedUntil := time.Now().Add(test.refusedFor)
+			a.worker.SetFaults(standinworker.Faults{NoHeartbeats: test.noHeartbeats})
+			a.worker.RefuseConnections()
+			time.Sleep(time.Until(refusedUntil))
+			a.worker.SetFaults(standinworker.Faults{})
+			s.c.Assert(a.worker.AcceptConnections(), qt.IsNil)
+			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+			time.Sleep(settleTime)
+			if test.oneStart {
+				s.c.Check(s.starts(jobID(1)), qt.HasLen, 1)
+			}
+			s.checkRuns()
+		})
+	}
+}
