--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -1,6 +1,10 @@
 package siteproof
 
 import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -77,3 +81,56 @@
 		})
 	}
 }
+
+// TestForeignAnnouncementStartsNothingTwice guards against believing an announcement that
+// the agent's worker has not sent.
+func TestForeignAnnouncementStartsNothingTwice(t *testing.T) {
+	put := func(id, service, address string) func(*site, *agentProcess) {
+		return func(s *site, a *agentProcess) {
+			s.announce(a, http.MethodPut, cmp.Or(id, workerID(a)), map[string]any{
+				"service": service, "address": address, "state": "ready", "sequence": 1, "born": time.Now().UnixMilli(),
+			})
+		}
+	}
+	for _, test := range []struct {
+		name string
+		send func(*site, *agentProcess)
+	}{
+		{"stranger", put("i-stranger", "sculpt", "127.0.0.1:1")},
+		{"ownID", put("", "paint", "127.0.0.1:70000")},
+		{"endOfEarlierIncarnation", func(s *site, a *agentProcess) { s.announce(a, http.MethodDelete, workerID(a), nil) }},
+		{"endOfStranger", func(s *site, a *agentProcess) { s.announce(a, http.MethodDelete, "i-stranger", nil) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, 1, 2)
+			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 1500", 1, 1, false))
+			a := s.awaitStart(jobID(1))
+			time.Sleep(100 * time.Millisecond)
+			test.send(s, a)
+			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+			s.submit(s.entries[0], "urgent", jobID(2), s.jobBody(jobID(2), "run 50", capacity.GPUs, len(s.agents), true))
+			submittedAt := time.Now()
+			s.awaitState(s.entries[0], "urgent", jobID(2), "completed")
+			starts := s.starts(jobID(2))
+			delay := starts[len(starts)-1].StartedAt.Sub(submittedAt)
+			s.c.Check(delay < 2*heartbeatInterval+time.Second, qt.IsTrue, qt.Commentf("all VMs are used after %s", delay))
+			time.Sleep(settleTime)
+			s.c.Check(s.starts(jobID(1)), qt.HasLen, 1)
+			s.checkRuns()
+		})
+	}
+}
+
+func workerID(a *agentProcess) string { return "i-" + a.name }
+
+// announce sends an announcement, or the end of a worker, to the agent's heartbeat address.
+func (s *site) announce(a *agentProcess, method, id string, announcement map[string]any) {
+	s.c.Helper()
+	body, err := json.Marshal(announcement)
+	s.c.Assert(err, qt.IsNil)
+	request, err := http.NewRequest(method, "http://"+a.heartbeatAddress+"/api/instances/"+id, bytes.NewReader(body))
+	s.c.Assert(err, qt.IsNil)
+	response, err := http.DefaultClient.Do(request)
+	s.c.Assert(err, qt.IsNil)
+	_ = response.Body.Close()
+}
