siteproof: TestStartOfNextIncarnation fails

Cause: until the first announcement of the next incarnation, the agent calls it with the fencing token of the one before, which was taken from that one's clock.

Change: the test restarts a worker that has been up for an hour under its ID, with the first announcement 1.5 s late, while jobs arrive.

--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -134,3 +135,61 @@
 	s.c.Assert(err, qt.IsNil)
 	_ = response.Body.Close()
 }
+
+// upFor makes a worker count as started earlier.
+func upFor(d time.Duration) workerOption {
+	return func(cfg *standinworker.Config) { cfg.Uptime = d }
+}
+
+// silentFor delays the first announcement of a worker.
+func silentFor(d time.Duration) workerOption {
+	return func(cfg *standinworker.Config) { cfg.FirstHeartbeatDelay = d }
+}
+
+// restartInPlace crashes the agent's worker and starts its next incarnation, without a
+// refused connection between them.
+func (s *site) restartInPlace(a *agentProcess, options ...workerOption) {
+	next := a.worker.Restart(s.workerConfig(a, a.workerAddress, options...))
+	s.mu.Lock()
+	a.crashedWorkers, a.worker = append(a.crashedWorkers, a.worker), next
+	s.mu.Unlock()
+}
+
+// newSiteWithOldWorkers starts a site whose workers have been up for long, so that their
+// clocks are far ahead of those of their next incarnations.
+func newSiteWithOldWorkers(t *testing.T, agents int) *site {
+	s := newSite(t, 1, 0)
+	for i := range agents {
+		s.startAgent(i, upFor(time.Hour))
+	}
+	s.eventually("the entry plans for all agents", func() bool { return s.entries[0].daemon.AttachedAgents() == agents })
+	return s
+}
+
+// TestStartOfNextIncarnation guards against runs that are started twice, and against a VM
+// that stays unused, because its worker serves again before it announces itself.
+func TestStartOfNextIncarnation(t *testing.T) {
+	const (
+		silence  = 1500 * time.Millisecond
+		maxCalls = 200
+	)
+	s := newSiteWithOldWorkers(t, 2)
+	a := s.agents[0]
+	jobs := 1
+	s.submit(s.entries[0], "urgent", jobID(1), s.jobBody(jobID(1), "run 800", capacity.GPUs, 2, false))
+	s.eventually("both tasks run", func() bool { return len(s.starts(jobID(1))) == 2 })
+	s.restartInPlace(a, silentFor(silence))
+	announcedAt := time.Now().Add(silence)
+	for time.Now().Before(announcedAt.Add(2 * heartbeatInterval)) {
+		jobs++
+		s.submit(s.entries[0], "urgent", jobID(jobs), s.jobBody(jobID(jobs), "run 100", capacity.GPUs, 2, false))
+		time.Sleep(150 * time.Millisecond)
+	}
+	s.c.Check(a.worker.Calls() < maxCalls, qt.IsTrue, qt.Commentf("%d calls", a.worker.Calls()))
+	s.c.Check(slices.ContainsFunc(a.worker.History(), func(r standinworker.RunRecord) bool { return r.StartedAt.After(announcedAt) }), qt.IsTrue, qt.Commentf("the worker is not used again"))
+	for n := range jobs {
+		s.awaitState(s.entries[0], "urgent", jobID(n+1), "completed")
+	}
+	time.Sleep(settleTime)
+	s.checkRuns()
+}
