--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -193,3 +193,51 @@
 	time.Sleep(settleTime)
 	s.checkRuns()
 }
+
+// TestLateOrderAfterRestart guards against a start order that the worker carries out late,
+// after a restart of the agent or of the worker, while the task runs again.
+func TestLateOrderAfterRestart(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay time.Duration
+		// restartAfter is the time from the order to the restart.
+		restartAfter time.Duration
+		restart      func(*site, *agentProcess)
+	}{
+		{"agentWithinLease", 1500 * time.Millisecond, 0, (*site).restartAgent},
+		{"agent", 2500 * time.Millisecond, 0, (*site).restartAgent},
+		{"workerAtOnce", 2500 * time.Millisecond, 0, func(s *site, a *agentProcess) { s.restartInPlace(a) }},
+		{"workerLater", 2500 * time.Millisecond, time.Second, func(s *site, a *agentProcess) { s.restartInPlace(a) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSiteWithOldWorkers(t, 2)
+			for _, a := range s.agents {
+				a.worker.SetFaults(standinworker.Faults{ApplyLate: 1, ApplyDelay: test.delay})
+			}
+			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 4000", capacity.GPUs, 1, false))
+			var ordered *agentProcess
+			s.eventually("a worker has received the order", func() bool {
+				for _, a := range s.agents {
+					if a.worker.LateStarts() > 0 {
+						ordered = a
+					}
+				}
+				return ordered != nil
+			})
+			carriedOutAt := time.Now().Add(test.delay)
+			for _, a := range s.agents {
+				a.worker.SetFaults(standinworker.Faults{})
+			}
+			time.Sleep(test.restartAfter)
+			test.restart(s, ordered)
+			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+			time.Sleep(max(0, time.Until(carriedOutAt)) + settleTime)
+			s.checkRuns()
+		})
+	}
+}
+
+func (s *site) restartAgent(a *agentProcess) {
+	a.kill()
+	s.runAgent(a)
+}
