siteproof: TestRunsOfVanishedWorkerAreStartedElsewhere fails

Cause: an agent that was restarted after its worker has ended for good knows no worker. Its reports name none, which leaves the runs as they are, and the planner takes each of them for an extension of the worker's lease. The lease never expires for the planner.

Change: the test closes a worker for good during a run, with its agent living and with its agent restarted.

--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -241,3 +241,38 @@
 	a.kill()
 	s.runAgent(a)
 }
+
+// TestRunsOfVanishedWorkerAreStartedElsewhere guards against a task that waits for ever for
+// a worker that is lost for good, in particular while its agent knows none.
+func TestRunsOfVanishedWorkerAreStartedElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		restartAgent bool
+	}{
+		{"agentLives", false},
+		{"agentRestarts", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, 1, 2)
+			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 6000", capacity.GPUs, 1, false))
+			a := s.awaitStart(jobID(1))
+			time.Sleep(100 * time.Millisecond)
+			lostAt := time.Now()
+			if test.restartAgent {
+				// The agent does not see the worker's end.
+				a.kill()
+			}
+			a.worker.Close()
+			if test.restartAgent {
+				s.runAgent(a)
+			}
+			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+			starts := s.starts(jobID(1))
+			s.c.Assert(starts, qt.HasLen, 2)
+			delay := starts[1].StartedAt.Sub(lostAt)
+			s.c.Check(delay < maxLease+2*time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %s", delay))
+			time.Sleep(settleTime)
+			s.checkRuns()
+		})
+	}
+}
