siteproof: TestNotedEndsAreStored fails

Cause: until the first announcement of the next incarnation, the agent sends it orders and status calls meant for the one before. It carries out the orders, and forgets their ends, because the acknowledgement counts up to a higher number of the earlier incarnation. The agent then reports the run as lost.

Change: the test restarts a worker under its ID after 50 ends were acknowledged, with its first announcement at once and 1 s late, while short jobs arrive.

--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -276,3 +276,33 @@
 		})
 	}
 }
+
+// TestNotedEndsAreStored guards against an acknowledgement of ends that reaches the next
+// incarnation of the worker, which numbers its ends anew and forgets one of its own.
+func TestNotedEndsAreStored(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silence time.Duration
+	}{
+		{"announcedAtOnce", 0},
+		{"announcedLate", time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, 1, 1)
+			a := s.agents[0]
+			s.submit(s.entries[0], "urgent", jobID(1), s.jobBody(jobID(1), "run 10", 1, 50, false))
+			s.awaitState(s.entries[0], "urgent", jobID(1), "completed")
+			s.restartInPlace(a, silentFor(test.silence))
+			jobs := 1
+			for end := time.Now().Add(test.silence + time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				jobs++
+				s.submit(s.entries[0], "urgent", jobID(jobs), s.jobBody(jobID(jobs), "run 10", 1, 1, false))
+			}
+			for n := range jobs {
+				s.awaitState(s.entries[0], "urgent", jobID(n+1), "completed")
+			}
+			time.Sleep(settleTime)
+			s.checkRuns()
+		})
+	}
+}
