--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -46,8 +46,7 @@
 	return all
 }
 
-// TestRefusedConnectionsStartNothingTwice guards against taking a worker for crashed whose
-// address refuses connections for a while.
+// TestRefusedConnectionsStartNothingTwice guards against taking a refusing worker for crashed.
 func TestRefusedConnectionsStartNothingTwice(t *testing.T) {
 	for _, test := range []struct {
 		name         string
@@ -83,8 +82,7 @@
 	}
 }
 
-// TestForeignAnnouncementStartsNothingTwice guards against believing an announcement that
-// the agent's worker has not sent.
+// TestForeignAnnouncementStartsNothingTwice guards against believing foreign announcements.
 func TestForeignAnnouncementStartsNothingTwice(t *testing.T) {
 	put := func(id, service, address string) func(*site, *agentProcess) {
 		return func(s *site, a *agentProcess) {
@@ -166,8 +164,7 @@
 	return s
 }
 
-// TestStartOfNextIncarnation guards against runs that are started twice, and against a VM
-// that stays unused, because its worker serves again before it announces itself.
+// TestStartOfNextIncarnation guards against losing a worker that serves before it announces itself.
 func TestStartOfNextIncarnation(t *testing.T) {
 	const (
 		silence  = 1500 * time.Millisecond
@@ -194,8 +191,7 @@
 	s.checkRuns()
 }
 
-// TestLateOrderAfterRestart guards against a start order that the worker carries out late,
-// after a restart of the agent or of the worker, while the task runs again.
+// TestLateOrderAfterRestart guards against an order that is carried out after a restart.
 func TestLateOrderAfterRestart(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -242,8 +238,7 @@
 	s.runAgent(a)
 }
 
-// TestRunsOfVanishedWorkerAreStartedElsewhere guards against a task that waits for ever for
-// a worker that is lost for good, in particular while its agent knows none.
+// TestRunsOfVanishedWorkerAreStartedElsewhere guards against waiting for ever for a lost worker.
 func TestRunsOfVanishedWorkerAreStartedElsewhere(t *testing.T) {
 	for _, test := range []struct {
 		name         string
@@ -277,8 +272,7 @@
 	}
 }
 
-// TestNotedEndsAreStored guards against an acknowledgement of ends that reaches the next
-// incarnation of the worker, which numbers its ends anew and forgets one of its own.
+// TestNotedEndsAreStored guards against acknowledging ends of another incarnation.
 func TestNotedEndsAreStored(t *testing.T) {
 	for _, test := range []struct {
 		name    string
