stepentry: grant no lease to an agent whose worker does not answer

Cause: every report of an agent extended the time until which the planner counts the runs on its VM as active, also while the agent could not reach the worker or, after its own restart, knew none. The leases were never passed on. Runs of a worker that was gone for good stayed active as long as its agent reported: callers of these jobs waited without end (LOST). Change: reports say whether calls to the worker fail (unreachable, a new field). A planner grants a lease only if the worker is there and answers, so that the runs count as lost once the last lease that could have been passed on has expired. It sends no stop orders for unknown runs of a worker that cannot receive them. Agents with the new field need entries that know it: entries are upgraded first.

--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -373,7 +373,7 @@
 	w.Worker = wire.WorkerState{
 		Present: true, Boot: t.incarnation(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels,
 		Cpu: a.Capacity.CPU, MemMB: a.Capacity.MemMB, Gpus: a.Capacity.GPUs,
-		Draining: a.Draining || t.down, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy || !t.announcementValid(),
+		Draining: a.Draining || t.down, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy || !t.announcementValid(), Unreachable: t.unhealthy,
 	}
 	for key, r := range t.runs {
 		w.Running = append(w.Running, wire.RunningTask{Task: key.Task, Run: key.Number, Checkpoint: r.checkpoint, Progress: r.progress, Unsettled: !r.confirmed})
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -218,7 +218,7 @@
 }
 
 // handleReport passes an agent's report to the scheduler and grants the agent a
-// lease if lease.MayGrant allows it.
+// lease if its worker answers and lease.MayGrant allows it.
 func (d *Daemon) handleReport(r *rpc.Request) {
 	var w wire.WorkerReport
 	if err := r.Decode(&w); err != nil {
@@ -238,8 +238,9 @@
 	passNeeded := d.planner.scheduler.HandleReport(decodeReport(w), now)
 	// The scheduler must know a time by which the lease has certainly expired on
 	// the worker. That time is computed from now, which is later than the time at
-	// which the agent sent the report; see package lease.
-	if lease.MayGrant(d.planner.lastAppendAt, now) {
+	// which the agent sent the report; see package lease. A lease that the agent cannot
+	// pass on would only delay the time from which lost runs may start elsewhere.
+	if w.Worker.Present && !w.Worker.Unreachable && lease.MayGrant(d.planner.lastAppendAt, now) {
 		d.planner.scheduler.LeaseGranted(w.Agent, now)
 		reply.LeaseMs = int(d.planner.timing.LeaseDuration.Milliseconds())
 	}
@@ -255,7 +256,7 @@
 	r := stepplan.Report{
 		Agent: w.Agent, Session: w.Session, Version: w.Version, WorkerPresent: s.Present, Worker: s.Boot, Service: s.Service, Zone: s.Zone,
 		Rack: s.Rack, Labels: s.Labels, Capacity: steps.Resources{CPU: s.Cpu, MemMB: s.MemMB, GPUs: s.Gpus},
-		Draining: s.Draining, RemainingMs: s.RemainingMs, Unhealthy: s.Unhealthy, Leaving: w.Leaving,
+		Draining: s.Draining, RemainingMs: s.RemainingMs, Unhealthy: s.Unhealthy, Unreachable: s.Unreachable, Leaving: w.Leaving,
 	}
 	for _, t := range w.Running {
 		r.Running = append(r.Running, stepplan.RunningTask{
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -311,7 +311,7 @@
 		if vm.UnknownRuns++; unknownBefore == 0 && vm.UnknownRuns == 1 {
 			sc.addEvent(Event{Kind: "unknownRun", Job: id.Job, Task: run.Task, Run: run.Number, VM: vm.Agent, Reason: fmt.Sprintf("worker=%s started=%t", r.Worker, !run.StartUnconfirmed)})
 		}
-		if !run.StartUnconfirmed {
+		if !run.StartUnconfirmed && !r.Unreachable {
 			sc.stops = append(sc.stops, StopOrder{Agent: vm.Agent, Worker: r.Worker, Session: vm.Session, Task: id, Run: run.Number, Reason: "the planner does not know the run"})
 		}
 	}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -215,10 +215,12 @@
 	// RemainingMs is the minimum time, in milliseconds, for which a draining worker
 	// still runs.
 	RemainingMs int
-	Unhealthy   bool
-	Leaving     bool
-	Running     []RunningTask
-	Ended       []worker.Ended
+	// Unhealthy says that no task is to be started on the worker now, Unreachable that
+	// calls to it fail. Running is then what was last known.
+	Unhealthy, Unreachable bool
+	Leaving                bool
+	Running                []RunningTask
+	Ended                  []worker.Ended
 	// Former holds the incarnations of the worker that have ended a short time ago,
 	// oldest first, if the agent was running when they ended. It has a meaning also while
 	// WorkerPresent is false.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1907,6 +1907,9 @@
 	// Unhealthy corresponds to the JSON schema field "unhealthy".
 	Unhealthy bool `json:"unhealthy,omitempty,omitzero"`
 
+	// Unreachable corresponds to the JSON schema field "unreachable".
+	Unreachable bool `json:"unreachable,omitempty,omitzero"`
+
 	// Zone corresponds to the JSON schema field "zone".
 	Zone string `json:"zone,omitempty,omitzero"`
 }
