stepplan: keep a run that the worker's next incarnation lists

Cause: a worker may start again under its ID, and orders name only the ID. An order that the incarnation before did not answer can reach the next one. The planner marked each run of an incarnation that had ended as lost, also one that the same report listed as running in the next, and started it elsewhere: two runs at once. Change: a run that the report lists moves to the incarnation of the report. The simulation lets orders reach the next incarnation, and calls to workers fail while they go on or crash unseen. Result: go test ./stepplan -run UnderFaults -rapid.checks=3000 -rapid.steps=200 fails without the change ("run 2 starts on vm1 while run 1 is still executing on vm0") and passes with it.

--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -245,6 +245,7 @@
 	// The agent may not have heard from its worker either while it was silent.
 	silent := !vm.Reported || now.Sub(vm.ReportedAt) > stallTimeout
 	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
+	sc.moveListedRuns(vm, r)
 	sc.handleFormer(vm, r.Former, now)
 	if !r.WorkerPresent {
 		return
@@ -274,6 +275,30 @@
 	sc.stopUnfinishableRuns(vm, now)
 }
 
+// moveListedRuns moves the active runs that the report lists to the worker incarnation of
+// the report. The start order of such a run has reached the worker after its restart.
+func (sc *Scheduler) moveListedRuns(vm *VM, r Report) {
+	if !r.WorkerPresent {
+		return
+	}
+	move := func(run worker.Run) {
+		id, err := steps.ParseTaskID(run.Task)
+		if err != nil {
+			return
+		}
+		if t := vm.ActiveTasks[id]; t != nil && t.Run == run.Number && t.Worker != r.Worker {
+			t.Worker = r.Worker
+			sc.dirty[id.Job] = true
+		}
+	}
+	for _, run := range r.Running {
+		move(run.Run)
+	}
+	for _, e := range r.Ended {
+		move(e.Run)
+	}
+}
+
 // activeTasksOn lists the tasks with an active run on the VM, sorted by ID. The
 // result is a copy, so that the caller can end runs while it iterates.
 func (sc *Scheduler) activeTasksOn(vm *VM) []*Task {
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -66,6 +66,9 @@
 	// unconfirmed holds start orders that the worker may still carry out.
 	unconfirmed []simOrder
 	draining    bool
+	// lastSeen is the agent's newest report from before its calls to the worker began to
+	// fail, nil while they are answered. The worker goes on meanwhile, or crashes unseen.
+	lastSeen *Report
 	// former holds the incarnations whose crash the agent has noticed. The first reported
 	// of them are known to the planner, and what follows from the first stored is stored.
 	former           []FormerWorker
@@ -165,7 +168,7 @@
 			s.send(order)
 		case EndsAck:
 			w := s.worker(order.Agent)
-			if !w.unreachable && order.Worker == w.incarnationID() {
+			if !w.unreachable && w.lastSeen == nil && order.Worker == w.incarnationID() {
 				w.ends = slices.DeleteFunc(w.ends, func(e worker.Ended) bool { return e.EndNumber <= order.LastNumber })
 			}
 		}
@@ -213,9 +216,9 @@
 		s.disconnect(w)
 		return
 	}
-	if o.Worker != w.incarnationID() {
+	if o.Worker != w.incarnationID() || w.lastSeen != nil {
 		w.version++
-		s.scheduler.StartRefused(o, "other worker", s.now)
+		s.scheduler.StartRefused(o, "other worker or none that answers", s.now)
 		return
 	}
 	switch rapid.IntRange(0, 5).Draw(s.t, "order") {
@@ -294,7 +297,7 @@
 func (s *sim) sendStops() {
 	for _, o := range s.scheduler.TakeStops() {
 		w := s.worker(o.Agent)
-		if w.unreachable || w.session != o.Session || o.Worker != w.incarnationID() || rapid.IntRange(0, 3).Draw(s.t, "stopLost") == 0 {
+		if w.unreachable || w.lastSeen != nil || w.session != o.Session || o.Worker != w.incarnationID() || rapid.IntRange(0, 3).Draw(s.t, "stopLost") == 0 {
 			continue
 		}
 		name := o.Task.String()
@@ -402,6 +405,22 @@
 	// worker has seen a higher fencing token. With a higher token the worker refuses
 	// the order. In the simulation, too, the worker can carry out such an order only
 	// while the agent reports it as unconfirmed.
+	if w.lastSeen != nil {
+		r := *w.lastSeen
+		r.Session, r.Version, r.Unhealthy, r.Unreachable = w.session, w.version, true, true
+		s.scheduler.HandleReport(r, s.now)
+		s.sendStops()
+		return
+	}
+	s.scheduler.HandleReport(w.buildReport(), s.now)
+	w.reported = len(w.former)
+	s.scheduler.LeaseGranted(w.name, s.now)
+	w.deadline = s.now.Add(simLeaseDuration)
+	s.sendStops()
+}
+
+// buildReport returns what the agent knows of a worker that answers its calls.
+func (w *simWorker) buildReport() Report {
 	r := Report{
 		Agent: w.name, Session: w.session, Version: w.version, WorkerPresent: true, Worker: w.incarnationID(), Service: "s", Rack: w.name,
 		Capacity: simCapacity, Draining: w.draining, RemainingMs: 5000, Ended: slices.Clone(w.ends), Former: slices.Clone(w.former),
@@ -414,16 +433,32 @@
 			r.Running = append(r.Running, RunningTask{Running: worker.Running{Run: worker.Run{Task: o.order.Task.String(), Number: o.order.Run}}, StartUnconfirmed: true})
 		}
 	}
-	s.scheduler.HandleReport(r, s.now)
-	w.reported = len(w.former)
-	s.scheduler.LeaseGranted(w.name, s.now)
-	w.deadline = s.now.Add(simLeaseDuration)
-	s.sendStops()
+	return r
+}
+
+// loseWorker makes all calls of the agent to its worker fail.
+func (s *sim) loseWorker(w *simWorker) {
+	if w.lastSeen == nil {
+		w.version++
+		r := w.buildReport()
+		w.lastSeen = &r
+	}
+}
+
+// findWorker ends loseWorker.
+func (s *sim) findWorker(w *simWorker) {
+	if w.lastSeen != nil {
+		w.lastSeen = nil
+		w.version++
+	}
 }
 
 // resolveUnconfirmed decides each order that the worker has not answered: it is
 // either carried out now or never.
 func (s *sim) resolveUnconfirmed(w *simWorker) {
+	if w.lastSeen != nil {
+		return
+	}
 	w.version++
 	for _, o := range w.unconfirmed {
 		if rapid.Bool().Draw(s.t, "carriedOut") && o.order.Worker == w.incarnationID() && !s.now.After(o.deadline) {
@@ -433,8 +468,19 @@
 	w.unconfirmed = nil
 }
 
-// crash restarts a worker, which loses its runs. Its agent keeps what it had.
+// crash restarts a worker, which loses its runs. Its agent keeps what it had. An order that
+// the worker has not answered may reach it after the restart.
 func (s *sim) crash(w *simWorker) {
+	unconfirmed := w.unconfirmed
+	defer func() {
+		for _, o := range unconfirmed {
+			if _, crashes := s.crashing[o.order.Task.String()]; !crashes && rapid.Bool().Draw(s.t, "reachesNextIncarnation") && !s.now.After(o.deadline) {
+				s.start(w, o.order)
+				f := &w.former[len(w.former)-1]
+				f.Running = slices.DeleteFunc(f.Running, func(r FormerRun) bool { return r.Task == o.order.Task.String() })
+			}
+		}
+	}()
 	f := FormerWorker{Worker: w.incarnationID(), End: worker.IncarnationCrashed, Ended: w.ends}
 	for name, r := range w.running {
 		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: name, Number: r.run}, Age: 100 * time.Millisecond})
@@ -463,6 +509,10 @@
 	}
 	w.former, w.reported, w.stored = nil, 0, 0
 	w.version, w.unconfirmed = 0, nil
+	if w.lastSeen != nil {
+		// An agent that has not found its worker reports none.
+		w.lastSeen = &Report{Agent: w.name}
+	}
 	s.disconnect(w)
 }
 
@@ -512,6 +562,8 @@
 			"heal":   func(rt *rapid.T) { anyWorker(rt).unreachable = false },
 			"settle": func(rt *rapid.T) { s.resolveUnconfirmed(anyWorker(rt)) },
 			"crash":  func(rt *rapid.T) { s.crash(anyWorker(rt)) },
+			"lose":   func(rt *rapid.T) { s.loseWorker(anyWorker(rt)) },
+			"find":   func(rt *rapid.T) { s.findWorker(anyWorker(rt)) },
 			"drain":  func(rt *rapid.T) { anyWorker(rt).draining = true },
 			"agent":  func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
 			"cancel": func(rt *rapid.T) {
@@ -560,6 +612,8 @@
 			"heal":           func(rt *rapid.T) { anyWorker(rt).unreachable = false },
 			"settle":         func(rt *rapid.T) { s.resolveUnconfirmed(anyWorker(rt)) },
 			"crash":          func(rt *rapid.T) { s.crash(anyWorker(rt)) },
+			"lose":           func(rt *rapid.T) { s.loseWorker(anyWorker(rt)) },
+			"find":           func(rt *rapid.T) { s.findWorker(anyWorker(rt)) },
 			"agent":          func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
 			"takeOver":       func(*rapid.T) { s.takeOver() },
 			"":               func(*rapid.T) {},
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -11,9 +11,10 @@
 // A run is one execution of a task. It is active, which means that it may be
 // executing on a VM, from just before its record is stored until one of these
 // is true: its start order is refused or will not be sent, the agent reports its
-// end or that of its worker, its worker has restarted, a report that would list it
-// does not (see Task.ConclusiveReport), or every lease that could keep it running has
-// expired. A task is started only if it has no active run.
+// end or that of its worker's incarnation, the worker reports itself as another
+// incarnation and does not list it, a report that would list it does not (see
+// Task.ConclusiveReport), or every lease that could keep it running has expired. A
+// worker that does not answer is no such sign, however its calls fail. A task is started only if it has no active run.
 //
 // GPUs in a name means accelerators of any kind; see steps.Resources.
 //
