stepagent: tokens rise across incarnations of the worker and restarts of the agent

Cause: a token began anew with each incarnation, from the worker's clock, which begins anew as well. An order for the incarnation before, which is sent with a much higher token, could be carried out by the next one after it had shown in a status that it did not have the run. Change: the token never decreases and is at least the worker's start time plus its clock. After a refusal as stale it rises in doubling steps, with a pause before the next call. TestTokensRiseAcrossIncarnations fails without the change (1000 after 3600000) and passes with it; the second test uses a function that is new.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -30,6 +30,8 @@
 	// the 3 s after which a worker ends the run of a gang member because other
 	// members have not started (worker.EndGangIncomplete).
 	startTimeout = 2 * time.Second
+	// stalePause is the wait after a call that the worker has refused as stale.
+	stalePause = 10 * time.Millisecond
 	// retryPause is the wait after a failed call.
 	retryPause = 100 * time.Millisecond
 	// downAfterRefusals is the number of consecutive status calls with a refused
@@ -61,6 +63,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errStale) {
+			pause.For(ctx, stalePause)
+			continue
+		}
 		d.counters.Count("workerCallFailed")
 		if failingSince.IsZero() {
 			failingSince = time.Now()
@@ -102,8 +108,8 @@
 // readStatus makes one status call to the worker and merges the reply into the
 // table. The worker delays its reply by at most wait until a run ends. readStatus
 // also returns nil, without a merge, when another incarnation has been announced
-// during the call, and when the worker has seen a higher token than the call's. In
-// the second case it has raised the token for the next call.
+// during the call. It returns errStale when the worker has seen a higher token than the
+// call's, and has then raised the token for the next call.
 func (d *Daemon) readStatus(ctx context.Context, wait time.Duration) error {
 	t := d.table
 	t.mu.Lock()
@@ -131,8 +137,8 @@
 		}
 		return nil
 	case worker.RefusalStaleToken:
-		t.raiseToken()
-		return nil
+		t.raiseStaleToken(token)
+		return errStale
 	case worker.RefusalUnhealthy:
 		if !t.unhealthy {
 			t.unhealthy = true
@@ -147,6 +153,7 @@
 	errNoListener       = errors.New("nothing listens at the worker's address")
 	errOtherIncarnation = errors.New("another incarnation of the worker answered")
 	errRefused          = errors.New("the worker refused the call")
+	errStale            = errors.New("the worker has seen a higher token")
 )
 
 // startRun carries out an order to start a run. It returns once it is certain
@@ -172,6 +179,8 @@
 			return d.recordOutcome(key, true, "")
 		case outcome == outcomeRefused:
 			return d.recordOutcome(key, false, reason)
+		case outcome == outcomeRetry:
+			pause.For(bounded, stalePause)
 		case outcome == outcomeUnknown:
 			d.counters.Count("startUnsettled")
 			if result, done := d.resolveStart(bounded, key); done {
@@ -301,11 +310,7 @@
 	case reply.Refusal == "":
 		return outcomeStarted, ""
 	case reply.Refusal == worker.RefusalStaleToken:
-		// The worker has seen a higher token than this order's. Raise the token
-		// for the next order, unless another call has raised it meanwhile.
-		if token >= t.token {
-			t.raiseToken()
-		}
+		t.raiseStaleToken(token)
 		return outcomeRetry, ""
 	}
 	return outcomeRefused, string(reply.Refusal)
@@ -407,8 +412,8 @@
 		cancelOnce()
 		t.mu.Lock()
 		t.readClock(reply.Clock)
-		if reply.Refusal == worker.RefusalStaleToken && token >= t.token {
-			t.raiseToken()
+		if reply.Refusal == worker.RefusalStaleToken {
+			t.raiseStaleToken(token)
 		}
 		t.mu.Unlock()
 		switch {
@@ -418,6 +423,8 @@
 			return errOtherIncarnation
 		case err != nil:
 			pause.For(bounded, retryPause/2)
+		default:
+			pause.For(bounded, stalePause)
 		}
 	}
 	return bounded.Err()
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -400,6 +400,9 @@
 	defer cancel()
 	d.sendReport(bounded)
 	err := d.readStatus(bounded, 0)
+	if errors.Is(err, errStale) {
+		err = d.readStatus(bounded, 0)
+	}
 	d.Kill()
 	if err != nil && !errors.Is(err, errRefused) && !errors.Is(err, errNoListener) {
 		return fmt.Errorf("agent %s: extend the lease: %w", d.cfg.Name, err)
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -76,9 +76,10 @@
 	// forgetThrough is the EndNumber of the last ended run that the worker may
 	// forget, because the planner has stored all ended runs up to it.
 	forgetThrough int64
-	// token is the fencing token of orders to the worker. It never decreases
-	// within an incarnation of the worker.
-	token int64
+	// token is the fencing token of orders to the worker. It never decreases, because an
+	// order for one incarnation can reach the next. tokenStep is by how much it rises
+	// after a refusal as stale.
+	token, tokenStep int64
 	// clock is the worker's clock as read at the time clockAt. Time since
 	// clockAt is measured on the agent's monotonic clock, which stops while the VM
 	// is suspended, so that minClock never runs ahead of the worker's clock.
@@ -166,7 +167,7 @@
 // incarnation.
 func (t *workerTable) resetIncarnation() {
 	t.runs, t.endedRuns = map[worker.Run]*run{}, nil
-	t.forgetThrough, t.token, t.lease = 0, 0, 0
+	t.forgetThrough, t.lease = 0, 0
 	t.clock, t.statusRead, t.unhealthy, t.retired = 0, false, false, false
 }
 
@@ -199,13 +200,26 @@
 	return t.clock + time.Duration(float64(time.Since(t.clockAt))*minClockRate)
 }
 
-// raiseToken raises the fencing token. Once the worker has seen the new token, it
-// refuses all orders that were sent with lower ones. The token is at least the
-// worker's clock in milliseconds, so that it also rises across a restart of the
-// agent. The caller holds the mutex.
-func (t *workerTable) raiseToken() int64 {
-	t.token = max(t.token+1, t.clock.Milliseconds())
-	return t.token
+// raiseToken raises the fencing token, at least to workerTime. Once the worker has seen the
+// new token, it refuses all orders that were sent with lower ones. The caller holds the
+// mutex.
+func (t *workerTable) raiseToken() { t.token = max(t.token+1, t.workerTime()) }
+
+// workerTime is the start time of the worker plus the last reading of its clock, in ms. It
+// rises across restarts of the agent and of the worker. The caller holds the mutex.
+func (t *workerTable) workerTime() int64 {
+	return t.announced.StartedAtUnixMs + t.clock.Milliseconds()
+}
+
+// raiseStaleToken raises the fencing token after the worker has refused a call as stale,
+// unless the token has been raised since. Each refusal in a row doubles the step, since the
+// worker does not say which token it has seen. The caller holds the mutex.
+func (t *workerTable) raiseStaleToken(refused int64) {
+	if refused < t.token {
+		return
+	}
+	t.tokenStep = max(1, 2*t.tokenStep)
+	t.token = max(t.token+t.tokenStep, t.workerTime())
 }
 
 // nextCall returns the number and the token for a new call to the worker. The
@@ -230,7 +244,7 @@
 	if number < t.lastMergedCall {
 		return true
 	}
-	t.lastMergedCall = number
+	t.lastMergedCall, t.tokenStep = number, 0
 	t.revive()
 	changed := !t.statusRead || t.unhealthy || t.down
 	t.statusRead, t.unhealthy, t.down = true, false, false
--- /dev/null
+++ b/stepagent/token_test.go
@@ -0,0 +1,41 @@
+package stepagent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/worker"
+)
+
+// TestTokensRiseAcrossIncarnations guards against an order for one incarnation that the
+// next one carries out after it has answered calls of the agent.
+func TestTokensRiseAcrossIncarnations(t *testing.T) {
+	c := qt.New(t)
+	table := newWorkerTable(time.Minute)
+	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1000, Service: "s", Clock: time.Hour})
+	table.raiseToken()
+	_, before := table.nextCall()
+	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 2000, Service: "s", Clock: time.Second})
+	table.raiseToken()
+	_, after := table.nextCall()
+	c.Check(after > before, qt.IsTrue, qt.Commentf("%d after %d", after, before))
+}
+
+// TestRefusedTokenIsReachedSoon guards against a worker that is not used because the agent
+// counts up to the highest token that it has seen.
+func TestRefusedTokenIsReachedSoon(t *testing.T) {
+	table := newWorkerTable(time.Minute)
+	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	const seen = 1_900_000_000_000
+	calls := 0
+	for ; calls < 100; calls++ {
+		_, token := table.nextCall()
+		if token >= seen {
+			break
+		}
+		table.raiseStaleToken(token)
+	}
+	qt.Check(t, calls < 50, qt.IsTrue, qt.Commentf("%d calls", calls))
+}
