stepagent: an incarnation of a worker ends only when the worker answers as another

Cause: an agent took two refused connections in a row, and any announcement with another ID or a later start time, for the end of its worker, and reported it as crashed. The planner then started the runs elsewhere at once, without waiting for the lease. Connections are refused for other reasons as well, and announcements can come from other writers. The class of fault: one sign with several causes is taken for the one that permits a second start. Change: an agent knows its worker by the answers to its own status calls. Another incarnation counts once two calls in order are answered by it. An announcement of another one is a question to the worker, a message that the worker ends only keeps starts away. Calls that fail make the worker unreachable: no start, no lease, no acknowledgement of ends is sent until it answers, since another incarnation may receive them. Readings of the clock count only for the incarnation that gave them, and the first status call after a restart of the agent only reads the clock for the token. Why it works: the planner starts a task again only after an end in the worker's own list, after the worker itself has answered as another incarnation without the run, or after the last lease that can have been passed on. Cost: a worker that crashes and does not come back is noticed with the end of its lease, up to 6 s instead of 0.2 s. TestAnsweringWorkerIsNoFormerWorker is replaced by TestNothingButAnAnswerEndsAnIncarnation: there is no verdict left to take back, and the new test asks for every sign that none is given.

--- a/stepagent/announcement_test.go
+++ b/stepagent/announcement_test.go
@@ -28,7 +28,7 @@
 			return false
 		}
 	}
-	table.applyAnnouncement(a)
+	identify(table, a)
 	c.Assert(reported(), qt.IsTrue)
 	a.Sequence++
 	table.applyAnnouncement(a)
@@ -52,7 +52,8 @@
 		d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s", Sequence: sequence, Capacity: steps.Resources{GPUs: 8}})
 	}
 	announce(1)
-	d.table.statusRead, d.table.lease = true, time.Minute
+	identify(d.table, d.table.candidate.announcement)
+	d.table.lease = time.Minute
 	c.Assert(d.readStatus(context.Background(), 0), qt.IsNil)
 	d.table.announcementUntil = boottime.Now().Add(-time.Millisecond)
 	result := d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 1, Worker: "i/1", Task: "a.0.0.0", Run: 1})
--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -30,40 +30,46 @@
 	// the 3 s after which a worker ends the run of a gang member because other
 	// members have not started (worker.EndGangIncomplete).
 	startTimeout = 2 * time.Second
-	// stalePause is the wait after a call that the worker has refused as stale.
-	stalePause = 10 * time.Millisecond
 	// retryPause is the wait after a failed call.
 	retryPause = 100 * time.Millisecond
-	// downAfterRefusals is the number of consecutive status calls with a refused
-	// connection after which the worker counts as down.
-	downAfterRefusals = 2
+	// stalePause is the wait after a call that the worker has refused as stale.
+	stalePause = 10 * time.Millisecond
 )
 
 // poll reads the status of the worker again and again until ctx ends. Each status
 // call also extends the worker's lease as far as the planner has granted.
 func (d *Daemon) poll(ctx context.Context) {
-	failures := 0
 	var failingSince time.Time
 	for ctx.Err() == nil {
 		d.table.mu.Lock()
-		known := d.table.known
+		id, candidateID := d.table.current.ID, d.table.candidateID()
+		wait := statusWait
+		if d.table.unhealthy || d.table.sighted != nil {
+			// The worker may have restarted. Its next answer is to come at once.
+			wait = 0
+		}
 		d.table.mu.Unlock()
-		if !known {
+		if id == "" && candidateID == "" {
 			pause.For(ctx, retryPause)
 			continue
 		}
-		err := d.readStatus(ctx, statusWait)
-		if err == nil {
+		var err error
+		if candidateID != "" {
+			err = d.callStatus(ctx, candidateID, 0)
+		}
+		if id != "" {
+			err = d.readStatus(ctx, wait)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
 			if !failingSince.IsZero() {
 				d.log.Add("workerReachable", eventlog.Fields{"failingMs": time.Since(failingSince).Milliseconds()})
+				failingSince = time.Time{}
 			}
-			failures, failingSince = 0, time.Time{}
 			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, errStale) {
+		case errors.Is(err, errStale), errors.Is(err, errSighted):
 			pause.For(ctx, stalePause)
 			continue
 		}
@@ -73,13 +79,6 @@
 			d.log.Add("workerUnreachable", eventlog.Fields{"cause": err.Error()})
 		}
 		d.markUnhealthy()
-		failures++
-		if !errors.Is(err, errNoListener) {
-			failures = 0
-		}
-		if failures == downAfterRefusals {
-			d.markWorkerDown(err)
-		}
 		pause.For(ctx, retryPause)
 	}
 }
@@ -95,47 +94,43 @@
 	}
 }
 
-func (d *Daemon) markWorkerDown(cause error) {
-	t := d.table
-	t.mu.Lock()
-	t.down = true
-	t.retire(signRefusedConnections, time.Now())
-	t.requestReport()
-	t.mu.Unlock()
-	d.log.Add("workerDown", eventlog.Fields{"cause": cause.Error()})
+// readStatus makes one status call to the current incarnation and merges the reply into
+// the table. The worker delays its reply by at most wait until a run ends.
+func (d *Daemon) readStatus(ctx context.Context, wait time.Duration) error {
+	d.table.mu.Lock()
+	id := d.table.current.ID
+	d.table.mu.Unlock()
+	return d.callStatus(ctx, id, wait)
 }
 
-// readStatus makes one status call to the worker and merges the reply into the
-// table. The worker delays its reply by at most wait until a run ends. readStatus
-// also returns nil, without a merge, when another incarnation has been announced
-// during the call. It returns errStale when the worker has seen a higher token than the
-// call's, and has then raised the token for the next call.
-func (d *Daemon) readStatus(ctx context.Context, wait time.Duration) error {
+// callStatus makes one status call to the worker with the ID and merges the reply into the
+// table. It returns errSighted if the worker has answered as another incarnation for the
+// first time, and errStale if it has seen a higher token than the call's. In both cases the
+// next call has a raised token.
+func (d *Daemon) callStatus(ctx context.Context, id string, wait time.Duration) error {
 	t := d.table
 	t.mu.Lock()
 	number, token := t.nextCall()
-	incarnation := t.incarnation()
-	id := t.announced.ID
-	request := worker.StatusRequest{FencingToken: token, LeaseExpiresAt: t.lease, AckThrough: t.forgetThrough, MaxWait: wait}
+	request := worker.StatusRequest{FencingToken: token, MaxWait: wait}
+	if id == t.current.ID && !t.unhealthy && t.sighted == nil {
+		request.LeaseExpiresAt, request.AckThrough = t.lease, t.forgetThrough
+	}
 	t.mu.Unlock()
 	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	status, reply, err := d.cfg.Worker.Status(bounded, id, request)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if incarnation != t.incarnation() {
-		return nil
+	if errors.Is(err, worker.ErrOtherIncarnation) {
+		t.refute(id)
 	}
 	if err != nil {
-		return d.wrapNoListener(err)
+		return err
 	}
-	t.readClock(reply.Clock)
+	t.readClock(reply.Clock, number)
 	switch reply.Refusal {
 	case "":
-		if !t.merge(status, number, token) {
-			return errOtherIncarnation
-		}
-		return nil
+		return t.merge(status, id, number, token)
 	case worker.RefusalStaleToken:
 		t.raiseStaleToken(token)
 		return errStale
@@ -150,8 +145,7 @@
 
 // Errors of calls to the worker.
 var (
-	errNoListener       = errors.New("nothing listens at the worker's address")
-	errOtherIncarnation = errors.New("another incarnation of the worker answered")
+	errOtherIncarnation = errors.New("another incarnation of the worker has followed")
 	errRefused          = errors.New("the worker refused the call")
 	errStale            = errors.New("the worker has seen a higher token")
 )
@@ -218,10 +212,14 @@
 	switch {
 	case !d.session.current(p.Term, p.Session):
 		reason = "supersededSession"
-	case !t.known || !t.statusRead || t.down:
+	case !t.identified() || t.sighted != nil:
 		reason = "workerUnknown"
-	case p.Worker != t.incarnation():
+	case p.Worker != t.current.String():
 		reason = reasonOtherWorker
+	case t.unhealthy:
+		reason = "workerUnreachable"
+	case t.leaving:
+		reason = "workerLeaving"
 	case t.announced.Draining:
 		reason = "workerDraining"
 	case d.stopping.Load():
@@ -274,9 +272,15 @@
 	d.session.mu.Unlock()
 	r := t.runs[key]
 	switch {
-	case r == nil || t.incarnation() != p.Worker:
+	case r != nil && r.confirmed:
+		t.mu.Unlock()
+		return outcomeStarted, ""
+	case r == nil || t.current.String() != p.Worker:
 		t.mu.Unlock()
 		return outcomeRefused, reasonOtherWorker
+	case t.sighted != nil:
+		t.mu.Unlock()
+		return outcomeRetry, ""
 	case !current:
 		// Reports in the new session list the run as unconfirmed until startRun
 		// removes it from the table, which it does after this refusal.
@@ -286,20 +290,20 @@
 		t.mu.Unlock()
 		return outcomeRefused, reasonOldAnnouncement
 	}
-	_, token := t.nextCall()
+	number, token := t.nextCall()
 	r.absentAfter = token
 	if !r.sent {
 		r.sent, r.startedAt = true, time.Now()
 	}
 	order := worker.StartRequest{Run: key, Payload: p.Payload, Checkpoint: p.Checkpoint, FencingToken: token, Deadline: t.lease}
-	id := t.announced.ID
+	id := t.current.ID
 	t.mu.Unlock()
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := d.cfg.Worker.Start(bounded, id, order)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.readClock(reply.Clock)
+	t.readClock(reply.Clock, number)
 	switch {
 	case errors.Is(err, worker.ErrOtherIncarnation):
 		return outcomeRefused, reasonOtherWorker
@@ -400,18 +404,18 @@
 		d.session.mu.Unlock()
 		t := d.table
 		t.mu.Lock()
-		if !current || t.incarnation() != p.Worker {
+		if !current || t.current.String() != p.Worker {
 			t.mu.Unlock()
 			return errOtherIncarnation
 		}
-		_, token := t.nextCall()
-		id := t.announced.ID
+		number, token := t.nextCall()
+		id := t.current.ID
 		t.mu.Unlock()
 		once, cancelOnce := context.WithTimeout(bounded, timeout)
 		reply, err := d.cfg.Worker.Stop(once, id, worker.Run{Task: p.Task, Number: p.Run}, token)
 		cancelOnce()
 		t.mu.Lock()
-		t.readClock(reply.Clock)
+		t.readClock(reply.Clock, number)
 		if reply.Refusal == worker.RefusalStaleToken {
 			t.raiseStaleToken(token)
 		}
--- a/stepagent/calls_test.go
+++ b/stepagent/calls_test.go
@@ -12,6 +12,22 @@
 	"celerypoint.example/celerypoint/worker"
 )
 
+// identify makes the announced incarnation the current one by answers to two calls.
+func identify(t *workerTable, a worker.Announcement) {
+	t.applyAnnouncement(a)
+	answer(t, a, worker.Status{})
+	answer(t, a, worker.Status{})
+}
+
+// answer merges a complete status that the announced incarnation returns for a new call.
+func answer(t *workerTable, a worker.Announcement, s worker.Status) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	number, token := t.nextCall()
+	s.StartedAtUnixMs, s.Complete = a.StartedAtUnixMs, true
+	return t.merge(s, a.ID, number, token)
+}
+
 // unresponsiveWorker is a worker that never answers a start order and lists no
 // runs in its status.
 type unresponsiveWorker struct{ starts chan worker.StartRequest }
@@ -45,8 +61,8 @@
 		defer d.session.mu.Unlock()
 		d.session.follow(term, term, "planner", &rpc.Conn{})
 	}
-	d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
-	d.table.statusRead, d.table.lease = true, time.Minute
+	identify(d.table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	d.table.lease = time.Minute
 	c.Assert(d.readStatus(context.Background(), 0), qt.IsNil)
 	follow(1)
 	done := make(chan wire.StartRunResult, 1)
@@ -82,8 +98,8 @@
 	d := newDaemon(Config{Name: "vm", Worker: m})
 	defer d.log.Close()
 	defer d.pool.Close()
-	d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
-	d.table.statusRead, d.table.lease = true, time.Minute
+	identify(d.table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	d.table.lease = time.Minute
 	c.Assert(d.readStatus(context.Background(), 0), qt.IsNil)
 	result, err := d.attach(&rpc.Conn{}, wire.AttachParams{Term: 1, Session: 9})
 	c.Assert(err, qt.IsNil)
@@ -124,8 +140,8 @@
 	defer d.log.Close()
 	defer d.pool.Close()
 	d.session.follow(1, 1, "planner", &rpc.Conn{})
-	d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
-	d.table.statusRead, d.table.lease = true, time.Minute
+	identify(d.table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	d.table.lease = time.Minute
 	c.Assert(d.readStatus(context.Background(), 0), qt.IsNil)
 	begun := time.Now()
 	result := d.startRun(context.Background(), wire.StartRunParams{Term: 1, Session: 1, Worker: "i/1", Task: "a.0.0.0", Run: 1})
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -156,7 +156,7 @@
 	if d.log == nil {
 		d.log = eventlog.New(io.Discard, c.Name, d.counters.Registry)
 	}
-	d.table.onRetired, d.table.onRevived = d.logRetired, d.logRevived
+	d.table.onRetired, d.table.onBegun, d.table.onRefuted = d.logRetired, d.logBegun, d.logRefuted
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -208,23 +208,35 @@
 // it is out of date. It implements platform.AnnouncementHandler and always returns
 // nil.
 func (d *Daemon) WorkerAnnounced(a worker.Announcement) error {
-	newIncarnation, draining := d.table.applyAnnouncement(a)
-	if newIncarnation {
-		d.log.Add("workerSeen", eventlog.Fields{"worker": incarnationOf(a), "service": a.Service, "labels": a.Labels})
-	}
-	if draining {
-		d.log.Add("workerDraining", eventlog.Fields{"worker": incarnationOf(a), "remainingMs": a.RemainingMs})
+	switch result := d.table.applyAnnouncement(a); result {
+	case appliedDraining:
+		d.log.Add("workerDraining", eventlog.Fields{"worker": incarnationOf(a).String(), "remainingMs": a.RemainingMs})
+	case appliedCandidate, appliedOutdated:
+		d.counters.Count("announcement." + string(result))
 	}
 	return nil
 }
 
-// WorkerLeft records that the worker with the ID has ended for good. It only logs an
-// ID other than that of the newest announcement.
+// WorkerLeft records a message that the worker with the ID ends for good. The message
+// proves nothing, since an earlier incarnation under the same ID may have sent it. It only
+// logs an ID other than the worker's.
 func (d *Daemon) WorkerLeft(id string) {
-	d.table.markLeft(id)
+	d.table.markLeaving(id)
 	d.log.Add("workerLeft", eventlog.Fields{"worker": id})
 }
 
+// logBegun logs an incarnation that the worker has answered as.
+func (d *Daemon) logBegun(i incarnation, a worker.Announcement) {
+	d.log.Add("workerSeen", eventlog.Fields{"worker": i.String(), "service": a.Service, "labels": a.Labels})
+}
+
+// logRefuted logs and counts an announcement of an incarnation that the worker denies to
+// be.
+func (d *Daemon) logRefuted(i incarnation) {
+	d.counters.Count("announcement.refuted")
+	d.log.Add("announcementRefuted", eventlog.Fields{"announced": i.String()})
+}
+
 // LogReload logs and counts that the settings were read again. It applies none of
 // them, because an agent's settings are addresses, which take effect only after a
 // restart.
@@ -324,7 +336,7 @@
 	}
 	t := d.table
 	t.mu.Lock()
-	incarnation, clockAtRequest := t.incarnation(), t.minClock()
+	current, clockAtRequest := t.current, t.minClock()
 	body := d.buildReport()
 	t.mu.Unlock()
 	body.Session = number
@@ -336,7 +348,7 @@
 		return
 	}
 	t.mu.Lock()
-	if reply.LeaseMs > 0 && incarnation == t.incarnation() {
+	if reply.LeaseMs > 0 && current == t.current {
 		t.lease = max(t.lease, clockAtRequest+time.Duration(reply.LeaseMs)*time.Millisecond)
 	}
 	t.mu.Unlock()
@@ -361,19 +373,21 @@
 }
 
 // buildReport returns a report of the table. The report contains no worker until
-// the first status of the worker's incarnation has been read or the worker is
-// down. The caller holds the table's mutex and sets the session number.
+// the worker has been identified. The caller holds the table's mutex and sets the session number.
 func (d *Daemon) buildReport() wire.WorkerReport {
 	t := d.table
 	a := t.announced
 	w := wire.WorkerReport{Agent: d.cfg.Name, Boot: d.bootID, Version: t.version, Leaving: d.stopping.Load(), Former: t.reportedFormer(time.Now())}
-	if !t.known || !t.statusRead && !t.down {
+	if !t.identified() {
 		return w
 	}
+	// Without an announcement there is no capacity, which keeps tasks away by itself. As soon
+	// as there is one the worker can be used.
+	outdated := a.Service != "" && !t.announcementValid()
 	w.Worker = wire.WorkerState{
-		Present: true, Boot: t.incarnation(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels,
+		Present: true, Boot: t.current.String(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels,
 		Cpu: a.Capacity.CPU, MemMB: a.Capacity.MemMB, Gpus: a.Capacity.GPUs,
-		Draining: a.Draining || t.down, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy || !t.announcementValid(), Unreachable: t.unhealthy,
+		Draining: a.Draining, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy || t.leaving || outdated, Unreachable: t.unhealthy,
 	}
 	for key, r := range t.runs {
 		w.Running = append(w.Running, wire.RunningTask{Task: key.Task, Run: key.Number, Checkpoint: r.checkpoint, Progress: r.progress, Unsettled: !r.confirmed})
@@ -404,7 +418,7 @@
 		err = d.readStatus(bounded, 0)
 	}
 	d.Kill()
-	if err != nil && !errors.Is(err, errRefused) && !errors.Is(err, errNoListener) {
+	if err != nil && !errors.Is(err, errRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
 		return fmt.Errorf("agent %s: extend the lease: %w", d.cfg.Name, err)
 	}
 	return nil
@@ -423,13 +437,3 @@
 		d.log.Close()
 	})
 }
-
-// wrapNoListener wraps the error of a refused connection in errNoListener, so that
-// callers can tell a worker that is not running from one that does not answer. It
-// returns any other error as it is.
-func (d *Daemon) wrapNoListener(err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return fmt.Errorf("%w: %w", errNoListener, err)
-	}
-	return err
-}
--- a/stepagent/former.go
+++ b/stepagent/former.go
@@ -19,15 +19,6 @@
 	maxFormer = 8
 )
 
-// endSign is an observation from which the agent concludes that an incarnation has ended.
-type endSign string
-
-const (
-	signRefusedConnections endSign = "refusedConnections"
-	signOtherAnnouncement  endSign = "otherAnnouncement"
-	signAnnouncedEnd       endSign = "announcedEnd"
-)
-
 // formerRun is a run that may have been in progress when its incarnation ended.
 type formerRun struct {
 	worker.Run
@@ -38,9 +29,7 @@
 type formerWorker struct {
 	incarnation string
 	end         worker.IncarnationEnd
-	// sign is what the agent concluded the end from.
-	sign    endSign
-	endedAt time.Time
+	endedAt     time.Time
 	// running is sorted by task.
 	running []formerRun
 	// ended are the ends that the planner had not stored. The worker can no longer list
@@ -50,14 +39,14 @@
 	reportUntil time.Time
 }
 
-// retire records that the current incarnation of the worker has ended, as the sign shows,
-// and forgets its runs. The caller holds the mutex.
-func (t *workerTable) retire(sign endSign, now time.Time) {
-	if !t.known || t.retired && len(t.runs) == 0 && len(t.endedRuns) == 0 {
+// retire records that the current incarnation has ended, because the worker answers as
+// another. The runs that are in the table ended with it. The caller holds the mutex.
+func (t *workerTable) retire(now time.Time) {
+	if !t.identified() {
 		return
 	}
-	f := formerWorker{incarnation: t.incarnation(), end: worker.IncarnationCrashed, sign: sign, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
-	if sign == signAnnouncedEnd || t.announced.Draining {
+	f := formerWorker{incarnation: t.current.String(), end: worker.IncarnationCrashed, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
+	if t.leaving || t.announced.Draining {
 		f.end = worker.IncarnationLeft
 	}
 	for key, r := range t.runs {
@@ -69,26 +58,11 @@
 	slices.SortFunc(f.running, func(x, y formerRun) int { return cmp.Compare(x.Task, y.Task) })
 	t.former = append(t.former, f)
 	t.former = t.former[max(0, len(t.former)-maxFormer):]
-	t.retired, t.runs, t.endedRuns = true, map[worker.Run]*run{}, nil
 	if t.onRetired != nil {
 		t.onRetired(f)
 	}
 }
 
-// revive takes back retire: the incarnation that was taken for ended has answered. The
-// caller holds the mutex.
-func (t *workerTable) revive() {
-	if !t.retired {
-		return
-	}
-	t.retired = false
-	if t.onRevived != nil {
-		t.onRevived(t.incarnation())
-	}
-	incarnation := t.incarnation()
-	t.former = slices.DeleteFunc(t.former, func(f formerWorker) bool { return f.incarnation == incarnation })
-}
-
 // reportedFormer lists the ended incarnations that are still reported. The caller holds
 // the mutex.
 func (t *workerTable) reportedFormer(now time.Time) []wire.FormerWorker {
@@ -120,11 +94,5 @@
 		running = append(running, r.Task)
 	}
 	d.counters.Count("workerEnded." + string(f.end))
-	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "sign": string(f.sign), "running": running, "unstoredEnds": len(f.ended)})
-}
-
-// logRevived logs and counts that an incarnation which was taken for ended has answered.
-func (d *Daemon) logRevived(incarnation string) {
-	d.counters.Count("workerRevived")
-	d.log.Add("workerRevived", eventlog.Fields{"worker": incarnation})
+	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "running": running, "unstoredEnds": len(f.ended)})
 }
--- a/stepagent/former_test.go
+++ b/stepagent/former_test.go
@@ -15,23 +15,24 @@
 func TestFormerWorkers(t *testing.T) {
 	first := worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"}
 	second := worker.Announcement{ID: "i", StartedAtUnixMs: 2, Service: "s"}
+	other := worker.Announcement{ID: "j", StartedAtUnixMs: 2, Service: "s"}
 	for _, test := range []struct {
 		name     string
 		draining bool
 		end      func(t *workerTable)
 		want     worker.IncarnationEnd
 	}{
-		{"restarted", false, func(t *workerTable) { t.applyAnnouncement(second) }, worker.IncarnationCrashed},
-		{"refusesConnections", false, func(t *workerTable) { t.down = true; t.retire(signRefusedConnections, time.Now()) }, worker.IncarnationCrashed},
-		{"refusesConnectionsThenRestarts", false, func(t *workerTable) { t.retire(signRefusedConnections, time.Now()); t.applyAnnouncement(second) }, worker.IncarnationCrashed},
-		{"announcedItsEnd", false, func(t *workerTable) { t.markLeft("i") }, worker.IncarnationLeft},
-		{"endedWhileDraining", true, func(t *workerTable) { t.retire(signRefusedConnections, time.Now()) }, worker.IncarnationLeft},
+		{"restarted", false, func(t *workerTable) { identify(t, second) }, worker.IncarnationCrashed},
+		{"restartedUnderAnotherID", false, func(t *workerTable) { identify(t, other) }, worker.IncarnationCrashed},
+		{"didNotAnswerThenRestarted", false, func(t *workerTable) { t.unhealthy = true; identify(t, second) }, worker.IncarnationCrashed},
+		{"announcedItsEnd", false, func(t *workerTable) { t.markLeaving("i"); identify(t, second) }, worker.IncarnationLeft},
+		{"endedWhileDraining", true, func(t *workerTable) { identify(t, second) }, worker.IncarnationLeft},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			table := newWorkerTable(time.Minute)
 			a := first
 			a.Draining = test.draining
-			table.applyAnnouncement(a)
+			identify(table, a)
 			table.runs[worker.Run{Task: "a.0.0.0", Number: 3}] = &run{confirmed: true, startedAt: time.Now().Add(-time.Second)}
 			table.runs[worker.Run{Task: "b.0.0.0", Number: 1}] = &run{starting: true, sent: true, startedAt: time.Now()}
 			table.runs[worker.Run{Task: "c.0.0.0", Number: 1}] = &run{starting: true, absentAfter: notSent}
@@ -53,17 +54,71 @@
 	}
 }
 
-// TestAnsweringWorkerIsNoFormerWorker guards against a worker that is reported as ended
-// although it answers again.
-func TestAnsweringWorkerIsNoFormerWorker(t *testing.T) {
+// TestNothingButAnAnswerEndsAnIncarnation guards against runs that start elsewhere because
+// of a sign that a living worker or another process can cause.
+func TestNothingButAnAnswerEndsAnIncarnation(t *testing.T) {
+	first := worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"}
+	second := worker.Announcement{ID: "i", StartedAtUnixMs: 2, Service: "s"}
+	for _, test := range []struct {
+		name string
+		sign func(d *Daemon)
+	}{
+		{"callsFail", func(d *Daemon) { d.markUnhealthy() }},
+		{"announcementOfAnotherID", func(d *Daemon) {
+			d.table.applyAnnouncement(worker.Announcement{ID: "stranger", StartedAtUnixMs: 9, Service: "t"})
+			d.table.refute("stranger")
+		}},
+		{"laterAnnouncementOfItsID", func(d *Daemon) { d.table.applyAnnouncement(second) }},
+		{"messageThatItEnds", func(d *Daemon) { d.table.markLeaving("i") }},
+		{"firstAnswerOfAnother", func(d *Daemon) { _ = answer(d.table, second, worker.Status{}) }},
+		{"answersInAnotherOrder", func(d *Daemon) {
+			earlier, token := d.table.nextCall()
+			_ = answer(d.table, second, worker.Status{})
+			_ = d.table.merge(worker.Status{StartedAtUnixMs: 2, Complete: true}, "i", earlier, token)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDaemon(Config{Name: "vm"})
+			defer d.log.Close()
+			defer d.pool.Close()
+			identify(d.table, first)
+			key := worker.Run{Task: "a.0.0.0", Number: 1}
+			d.table.runs[key] = &run{confirmed: true, sent: true, absentAfter: d.table.lastCall, startedAt: time.Now()}
+			test.sign(d)
+			report := d.buildReport()
+			c.Check(report.Former, qt.HasLen, 0)
+			c.Check(report.Worker.Boot, qt.Equals, "i/1")
+			c.Assert(report.Running, qt.HasLen, 1)
+			c.Assert(answer(d.table, first, worker.Status{Running: []worker.Running{{Run: key}}}), qt.IsNil)
+			c.Check(d.buildReport().Running, qt.HasLen, 1)
+			c.Check(d.buildReport().Worker.Unreachable, qt.IsFalse)
+		})
+	}
+}
+
+// TestRunsOfNextIncarnationAreKept guards against runs that count as lost with an
+// incarnation although the next one has carried out their order.
+func TestRunsOfNextIncarnationAreKept(t *testing.T) {
 	c := qt.New(t)
+	first := worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"}
+	second := worker.Announcement{ID: "i", StartedAtUnixMs: 2, Service: "s"}
 	table := newWorkerTable(time.Minute)
-	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
-	table.down = true
-	table.retire(signRefusedConnections, time.Now())
-	c.Assert(table.reportedFormer(time.Now()), qt.HasLen, 1)
-	c.Assert(table.merge(worker.Status{StartedAtUnixMs: 1, Complete: true}, 1, 1), qt.IsTrue)
-	c.Check(table.reportedFormer(time.Now()), qt.HasLen, 0)
+	identify(table, first)
+	lost, kept, ended := worker.Run{Task: "a.0.0.0", Number: 1}, worker.Run{Task: "b.0.0.0", Number: 1}, worker.Run{Task: "c.0.0.0", Number: 1}
+	for _, key := range []worker.Run{lost, kept, ended} {
+		table.runs[key] = &run{confirmed: true, sent: true, absentAfter: table.lastCall, startedAt: time.Now()}
+	}
+	s := worker.Status{Running: []worker.Running{{Run: kept}}, Ended: []worker.Ended{{EndNumber: 1, Run: ended, Reason: worker.EndDone}}}
+	c.Assert(answer(table, second, s), qt.Equals, errSighted)
+	c.Assert(answer(table, second, s), qt.IsNil)
+	former := table.reportedFormer(time.Now())
+	c.Assert(former, qt.HasLen, 1)
+	c.Assert(former[0].Running, qt.HasLen, 1)
+	c.Check(former[0].Running[0].Task, qt.Equals, lost.Task)
+	c.Check(table.runs, qt.HasLen, 1)
+	c.Check(table.runs[kept], qt.Not(qt.IsNil))
+	c.Check(table.endedRuns, qt.HasLen, 1)
 }
 
 // TestUnansweredStartBeforeRestart guards against a run that is not reported among those
@@ -75,10 +130,10 @@
 	defer d.log.Close()
 	defer d.pool.Close()
 	key := worker.Run{Task: "a.0.0.0", Number: 1}
-	d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	identify(d.table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
 	d.table.runs[key] = &run{starting: true, sent: true, doubtful: true, startedAt: time.Now()}
 	d.recordOutcome(key, false, reasonOtherWorker)
-	d.table.applyAnnouncement(worker.Announcement{ID: "j", StartedAtUnixMs: 2, Service: "s"})
+	identify(d.table, worker.Announcement{ID: "j", StartedAtUnixMs: 2, Service: "s"})
 	former := d.table.reportedFormer(time.Now())
 	c.Assert(former, qt.HasLen, 1)
 	c.Assert(former[0].Running, qt.HasLen, 1)
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -1,7 +1,7 @@
 package stepagent
 
 import (
-	"fmt"
+	"errors"
 	"math"
 	"sync"
 	"time"
@@ -49,25 +49,36 @@
 // session are the only locks of the package; the session's is taken first.
 type workerTable struct {
 	mu sync.Mutex
-	// announced is the newest announcement of the worker. known is false before
-	// the first.
+	// current is the incarnation whose status was merged last. It changes only when the
+	// worker itself answers as another, because an announcement can come from elsewhere
+	// and a worker that does not answer can still run tasks.
+	current incarnation
+	// identifiedBy is the number of the status call that showed current. Readings of the
+	// clock by earlier calls belong to an earlier incarnation.
+	identifiedBy int64
+	// sighted is an answer as another incarnation that is not confirmed yet, or nil. No
+	// start order is sent meanwhile.
+	sighted *sighting
+	// announced is the newest announcement of the current incarnation. It has only an ID
+	// until there is one.
 	announced worker.Announcement
-	known     bool
+	// candidate is the newest announcement of another incarnation than the current one, or
+	// nil. refuted is the last candidate that the worker has denied to be.
+	candidate *candidate
+	refuted   incarnation
 	// announcementValidity is how long the capacity in an announcement can be relied on.
-	// announcementUntil is when that of the newest one ends, on the boot-time clock,
-	// which also counts the time for which the VM is suspended.
+	// announcementUntil is when that of announced ends, on the boot-time clock, which also
+	// counts the time for which the VM is suspended.
 	announcementValidity time.Duration
 	announcementUntil    time.Time
-	// statusRead is true once a status of the worker's current incarnation has
-	// been read.
-	statusRead bool
-	// down is true when the worker's address refuses connections, or when the
-	// worker announced that it has ended for good, until the next announcement or
-	// merged status. unhealthy is set when a status call of poll returns an error,
-	// which it does not for a refusal because of a stale token, and when the worker
-	// refuses any status call as unhealthy. A merged status or a new incarnation
-	// clears it.
-	down      bool
+	// leaving is true after a message that the worker ends, until its next announcement.
+	// The message can be late or come from elsewhere.
+	leaving bool
+	// unhealthy is set when a status call of poll returns an error, which it does not for
+	// a refusal because of a stale token, and when the worker refuses any status call as
+	// unhealthy. A merged status clears it. While it is set, calls extend no lease and
+	// acknowledge no end, because another incarnation may receive them, and no start order
+	// is sent.
 	unhealthy bool
 	runs      map[worker.Run]*run
 	// endedRuns are the ended runs that the worker has listed and the planner
@@ -95,14 +106,14 @@
 	// version rises with every change of the table that is reported at once, and
 	// with every registration and certain outcome of a start order.
 	version int
-	// retired says that the current incarnation is known to have ended and is in former,
-	// which holds the incarnations that ended a short time ago, oldest first. onRetired
-	// is called with each, and onRevived with the name of one that has answered
-	// afterwards. They do not wait.
-	retired   bool
-	former    []formerWorker
+	// former holds the incarnations that ended a short time ago, oldest first.
+	former []formerWorker
+	// onRetired is called with each incarnation that has ended, onBegun with each new one
+	// and its announcement, and onRefuted with an announced incarnation that the worker
+	// has denied to be. They do not wait.
 	onRetired func(formerWorker)
-	onRevived func(incarnation string)
+	onBegun   func(incarnation, worker.Announcement)
+	onRefuted func(incarnation)
 	// reportDue is signalled when a report has to be sent at once.
 	reportDue chan struct{}
 }
@@ -121,71 +132,25 @@
 	}
 }
 
-func (t *workerTable) incarnation() string { return incarnationOf(t.announced) }
-
-// incarnationOf returns the name of one incarnation of a worker, which is its
-// lifetime from one start of its process to the next.
-func incarnationOf(a worker.Announcement) string {
-	return fmt.Sprintf("%s/%d", a.ID, a.StartedAtUnixMs)
-}
-
-// applyAnnouncement records an announcement of the worker. It ignores one of an
-// earlier incarnation and an older one of the same incarnation. It reports whether
-// the announcement is the first of its incarnation, and whether it is the first of
-// the incarnation to say that the worker is draining.
-func (t *workerTable) applyAnnouncement(a worker.Announcement) (newIncarnation, nowDraining bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sameIncarnation := t.known && a.ID == t.announced.ID && a.StartedAtUnixMs == t.announced.StartedAtUnixMs
-	switch {
-	case t.announced.ID != "" && !sameIncarnation && a.StartedAtUnixMs < t.announced.StartedAtUnixMs:
-		return false, false
-	case sameIncarnation && a.Sequence < t.announced.Sequence:
-		return false, false
-	}
-	nowDraining = a.Draining && (!sameIncarnation || !t.announced.Draining)
-	if !sameIncarnation {
-		t.retire(signOtherAnnouncement, time.Now())
-		t.resetIncarnation()
-		newIncarnation = true
-	}
-	changed := newIncarnation || nowDraining || t.down || a.Capacity != t.announced.Capacity || !t.announcementValid()
-	t.announced, t.known, t.down = a, true, false
-	t.announcementUntil = boottime.Now().Add(t.announcementValidity)
-	t.readClock(a.Clock)
-	if changed {
-		t.requestReport()
-	}
-	return newIncarnation, nowDraining
-}
-
 // announcementValid reports whether the capacity of the newest announcement can be
 // relied on. The caller holds the mutex.
 func (t *workerTable) announcementValid() bool { return boottime.Now().Before(t.announcementUntil) }
 
-// resetIncarnation discards everything that belongs to the worker's earlier
-// incarnation.
-func (t *workerTable) resetIncarnation() {
-	t.runs, t.endedRuns = map[worker.Run]*run{}, nil
-	t.forgetThrough, t.lease = 0, 0
-	t.clock, t.statusRead, t.unhealthy, t.retired = 0, false, false, false
-}
-
-// markLeft records that the worker has announced that it ends for good.
-func (t *workerTable) markLeft(id string) {
+// markLeaving records a message that the worker with the ID ends for good.
+func (t *workerTable) markLeaving(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.known && t.announced.ID == id {
-		t.down = true
-		t.retire(signAnnouncedEnd, time.Now())
+	if t.identified() && t.current.ID == id {
+		t.leaving = true
 		t.requestReport()
 	}
 }
 
-// readClock records a reading of the worker's clock, unless the reading is not
-// later than the last one. The caller holds the mutex.
-func (t *workerTable) readClock(clock time.Duration) {
-	if clock > t.clock {
+// readClock records the reading of the worker's clock in the reply to the call with the
+// number, unless the reading is not later than the last one or belongs to an earlier
+// incarnation. The caller holds the mutex.
+func (t *workerTable) readClock(clock time.Duration, number int64) {
+	if clock > t.clock && number >= t.identifiedBy {
 		t.clock, t.clockAt = clock, time.Now()
 	}
 }
@@ -200,17 +165,27 @@
 	return t.clock + time.Duration(float64(time.Since(t.clockAt))*minClockRate)
 }
 
-// raiseToken raises the fencing token, at least to workerTime. Once the worker has seen the
-// new token, it refuses all orders that were sent with lower ones. The caller holds the
-// mutex.
-func (t *workerTable) raiseToken() { t.token = max(t.token+1, t.workerTime()) }
+// raiseToken raises the fencing token. Once the worker has seen the new token, it
+// refuses all orders that were sent with lower ones. The caller holds the mutex.
+func (t *workerTable) raiseToken() {
+	t.raiseTokenAbove(t.workerTime())
+}
 
-// workerTime is the start time of the worker plus the last reading of its clock, in ms. It
-// rises across restarts of the agent and of the worker. The caller holds the mutex.
+// workerTime is the start time of the worker plus the last reading of its clock, in ms. An
+// announced start time may be wrong, so that it counts only up to the present.
 func (t *workerTable) workerTime() int64 {
-	return t.announced.StartedAtUnixMs + t.clock.Milliseconds()
+	startedAt := t.current.StartedAtUnixMs
+	if !t.identified() && t.candidate != nil {
+		startedAt = min(t.candidate.announcement.StartedAtUnixMs, time.Now().UnixMilli())
+	}
+	return startedAt + t.clock.Milliseconds()
 }
 
+// raiseTokenAbove raises the fencing token, at least to the lower bound. Bounds that are
+// workerTime make it rise across restarts of the agent and of the worker. The caller holds
+// the mutex.
+func (t *workerTable) raiseTokenAbove(bound int64) { t.token = max(t.token+1, bound) }
+
 // raiseStaleToken raises the fencing token after the worker has refused a call as stale,
 // unless the token has been raised since. Each refusal in a row doubles the step, since the
 // worker does not say which token it has seen. The caller holds the mutex.
@@ -219,35 +194,37 @@
 		return
 	}
 	t.tokenStep = max(1, 2*t.tokenStep)
-	t.token = max(t.token+t.tokenStep, t.workerTime())
+	t.raiseTokenAbove(max(t.token+t.tokenStep, t.workerTime()))
 }
 
 // nextCall returns the number and the token for a new call to the worker. The
 // caller holds the mutex.
 func (t *workerTable) nextCall() (number, token int64) {
 	t.lastCall++
-	if t.token == 0 {
-		t.raiseToken()
-	}
+	t.token = max(t.token, 1)
 	return t.lastCall, t.token
 }
 
+// errSighted means that the worker has answered as another incarnation than before, which
+// the next call has to confirm.
+var errSighted = errors.New("another incarnation of the worker answered")
+
 // merge updates the table from the status that the worker returned for the call
-// with the number and token. It ignores the status of an earlier call than the
-// last one merged. It reports false when the status belongs to another incarnation
-// of the worker. The caller holds the mutex.
-func (t *workerTable) merge(s worker.Status, number, token int64) bool {
-	if s.StartedAtUnixMs != 0 && s.StartedAtUnixMs != t.announced.StartedAtUnixMs {
-		return false
-	}
-	t.readClock(s.Clock)
+// with the number, token and ID. It ignores the status of an earlier call than the
+// last one merged. It returns errSighted if another incarnation has answered that is not
+// confirmed yet. The caller holds the mutex.
+func (t *workerTable) merge(s worker.Status, id string, number, token int64) error {
 	if number < t.lastMergedCall {
-		return true
+		return nil
+	}
+	if !t.recognize(s, id, number, time.Now()) {
+		return errSighted
 	}
-	t.lastMergedCall, t.tokenStep = number, 0
-	t.revive()
-	changed := !t.statusRead || t.unhealthy || t.down
-	t.statusRead, t.unhealthy, t.down = true, false, false
+	t.lastMergedCall = number
+	t.readClock(s.Clock, number)
+	t.tokenStep = 0
+	changed := t.unhealthy
+	t.unhealthy = false
 	present := map[worker.Run]bool{}
 	for _, r := range s.Running {
 		present[r.Run] = true
@@ -284,7 +261,7 @@
 	if changed {
 		t.requestReport()
 	}
-	return true
+	return nil
 }
 
 // mergeRunning updates the table from a run that the worker lists, and reports
@@ -332,7 +309,7 @@
 func (t *workerTable) applyEndsAck(incarnation string, through int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if incarnation != t.incarnation() || through <= t.forgetThrough {
+	if incarnation != t.current.String() || through <= t.forgetThrough {
 		return
 	}
 	t.forgetThrough = through
--- a/stepagent/token_test.go
+++ b/stepagent/token_test.go
@@ -14,10 +14,11 @@
 func TestTokensRiseAcrossIncarnations(t *testing.T) {
 	c := qt.New(t)
 	table := newWorkerTable(time.Minute)
-	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1000, Service: "s", Clock: time.Hour})
+	identify(table, worker.Announcement{ID: "i", StartedAtUnixMs: 1000, Service: "s"})
+	table.readClock(time.Hour, table.lastCall)
 	table.raiseToken()
 	_, before := table.nextCall()
-	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 2000, Service: "s", Clock: time.Second})
+	identify(table, worker.Announcement{ID: "i", StartedAtUnixMs: 2000, Service: "s"})
 	table.raiseToken()
 	_, after := table.nextCall()
 	c.Check(after > before, qt.IsTrue, qt.Commentf("%d after %d", after, before))
@@ -27,7 +28,7 @@
 // counts up to the highest token that it has seen.
 func TestRefusedTokenIsReachedSoon(t *testing.T) {
 	table := newWorkerTable(time.Minute)
-	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	identify(table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
 	const seen = 1_900_000_000_000
 	calls := 0
 	for ; calls < 100; calls++ {
@@ -39,3 +40,15 @@
 	}
 	qt.Check(t, calls < 50, qt.IsTrue, qt.Commentf("%d calls", calls))
 }
+
+// TestRestartedAgentReadsTheClockFirst guards against an order of the agent's process before
+// that is carried out after a status which seemed to rule that out.
+func TestRestartedAgentReadsTheClockFirst(t *testing.T) {
+	c := qt.New(t)
+	table := newWorkerTable(time.Minute)
+	a := worker.Announcement{ID: "i", StartedAtUnixMs: 1000, Service: "s", Clock: time.Second}
+	table.applyAnnouncement(a)
+	c.Assert(answer(table, a, worker.Status{Clock: 5 * time.Second}), qt.Equals, errSighted)
+	_, token := table.nextCall()
+	c.Check(token >= 6000, qt.IsTrue, qt.Commentf("token %d", token))
+}
