stepagent: pause between status calls while ends are not stored

Cause: a worker answers a status call at once while it lists an end that the agent has not acknowledged, and the agent called again at once. Between an end and its acknowledgement, up to two reports later, and for the whole of an outage of the store, agents called their workers without a pause. Change: while ends are not stored the agent waits for the planner's acknowledgement, at most 20 ms, before the next call.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -32,6 +32,9 @@
 	startTimeout = 2 * time.Second
 	// retryPause is the wait after a failed call.
 	retryPause = 100 * time.Millisecond
+	// unstoredPause is the longest wait before the next status call while ends are listed
+	// that the planner has not stored. The worker then answers without delay.
+	unstoredPause = 20 * time.Millisecond
 	// stalePause is the wait after a call that the worker has refused as stale.
 	stalePause = 10 * time.Millisecond
 )
@@ -68,6 +71,7 @@
 				d.log.Add("workerReachable", eventlog.Fields{"failingMs": time.Since(failingSince).Milliseconds()})
 				failingSince = time.Time{}
 			}
+			d.awaitStored(ctx)
 			continue
 		case errors.Is(err, errStale), errors.Is(err, errSighted):
 			pause.For(ctx, stalePause)
@@ -83,6 +87,22 @@
 	}
 }
 
+// awaitStored waits while the worker lists ends that the planner has not stored, at most
+// for unstoredPause.
+func (d *Daemon) awaitStored(ctx context.Context) {
+	d.table.mu.Lock()
+	unstored := len(d.table.endedRuns)
+	d.table.mu.Unlock()
+	if unstored == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-d.table.endsStored:
+	case <-time.After(unstoredPause):
+	}
+}
+
 // markUnhealthy records that a status call of poll has returned an error, so that
 // what the agent reports about the worker may be out of date.
 func (d *Daemon) markUnhealthy() {
--- a/stepagent/calls_test.go
+++ b/stepagent/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,3 +166,31 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(result.Refused, qt.IsFalse)
 }
+
+// listingWorker lists an end in each status, at once, and counts its calls.
+type listingWorker struct {
+	unresponsiveWorker
+	calls *atomic.Int64
+}
+
+func (w listingWorker) Status(context.Context, string, worker.StatusRequest) (worker.Status, worker.Reply, error) {
+	w.calls.Add(1)
+	ended := []worker.Ended{{EndNumber: 1, Run: worker.Run{Task: "a.0.0.0", Number: 1}, Reason: worker.EndDone}}
+	return worker.Status{StartedAtUnixMs: 1, Clock: time.Second, Ended: ended, Complete: true}, worker.Reply{Clock: time.Second}, nil
+}
+
+// TestUnstoredEndsArePolledWithPauses guards against calls without a pause to a worker that
+// lists an end until the planner has stored it.
+func TestUnstoredEndsArePolledWithPauses(t *testing.T) {
+	c := qt.New(t)
+	w := listingWorker{calls: &atomic.Int64{}}
+	d := newDaemon(Config{Name: "vm", Worker: w})
+	defer d.log.Close()
+	defer d.pool.Close()
+	d.table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	d.poll(ctx)
+	calls := w.calls.Load()
+	c.Check(calls >= 5 && calls <= int64(time.Second/unstoredPause)+5, qt.IsTrue, qt.Commentf("%d calls in a second", calls))
+}
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -114,12 +114,13 @@
 	onRetired func(formerWorker)
 	onBegun   func(incarnation, worker.Announcement)
 	onRefuted func(incarnation)
-	// reportDue is signalled when a report has to be sent at once.
-	reportDue chan struct{}
+	// reportDue is signalled when a report has to be sent at once, endsStored when the
+	// planner has stored ends.
+	reportDue, endsStored chan struct{}
 }
 
 func newWorkerTable(announcementValidity time.Duration) *workerTable {
-	return &workerTable{announcementValidity: announcementValidity, runs: map[worker.Run]*run{}, reportDue: make(chan struct{}, 1)}
+	return &workerTable{announcementValidity: announcementValidity, runs: map[worker.Run]*run{}, reportDue: make(chan struct{}, 1), endsStored: make(chan struct{}, 1)}
 }
 
 // requestReport counts a change of the table and has it reported to the planner
@@ -313,6 +314,10 @@
 		return
 	}
 	t.forgetThrough = through
+	select {
+	case t.endsStored <- struct{}{}:
+	default:
+	}
 	for len(t.endedRuns) > 0 && t.endedRuns[0].EndNumber <= through {
 		t.endedRuns = t.endedRuns[1:]
 	}
