stepplan: an agent's name on another VM proves nothing about the runs of the former one

Cause: the planner knows a VM by the name of its agent. If an agent of the same name reported from another VM, its worker counted as the next incarnation of the one before, whose runs started elsewhere at once. The former VM may only be cut off. Change: the name of an incarnation includes the address of its agent. Runs on a VM that has been replaced belong to a VM of their own, about which nobody reports, and are lost when their lease has expired, also for the next planner.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -234,7 +234,7 @@
 		reason = "supersededSession"
 	case !t.identified() || t.sighted != nil:
 		reason = "workerUnknown"
-	case p.Worker != t.current.String():
+	case p.Worker != t.name():
 		reason = reasonOtherWorker
 	case t.unhealthy:
 		reason = "workerUnreachable"
@@ -295,7 +295,7 @@
 	case r != nil && r.confirmed:
 		t.mu.Unlock()
 		return outcomeStarted, ""
-	case r == nil || t.current.String() != p.Worker:
+	case r == nil || t.name() != p.Worker:
 		t.mu.Unlock()
 		return outcomeRefused, reasonOtherWorker
 	case t.sighted != nil:
@@ -424,7 +424,7 @@
 		d.session.mu.Unlock()
 		t := d.table
 		t.mu.Lock()
-		if !current || t.current.String() != p.Worker {
+		if !current || t.name() != p.Worker {
 			t.mu.Unlock()
 			return errOtherIncarnation
 		}
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -170,6 +170,7 @@
 		return nil, fmt.Errorf("agent %s: %w", c.Name, err)
 	}
 	d.rpc = engine
+	d.table.vm = d.address()
 	d.log.Add("agentStarted", eventlog.Fields{"boot": d.bootID, "listen": engine.Address()})
 	d.goroutines.Go(func() { d.poll(d.ctx) })
 	d.goroutines.Go(func() { d.reportLoop(d.ctx) })
@@ -385,7 +386,7 @@
 	// as there is one the worker can be used.
 	outdated := a.Service != "" && !t.announcementValid()
 	w.Worker = wire.WorkerState{
-		Present: true, Boot: t.current.String(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels,
+		Present: true, Boot: t.name(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels,
 		Cpu: a.Capacity.CPU, MemMB: a.Capacity.MemMB, Gpus: a.Capacity.GPUs,
 		Draining: a.Draining, RemainingMs: a.RemainingMs, Unhealthy: t.unhealthy || t.leaving || outdated, Unreachable: t.unhealthy,
 	}
--- a/stepagent/former.go
+++ b/stepagent/former.go
@@ -45,7 +45,7 @@
 	if !t.identified() {
 		return
 	}
-	f := formerWorker{incarnation: t.current.String(), end: worker.IncarnationCrashed, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
+	f := formerWorker{incarnation: t.name(), end: worker.IncarnationCrashed, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
 	if t.leaving || t.announced.Draining {
 		f.end = worker.IncarnationLeft
 	}
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -48,6 +48,10 @@
 // workerTable is what the agent knows about its worker. Its mutex and that of the
 // session are the only locks of the package; the session's is taken first.
 type workerTable struct {
+	// vm identifies the VM in the names of incarnations; empty leaves it out. It is
+	// constant.
+	vm string
+
 	mu sync.Mutex
 	// current is the incarnation whose status was merged last. It changes only when the
 	// worker itself answers as another, because an announcement can come from elsewhere
@@ -133,6 +137,16 @@
 	}
 }
 
+// name is the name of the current incarnation in reports and orders. It also names the VM,
+// because an agent of the same name on another VM tells nothing about this one. The caller
+// holds the mutex.
+func (t *workerTable) name() string {
+	if t.vm == "" {
+		return t.current.String()
+	}
+	return t.current.String() + worker.VMSeparator + t.vm
+}
+
 // announcementValid reports whether the capacity of the newest announcement can be
 // relied on. The caller holds the mutex.
 func (t *workerTable) announcementValid() bool { return boottime.Now().Before(t.announcementUntil) }
@@ -310,7 +324,7 @@
 func (t *workerTable) applyEndsAck(incarnation string, through int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if incarnation != t.current.String() || through <= t.forgetThrough {
+	if incarnation != t.name() || through <= t.forgetThrough {
 		return
 	}
 	t.forgetThrough = through
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -245,6 +245,9 @@
 	// The agent may not have heard from its worker either while it was silent.
 	silent := !vm.Reported || now.Sub(vm.ReportedAt) > stallTimeout
 	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
+	if r.WorkerPresent {
+		sc.separateReplaced(vm, r.Worker)
+	}
 	sc.moveListedRuns(vm, r)
 	sc.handleFormer(vm, r.Former, now)
 	if !r.WorkerPresent {
@@ -480,12 +483,15 @@
 // ExpireLeases marks the active runs as lost on every VM whose VM.LeaseUntil has
 // passed.
 func (sc *Scheduler) ExpireLeases(now time.Time) {
-	for _, vm := range sc.VMs {
-		if len(vm.ActiveTasks) == 0 || now.Before(vm.LeaseUntil) {
+	for name, vm := range sc.VMs {
+		if len(vm.ActiveTasks) > 0 && now.Before(vm.LeaseUntil) {
 			continue
 		}
 		for _, t := range sc.activeTasksOn(vm) {
 			sc.markLost(t, now, "the lease expired")
 		}
+		if vm.Replaced {
+			delete(sc.VMs, name)
+		}
 	}
 }
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -171,6 +171,9 @@
 	DrainDeadline time.Time
 	// Leaving says that the agent is shutting down.
 	Leaving bool
+	// Replaced says that an agent on another VM has taken the name of this VM's agent. No
+	// agent reports about the VM any more.
+	Replaced bool
 	// UnhealthyUntil is the time before which no task is started on the VM,
 	// because the worker was reported as unhealthy, a start there was refused, or
 	// a run there stalled.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -39,6 +39,10 @@
 	IncarnationLeft IncarnationEnd = "left"
 )
 
+// VMSeparator separates the name of an incarnation from that of its VM, which names the
+// incarnation in reports to the planner.
+const VMSeparator = "@"
+
 // Refusal is the reason why a worker did not carry out a request. It is empty
 // if the request was carried out.
 type Refusal string
