agentd: an unknown task has ended only if the runtime lists no end of it

Cause: two calls about a task that were answered with 404 made the agent report the task as crashed, and the planner started it elsewhere. The runtime answers 404 also for a task that has ended, whose event may still be on its way (the long poll can hang for 27 s), and so does a server of another kind that has taken the runtime's address while the task runs on.

Change: after a 404 the agent reads the runtime's events again, by a request of its own. An end among them is what happened. Without one, the task counts as ended after two calls as before, and as crashed only if the runtime's process is another one than at the start. While the events cannot be read nothing is concluded, and the lease bounds the task.

--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -120,6 +120,8 @@
 	entry   *fakeEntry
 	daemon  *Daemon
 	bootID  string
+	// runtimeURL is where the agent finds the runtime.
+	runtimeURL string
 }
 
 func discardLogger() logrus.FieldLogger {
@@ -128,7 +130,7 @@
 	return l
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, options ...func(*harness)) *harness {
 	t.Helper()
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -136,7 +138,10 @@
 	runtime, err := standinruntime.New(standinruntime.Config{Listen: "127.0.0.1:0", VM: "vm1", Accelerators: 8, CheckpointDuration: 20 * time.Millisecond})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(runtime.Close)
-	h := &harness{T: t, ctx: ctx, runtime: runtime, entry: newFakeEntry(t)}
+	h := &harness{T: t, ctx: ctx, runtime: runtime, entry: newFakeEntry(t), runtimeURL: "http://" + runtime.Address()}
+	for _, o := range options {
+		o(h)
+	}
 	h.startAgent()
 	return h
 }
@@ -149,7 +154,7 @@
 	timing.Reclaim, timing.Checkpoint, timing.CompletionGrace = time.Second, 600*time.Millisecond, 300*time.Millisecond
 	d, err := New(Config{
 		VM:         vm.VM{ID: "vm1", Zone: "z1", Rack: "r1", Region: "g1", Accelerators: 8, Slots: 8},
-		AnnounceTo: []string{h.entry.engine.Address()}, RuntimeURL: "http://" + h.runtime.Address(), Ledger: timing, Seed: 1, AnnounceInterval: 200 * time.Millisecond,
+		AnnounceTo: []string{h.entry.engine.Address()}, RuntimeURL: h.runtimeURL, Ledger: timing, Seed: 1, AnnounceInterval: 200 * time.Millisecond,
 	}, WithLogger(discardLogger()))
 	qt.Assert(h, err, qt.IsNil)
 	h.daemon = d
--- a/agentd/attempt.go
+++ b/agentd/attempt.go
@@ -32,6 +32,9 @@
 	// resumeFromMs is the saved progress, in milliseconds of run time, from which
 	// the tasks start.
 	resumeFromMs int
+	// runtimeBoot names the process of the runtime at the start of the tasks. If the
+	// agent had not noticed a restart yet, it is the process before.
+	runtimeBoot string
 	// short holds the requests to run a short task, nil for a reserved attempt.
 	short *shortRun
 	// Requests that have no reply yet: pendingReserves wait for the end of a
@@ -63,9 +66,10 @@
 	answered bool
 	failed   bool
 	// notFound counts the calls about the task that failed because the runtime did
-	// not know a task with its ID; see maxNotFound.
+	// not know a task with its ID and listed no end of it; see maxNotFound.
 	notFound int
-	// runtimeLost says that the runtime has restarted since it started the task.
+	// runtimeLost says that the runtime has restarted since it started the task, or does
+	// not name its process, and that it lists no end of the task.
 	runtimeLost bool
 	// checkpointed says that the task has saved its progress since its start here.
 	// checkpointMs is the progress from which the next attempt can start it, in
@@ -74,9 +78,9 @@
 	checkpointMs int
 }
 
-// maxNotFound is the number of calls about a task that the runtime no longer knows
-// after which the agent counts the task as ended. At the first such call, the
-// runtime's event of the task's end may still be on its way.
+// maxNotFound is the number of calls about a task that the runtime does not know and
+// whose end it does not list after which the agent counts the task as ended. A runtime
+// may list an end a moment after it has dropped the task.
 const maxNotFound = 2
 
 // taskID is the ID of a task at the worker runtime.
@@ -358,24 +362,34 @@
 	})
 }
 
-// handleTaskNotFound records that the runtime does not know the task. After
-// maxNotFound times the task counts as ended. While a start of the task may still
-// reach the runtime, nothing is recorded until the lease has expired.
+// handleTaskNotFound handles that the runtime does not know the task, which has either
+// ended or was lost with an earlier process of the runtime. Only the runtime's list of
+// events tells which. An end in the list is handled at once, before pollEvents reads it.
+// Without one, the task counts as ended after maxNotFound times. While the list cannot be
+// read, or a start of the task may still reach the runtime, nothing is recorded.
 func (d *Daemon) handleTaskNotFound(id string) {
 	attemptID, rank, ok := splitTaskID(id)
-	if !ok {
+	if !ok || !d.startSettled(attemptID) {
+		return
+	}
+	events, err := d.readEvents()
+	if err != nil {
+		d.count("runtimeEventsFailed")
+		return
+	}
+	if d.handleListedEnd(id, events.Events) {
 		return
 	}
 	ended := false
-	d.updateLedger(func(l *ledger.Ledger, now time.Time) []func() {
-		a, h := d.state.attempts[attemptID], l.Holdings[attemptID]
-		if a == nil || h == nil || h.StartUncertain && now.Before(h.ExpiresAt) {
+	d.updateLedger(func(*ledger.Ledger, time.Time) []func() {
+		a := d.state.attempts[attemptID]
+		if a == nil {
 			return nil
 		}
 		if t := a.task(rank); t != nil {
 			t.notFound++
 			ended = t.notFound >= maxNotFound
-			t.runtimeLost = ended
+			t.runtimeLost = ended && (events.Boot == "" || events.Boot != a.runtimeBoot)
 		}
 		return nil
 	})
@@ -384,6 +398,18 @@
 	}
 }
 
+// startSettled reports whether the attempt is known and no start of its tasks can still
+// reach the runtime.
+func (d *Daemon) startSettled(attemptID string) bool {
+	settled := false
+	d.updateLedger(func(l *ledger.Ledger, now time.Time) []func() {
+		h := l.Holdings[attemptID]
+		settled = d.state.attempts[attemptID] != nil && h != nil && (!h.StartUncertain || !now.Before(h.ExpiresAt))
+		return nil
+	})
+	return settled
+}
+
 // checkTaskError handles the error of a call to the runtime about a task. It
 // returns nil if the runtime does not know the task; other errors are counted and
 // returned.
--- a/agentd/config.go
+++ b/agentd/config.go
@@ -21,9 +21,9 @@
 // submits the calls to the runtime that follow from them to the pools. The package
 // owns three tables, each with its lock. The locks are taken in this order:
 // entryTable (links to entries), vmState (ledger and attempts), answerTable (answers
-// and reports). No lock is held during a call to another process. One timer waits
-// for the next deadline of the ledger; each link to an entry has its own timer for
-// announcements.
+// and reports). The lock of sharedCursor (position in the runtime's events) is the last.
+// No lock is held during a call to another process. One timer waits for the next
+// deadline of the ledger; each link to an entry has its own timer for announcements.
 package agentd
 
 import (
--- a/agentd/daemon.go
+++ b/agentd/daemon.go
@@ -47,6 +47,8 @@
 	entries entryTable
 	state   vmState
 	answers answerTable
+	// handledEvents is set by pollEvents.
+	handledEvents sharedCursor
 }
 
 // vmState is the ledger of the VM and the daemon's own data of each attempt.
@@ -91,6 +93,7 @@
 		d.cancel()
 		return nil, err
 	}
+	d.handledEvents.set(cursor)
 	engine, err := rpc.New(d.handleRequest)
 	if err != nil {
 		d.cancel()
--- a/agentd/eventcursor.go
+++ b/agentd/eventcursor.go
@@ -1,6 +1,10 @@
 package agentd
 
-import "celerypoint.example/celerypoint/wire"
+import (
+	"sync"
+
+	"celerypoint.example/celerypoint/wire"
+)
 
 // firstEvent is the sequence number of the first event of a runtime process.
 const firstEvent = 1
@@ -35,3 +39,21 @@
 	c.next = e.Next
 	return e.Events
 }
+
+// sharedCursor is the position after the newest event that pollEvents has handled.
+type sharedCursor struct {
+	mu     sync.Mutex
+	cursor eventCursor
+}
+
+func (s *sharedCursor) get() eventCursor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cursor
+}
+
+func (s *sharedCursor) set(c eventCursor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cursor = c
+}
--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"celerypoint.example/celerypoint/ledger"
@@ -42,18 +43,58 @@
 		for _, e := range c.take(events) {
 			d.handleTaskEvent(e)
 		}
+		d.handledEvents.set(c)
 	}
 }
 
 func (d *Daemon) handleTaskEvent(e wire.TaskEvent) {
-	switch e.Kind {
-	case wire.TaskEventKindEnded, wire.TaskEventKindFailed, wire.TaskEventKindStopped, wire.TaskEventKindLeaseLapsed:
+	switch {
+	case isEnd(e):
 		d.handleTaskEnd(e)
-	case wire.TaskEventKindCheckpointed:
+	case e.Kind == wire.TaskEventKindCheckpointed:
 		d.handleCheckpoint(e)
 	}
 }
 
+// isEnd reports whether the event is the end of a task.
+func isEnd(e wire.TaskEvent) bool {
+	switch e.Kind {
+	case wire.TaskEventKindEnded, wire.TaskEventKindFailed, wire.TaskEventKindStopped, wire.TaskEventKindLeaseLapsed:
+		return true
+	default:
+		return false
+	}
+}
+
+// readEvents returns the events that the runtime has now and that pollEvents has not
+// handled. After a restart of the runtime it returns all events of the new process.
+func (d *Daemon) readEvents() (events wire.TaskEvents, err error) {
+	c := d.handledEvents.get()
+	read := func(from int) error {
+		return d.callRuntime(func(ctx context.Context) (err error) {
+			events, err = d.runtime.Events(ctx, from, 0)
+			return err
+		})
+	}
+	if err = read(c.next); err == nil && c.restarted(events) {
+		err = read(firstEvent)
+	}
+	return events, err
+}
+
+// handleListedEnd handles the events of the task if its end is among the given ones, and
+// reports whether it is. An event that is handled twice changes nothing after the end.
+func (d *Daemon) handleListedEnd(id string, events []wire.TaskEvent) bool {
+	of := slices.DeleteFunc(slices.Clone(events), func(e wire.TaskEvent) bool { return e.ID != id })
+	if !slices.ContainsFunc(of, isEnd) {
+		return false
+	}
+	for _, e := range of {
+		d.handleTaskEvent(e)
+	}
+	return true
+}
+
 // callRuntime calls f with a context that ends after RuntimeTimeout, or when the
 // agent ends.
 func (d *Daemon) callRuntime(f func(ctx context.Context) error) error {
@@ -65,6 +106,9 @@
 // startTasks starts the tasks of the attempt, one after the other, up to the first
 // error. It returns how many the runtime accepted, and the error.
 func (d *Daemon) startTasks(a *attempt, leaseUntil time.Time) (started int, err error) {
+	d.state.Lock()
+	a.runtimeBoot = d.handledEvents.get().boot
+	d.state.Unlock()
 	for i := range a.tasks {
 		t := wire.TaskStart{
 			ID: taskID(a.id, a.firstRank+i), Job: a.job, Rank: a.firstRank + i, Accelerators: a.acceleratorsPerTask,
