gang: a release by an agent with another boot ID does not end the lease

Cause: an agent that announces a VM under a new boot ID counted as the one that had restarted on the same machine and stopped the earlier tasks. Its reply to a release ended the wait for the lease, and the job started elsewhere at once. An agent on another machine may have taken the VM's name while the first machine is only cut off, so that its tasks run on until their leases expire. The same sign covers a start by the former process that the runtime carries out late.

Change: a release confirmed under another boot ID leaves the member lost, so that the attempt ends when its lease has expired. After a restart on the same machine a job waits for up to one lease more. The simulation replaces machines.

Two expectations were wrong, since they asked for the end of the attempt at the reply of the other agent: TestStep "a restarted agent ..." and TestTakeOverWithoutBootID. They now ask for no order at the reply and the same end when the lease has expired.

--- a/gang/sim_test.go
+++ b/gang/sim_test.go
@@ -1,7 +1,9 @@
 package gang
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -30,6 +32,7 @@
 	idempotent, taskError                  bool
 	dropPercent, duplicatePercent, delayMs int
 	restarts, pauses, evictions            int
+	replacements                           int
 	takeoverMs, cancelMs                   int
 	killFirstPlanner                       bool
 }
@@ -40,7 +43,8 @@
 // answer, an attempt that is aborted, or ended without an answer, while a member
 // still runs, reservations that never end, and a job that never ends. In the
 // simulation messages are lost, delayed, duplicated and reordered, agents
-// restart, planners pause, and a second planner takes over.
+// restart, agents of other machines take their names while the machines are cut off,
+// planners pause, and a second planner takes over.
 func TestProtocolUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := func(low, high int, name string) int { return rapid.IntRange(low, high).Draw(t, name) }
@@ -50,6 +54,7 @@
 			taskError: n(0, 5, "ownError") == 0, dropPercent: n(0, 30, "drop"), duplicatePercent: n(0, 20, "dup"),
 			delayMs: n(1, 1500, "delay"), restarts: n(0, 3, "restarts"), pauses: n(0, 2, "pauses"),
 			evictions: n(0, 1, "evictions"), killFirstPlanner: rapid.Bool().Draw(t, "killFirst"),
+			replacements: n(0, 2, "replacements"),
 		}
 		if rapid.Bool().Draw(t, "takeover") {
 			s.takeoverMs = n(1, 800, "takeoverAt") * stepMs
@@ -112,6 +117,9 @@
 	// running holds the parts that the worker runtime runs, by attempt ID. They
 	// run on while the agent restarts, and are stopped once it is up again.
 	running map[string]*simRun
+	// cutOff holds the parts that run on a machine of this name which no planner
+	// reaches any more, by attempt ID.
+	cutOff map[string]*simRun
 }
 
 // simPart is what the agent knows about its part of an attempt. round is the
@@ -141,7 +149,7 @@
 	w := &world{scenario: s, random: rand.New(rand.NewPCG(s.seed, 1)), lastAllRunning: map[string]int{}, closed: map[string]bool{}, started: map[string]bool{}}
 	w.log.failedVMs = map[string]bool{}
 	for i := range s.members + 1 {
-		w.agents = append(w.agents, &simAgent{vm: fmt.Sprintf("v%d", i), up: true, attempts: map[string]*simPart{}, running: map[string]*simRun{}})
+		w.agents = append(w.agents, &simAgent{vm: fmt.Sprintf("v%d", i), up: true, attempts: map[string]*simPart{}, running: map[string]*simRun{}, cutOff: map[string]*simRun{}})
 	}
 	w.takeOver()
 	if s.takeoverMs > 0 {
@@ -164,6 +172,10 @@
 		a := w.agents[w.random.IntN(len(w.agents))]
 		w.schedule(w.random.IntN(12_000), func() { w.restart(a) })
 	}
+	for range s.replacements {
+		a := w.agents[w.random.IntN(len(w.agents))]
+		w.schedule(w.random.IntN(12_000), func() { w.replace(a) })
+	}
 	for range s.pauses {
 		w.schedule(w.random.IntN(12_000), func() {
 			p := w.planners[w.random.IntN(len(w.planners))]
@@ -531,6 +543,22 @@
 	})
 }
 
+// replace lets an agent on another machine take the name of v. The machine before is
+// only cut off, so its runtime goes on until the leases expire.
+func (w *world) replace(v *simAgent) {
+	if !v.up {
+		return
+	}
+	w.record("%s is replaced", v.vm)
+	v.boot++
+	v.attempts = map[string]*simPart{}
+	maps.Copy(v.cutOff, v.running)
+	clear(v.running)
+	for _, p := range w.planners {
+		w.afterDelay(func() { w.deliver(p, p.attempt.ID, Lost{VM: v.vm}) })
+	}
+}
+
 func (w *world) evict(v *simAgent) {
 	for id, run := range v.running {
 		if part := v.attempts[id]; part != nil && v.up {
@@ -590,6 +618,7 @@
 		part.done = true
 		w.reportAnswers(v, id)
 	}
+	maps.DeleteFunc(v.cutOff, func(_ string, r *simRun) bool { return w.ms >= min(r.leaseUntil, r.endAt) })
 	for id, part := range v.attempts {
 		if !part.ran && !part.dropped && w.ms >= part.expiresAt {
 			part.dropped = true
@@ -619,13 +648,13 @@
 		for _, m := range w.log.members {
 			v := w.agents[slices.IndexFunc(w.agents, func(v *simAgent) bool { return v.vm == m.VM })]
 			part := v.attempts[id]
-			allRunning = allRunning && (v.running[id] != nil || part != nil && part.done)
+			allRunning = allRunning && (v.running[id] != nil || v.cutOff[id] != nil || part != nil && part.done)
 		}
 		if allRunning {
 			w.lastAllRunning[id] = w.ms
 		}
 		for _, v := range w.agents {
-			run := v.running[id]
+			run := cmp.Or(v.running[id], v.cutOff[id])
 			if run == nil {
 				continue
 			}
--- a/gang/step.go
+++ b/gang/step.go
@@ -270,12 +270,16 @@
 	if m == nil || s.Phase != PhaseAborting || m.State == MemberReleased || m.State == MemberDone {
 		return
 	}
-	// A release by a restarted agent proves that the tasks do not run now, but
-	// not whether they ran before the restart.
-	sameBoot := m.BootID != "" && m.BootID == e.BootID || m.BootID == "" && m.State != MemberLost && !s.TakenOver
 	m.StartConfirmed = m.StartConfirmed || e.Started
-	m.EndKnown = m.EndKnown || sameBoot
-	if sameBoot && !m.StartConfirmed {
+	// An agent with another boot ID may be on another machine, while the one that granted
+	// the reservation is only cut off and its tasks run until the lease expires.
+	sameBoot := m.BootID != "" && m.BootID == e.BootID || m.BootID == "" && m.State != MemberLost && !s.TakenOver
+	if !sameBoot {
+		m.State = MemberLost
+		return
+	}
+	m.EndKnown = true
+	if !m.StartConfirmed {
 		m.MayHaveStarted = false
 	}
 	m.ReleasedCheckpointMs = e.CheckpointMs
--- a/gang/step_test.go
+++ b/gang/step_test.go
@@ -99,10 +99,19 @@
 			timedEvent{12, StartFailed{VM: "v2", Rule: "r", Reason: "x"}, []Order{Release{VM: "v2"},
 				End{outcome.NotRun{Rule: RuleCommittedNotStarted, Reason: "v1 refused the start: r: x"}}}},
 		)},
-		{"a restarted agent does not prove that nothing started", false, join(starting,
+		{"an agent with another boot ID does not prove that nothing started or runs", false, join(starting,
 			timedEvent{30, Unreachable{VM: "v2"}, releases(false, "v1", "v2")},
 			timedEvent{31, Released{VM: "v1", BootID: "b1", Started: true}, nil},
-			timedEvent{32, Released{VM: "v2", BootID: "other"}, []Order{End{outcome.Unknown{Reason: "v2 did not answer the start"}}}},
+			timedEvent{32, Released{VM: "v2", BootID: "other"}, nil},
+			timedEvent{7001, Tick{}, releases(false, "v2")},
+			timedEvent{7002, Tick{}, []Order{End{outcome.Unknown{Reason: "v2 did not answer the start"}}}},
+		)},
+		{"a member whose agent was replaced is waited for until its lease has expired", true, join(untilRunning,
+			timedEvent{100, Lost{VM: "v2"}, releases(true, "v1", "v2")},
+			timedEvent{110, Released{VM: "v2", BootID: "other"}, nil},
+			timedEvent{200, Released{VM: "v1", BootID: "b1", Started: true}, nil},
+			timedEvent{4019, Tick{}, []Order{Release{VM: "v2", Checkpoint: true}}},
+			timedEvent{4020, Tick{}, []Order{Abort{Reason: "v2 is lost"}}},
 		)},
 		{"a lost member is waited for until its lease has expired", true, join(untilRunning,
 			timedEvent{100, Lost{VM: "v2"}, releases(true, "v1", "v2")},
@@ -179,7 +188,9 @@
 	c := qt.New(t)
 	a := TakeOver("j1", "a1", 6, false, []Member{{VM: "v1", Tasks: 1}}, 7, startTime, testTiming)
 	a, _ = Step(a, NotRunning{VM: "v1", Reason: "its agent says so"}, startTime, testTiming)
-	_, orders := Step(a, Released{VM: "v1", BootID: "new"}, startTime, testTiming)
+	a, orders := Step(a, Released{VM: "v1", BootID: "new"}, startTime, testTiming)
+	c.Assert(orders, qt.HasLen, 0)
+	_, orders = Step(a, Tick{}, a.LeaseUntil, testTiming)
 	c.Assert(orders, qt.DeepEquals, []Order{End{outcome.Unknown{Reason: "v1 does not run: its agent says so"}}})
 }
 
--- a/gang/types.go
+++ b/gang/types.go
@@ -35,10 +35,11 @@
 	// MemberDone means that all tasks of the member ended with answers.
 	MemberDone MemberState = "done"
 	// MemberReleased means that the VM does not run the member's tasks and will
-	// not start them: it confirmed the release, or refused the reservation or
-	// the start.
+	// not start them: the agent that granted the reservation confirmed the release,
+	// or the reservation or the start was refused.
 	MemberReleased MemberState = "released"
-	// MemberLost means that the VM was reported lost. Unless the VM confirms the
+	// MemberLost means that the VM was reported lost, or that its agent has another
+	// boot ID than the one that granted the reservation. Unless that one confirms the
 	// release, the planner has to wait until the member's lease has expired.
 	MemberLost MemberState = "lost"
 )
@@ -62,8 +63,8 @@
 	// ConfirmedAt is when the newest confirmation arrived.
 	ConfirmedAt time.Time
 	// BootID is the boot ID of the agent that granted the reservation. A release
-	// confirmed under another boot ID does not prove that nothing was started
-	// before the agent restarted.
+	// confirmed under another boot ID proves neither that nothing was started nor that
+	// the tasks have ended: the agent may be that of another machine.
 	BootID string
 	// ReservationExpiresBy is the latest time at which the reservation expires.
 	// From then on the agent refuses a start. Zero before MemberReserved and if
@@ -224,9 +225,9 @@
 		CheckpointMs int64
 		Crashed      bool
 	}
-	// Released reports that the VM has stopped the member's tasks or dropped its
-	// reservation, and will not start the tasks from now on. BootID is the boot
-	// ID of the agent that replied. Started says that the tasks had been started.
+	// Released reports that the agent with BootID has stopped the member's tasks or
+	// dropped its reservation, or does not know the attempt, and will not start the
+	// tasks from now on. Started says that the tasks had been started.
 	// CheckpointMs is the progress that all of them can resume from, 0 for none.
 	Released struct {
 		VM, BootID   string
