entryd: confirm no report of an attempt whose commit has not been read

Cause: an entry that does not plan an attempt confirmed the report of a task's end if the newest committed attempt that it knew of the job was another one, or none. An entry that is behind in the log knows an earlier attempt or only the acceptance. The agent forgot the report, also of an end that no planner had taken note of, and a stopping agent ended; the planner then saw only a lost VM, and started the job again.

Change: only the report of an earlier attempt than the newest known one is obsolete. Attempt IDs order the attempts of a job by term and number.

--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -135,12 +135,13 @@
 // handleTaskEnded handles an agent's report that one task has ended. It returns
 // an error when this entry does not manage the attempt, so that the agent reports
 // to another entry. Such a report is accepted and ignored instead if the job has
-// ended or its newest committed attempt is another one.
+// ended or a later attempt was committed.
 func (d *Daemon) handleTaskEnded(_ *rpc.Conn, p wire.TaskEndedParams) (struct{}, error) {
 	d.jobs.mu.Lock()
 	_, planned := d.jobs.attempts[p.Attempt]
 	e := d.jobs.logState.Jobs[p.Job]
-	obsolete := e != nil && (e.Outcome != nil || e.Attempt != p.Attempt)
+	// This entry may not have read the commit of the attempt yet.
+	obsolete := e != nil && (e.Outcome != nil || precedes(p.Attempt, e.Attempt))
 	d.jobs.mu.Unlock()
 	if !planned {
 		if obsolete {
--- a/entryd/planner.go
+++ b/entryd/planner.go
@@ -305,6 +305,27 @@
 	}
 }
 
+// newAttemptID returns the ID of an attempt. Of the attempts of a job, a later one has a
+// higher term or, in the same term, a higher sequence number.
+func newAttemptID(jobID string, term, sequence int64) string {
+	return fmt.Sprintf("%s/%d.%d", jobID, term, sequence)
+}
+
+// precedes reports whether an attempt is an earlier one of the same job than the other. It
+// is false for IDs that newAttemptID did not make.
+func precedes(attemptID, other string) bool {
+	term, sequence, ok := parseAttemptID(attemptID)
+	otherTerm, otherSequence, otherOK := parseAttemptID(other)
+	return ok && otherOK && (term < otherTerm || term == otherTerm && sequence < otherSequence)
+}
+
+func parseAttemptID(id string) (term, sequence int64, ok bool) {
+	first, second, _ := strings.Cut(id[strings.LastIndexByte(id, '/')+1:], ".")
+	term, err1 := strconv.ParseInt(first, 10, 64)
+	sequence, err2 := strconv.ParseInt(second, 10, 64)
+	return term, sequence, err1 == nil && err2 == nil
+}
+
 // propose starts an attempt to run a job on the VMs that the plan chose, unless the job
 // has ended or is being ended meanwhile.
 func (d *Daemon) propose(p placement.Placement, now time.Time) {
@@ -315,7 +336,7 @@
 		return
 	}
 	d.jobs.idSequence++
-	attemptID := fmt.Sprintf("%s/%d.%d", p.JobID, d.jobs.term, d.jobs.idSequence)
+	attemptID := newAttemptID(p.JobID, d.jobs.term, d.jobs.idSequence)
 	var members []gang.Member
 	rank := 0
 	for _, m := range p.Members {
