entryd: a silent entry does not mean that there is no such job

Cause: an entry that was asked for a job of another entry to which it had no connection, and that no peer knew, answered that there is no such job (404). A connection that is down for a moment was enough, while the request ran.

Change: only the entry that accepted a job can say that it does not exist. While it cannot be reached and no peer knows the job, the answer is an error (500).

--- a/entryd/service.go
+++ b/entryd/service.go
@@ -35,8 +35,9 @@
 // it knows the job, and otherwise the one that accepted the job. If this entry knows
 // that an attempt of the job was committed but not whether it runs, the planner of
 // this entry's region is asked first. Instead of an entry that cannot be reached,
-// any peer that knows the job answers. The second result is false when the job is
-// unknown.
+// any peer that knows the job answers. The second result is false when the job does not
+// exist any more, according to the entry that accepted it. The error is ErrUnavailable
+// when that entry cannot be reached.
 func (d *Daemon) Job(ctx context.Context, jobID string) (job.View, bool, error) {
 	v, ok := d.localView(jobID)
 	if !ok {
@@ -54,11 +55,15 @@
 }
 
 // remoteJob reads a job at another entry or, when that entry cannot be reached, from
-// any peer that knows it.
+// any peer that knows it. Only the other entry can say that there is no such job.
 func (d *Daemon) remoteJob(ctx context.Context, entryID, jobID string) (job.View, bool, error) {
 	conn := d.peerConn(entryID)
 	if conn == nil {
-		return d.jobFromAnyPeer(ctx, jobID)
+		v, found, err := d.jobFromAnyPeer(ctx, jobID)
+		if err == nil && !found && entryID != "" && entryID != d.cfg.ID {
+			err = fmt.Errorf("job %s: no connection to entry %s: %w", jobID, entryID, ErrUnavailable)
+		}
+		return v, found, err
 	}
 	v, found, err := d.peerJob(ctx, conn, jobID, wire.PeerJobOpGet)
 	if err != nil {
--- a/entryd/submit.go
+++ b/entryd/submit.go
@@ -18,7 +18,8 @@
 
 // ErrUnavailable means that the entry cannot serve the call now. The caller can ask
 // another entry. Change returns it only when nothing was changed. Submit returns it
-// when the record of the job is in the log but this entry does not know the job.
+// when the record of the job is in the log but this entry does not know the job, and Job
+// when it is not known whether there is such a job.
 var ErrUnavailable = errors.New("entry unavailable")
 
 // newJobID returns a unique job ID. It consists of a number, the boot ID and the ID
