entryd: a job may exist while the log has not been read

Cause: a restarted entry that had not read the log yet answered that there is no job of an ID that it did not know (404), to callers and to the peers that asked it as the entry that had accepted the job. Recorded jobs are in the log.

Change: until the jobs stream has been read to its end once, an unknown ID is an error (500), unless a peer knows the job.

--- a/entryd/peers.go
+++ b/entryd/peers.go
@@ -435,7 +435,11 @@
 		r.Fail(fmt.Errorf("op: found %q, allowed: get, wait, cancel", p.Op))
 		return
 	}
-	v, ok := d.localView(p.ID)
+	v, ok, err := d.lookup(p.ID)
+	if err != nil {
+		r.Fail(err)
+		return
+	}
 	if !ok {
 		r.Reply(wire.PeerJobResult{Found: false})
 		return
--- a/entryd/service.go
+++ b/entryd/service.go
@@ -37,11 +37,15 @@
 // this entry's region is asked first. Instead of an entry that cannot be reached,
 // any peer that knows the job answers. The second result is false when the job does not
 // exist any more, according to the entry that accepted it. The error is ErrUnavailable
-// when that entry cannot be reached.
+// when that entry cannot be reached or when this one has not read the whole log yet.
 func (d *Daemon) Job(ctx context.Context, jobID string) (job.View, bool, error) {
-	v, ok := d.localView(jobID)
+	v, ok, localErr := d.lookup(jobID)
 	if !ok {
-		return d.remoteJob(ctx, ownerOf(jobID), jobID)
+		v, found, err := d.remoteJob(ctx, ownerOf(jobID), jobID)
+		if err == nil && !found {
+			err = localErr
+		}
+		return v, found, err
 	}
 	if planner := d.planner(time.Now()); v.Phase == job.PhaseStarting && planner != d.cfg.ID {
 		// The log says that the attempt was committed. Only the planner knows
@@ -105,7 +109,7 @@
 		if r != nil {
 			done = r.done
 		} else {
-			v, ok, err := d.remoteJob(ctx, ownerOf(jobID), jobID)
+			v, ok, err := d.Job(ctx, jobID)
 			if err != nil || !ok || v.Phase == job.PhaseEnded {
 				return v, ok, err
 			}
--- a/entryd/submit.go
+++ b/entryd/submit.go
@@ -264,6 +264,20 @@
 	}
 }
 
+// lookup returns the view of a job if this entry knows it. A job that it does not know may
+// exist until it has read the whole log; the error is then ErrUnavailable.
+func (d *Daemon) lookup(jobID string) (job.View, bool, error) {
+	d.jobs.mu.Lock()
+	defer d.jobs.mu.Unlock()
+	if r := d.jobs.byID[jobID]; r != nil {
+		return r.view(), true, nil
+	}
+	if !d.jobs.caughtUp {
+		return job.View{}, false, fmt.Errorf("job %s: the log has not been read yet: %w", jobID, ErrUnavailable)
+	}
+	return job.View{}, false, nil
+}
+
 // localView returns the view of a job if this entry knows it.
 func (d *Daemon) localView(jobID string) (job.View, bool) {
 	d.jobs.mu.Lock()
--- a/entryd/unknown_test.go
+++ b/entryd/unknown_test.go
@@ -31,3 +31,31 @@
 	_, _, err = other.Wait(s.context(), v.ID)
 	qt.Assert(t, err, qt.ErrorIs, ErrUnavailable)
 }
+
+// TestJobBeforeLogIsRead guards against a recorded job that a restarted entry says does not
+// exist, because it has not read the log yet.
+func TestJobBeforeLogIsRead(t *testing.T) {
+	s := startCluster(t, 2, 1)
+	s.waitFor("a planner", func() bool {
+		term := 0
+		for _, e := range s.entries {
+			e.jobs.mu.Lock()
+			term += int(e.jobs.term)
+			e.jobs.mu.Unlock()
+		}
+		return term > 0
+	})
+	for _, test := range []struct {
+		id       string
+		caughtUp bool
+	}{{"zz~boot~e1", false}, {"zz~boot~e1", true}, {"no such job", true}} {
+		s.entries[0].jobs.mu.Lock()
+		s.entries[0].jobs.caughtUp = test.caughtUp
+		s.entries[0].jobs.mu.Unlock()
+		for _, e := range s.entries {
+			_, found, err := e.Job(s.context(), test.id)
+			qt.Check(t, found, qt.IsFalse)
+			qt.Check(t, err == nil, qt.Equals, test.caughtUp, qt.Commentf("%s at %s: %v", test.id, e.cfg.ID, err))
+		}
+	}
+}
