gang: wait for a lease by the slowest clock that it may be measured on

Cause: the planner counted a member's lease as expired after exactly its length, by its own clock. The agent's clock may be 2% slow, and the runtime needs a moment to end the tasks, so that the job could start elsewhere while they ran.

Change: reservations and leases of members expire by lease.ExpiresBy.

--- a/gang/abort.go
+++ b/gang/abort.go
@@ -1,6 +1,9 @@
 package gang
 
-import "celerypoint.example/celerypoint/outcome"
+import (
+	"celerypoint.example/celerypoint/lease"
+	"celerypoint.example/celerypoint/outcome"
+)
 
 // endUncommitted ends an attempt that was not committed. Nothing was started, so
 // only the reservations have to be released. Those on VMs that cannot be reached
@@ -53,14 +56,14 @@
 // may not know of the takeover yet. From now on the earlier planner cannot
 // complete a round of confirmations, but its last complete round may have
 // extended leases without this planner's knowledge. So every member that may
-// still run gets at least Timing.Lease from now to stop.
+// still run gets at least a lease from now to stop.
 func (s *step) extendForEarlierPlanner() {
 	if !s.TakenOver {
 		return
 	}
 	for i := range s.Members {
 		if m := &s.Members[i]; m.MayHaveStarted && m.State != MemberReleased && m.State != MemberDone {
-			m.LeaseExpiresBy = later(m.LeaseExpiresBy, s.now.Add(s.timing.Lease))
+			m.LeaseExpiresBy = later(m.LeaseExpiresBy, lease.ExpiresBy(s.now, s.timing.Lease))
 		}
 	}
 	s.updateLeaseUntil()
--- a/gang/attempt.go
+++ b/gang/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"celerypoint.example/celerypoint/lease"
 )
 
 // Rule names in the outcome.NotRun of a job that certainly did not run.
@@ -40,7 +42,7 @@
 	// The reservations were granted before the commit record was read, so all of
 	// them expire within the reservation time from now, and a lease that begins
 	// by then expires one lease later.
-	a.LeaseUntil = now.Add(a.reservationTime(t) + t.Lease)
+	a.LeaseUntil = lease.ExpiresBy(lease.ExpiresBy(now, a.reservationTime(t)), t.Lease)
 	for i := range a.Members {
 		m := &a.Members[i]
 		m.State = MemberStarted
--- a/gang/step.go
+++ b/gang/step.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celerypoint.example/celerypoint/lease"
 	"celerypoint.example/celerypoint/outcome"
 )
 
@@ -125,7 +126,7 @@
 	case s.Phase == PhaseReserving && m.State == MemberRequested:
 		m.State = MemberReserved
 		m.BootID = e.BootID
-		m.ReservationExpiresBy = s.now.Add(s.reservationTime(s.timing))
+		m.ReservationExpiresBy = lease.ExpiresBy(s.now, s.reservationTime(s.timing))
 	case s.Phase == PhaseEnded && m.State == MemberRequested:
 		// The grant arrived after the attempt had ended.
 		s.addOrder(Release{VM: e.VM})
@@ -168,7 +169,7 @@
 		for i := range s.Members {
 			m := &s.Members[i]
 			m.MayHaveStarted = true
-			m.LeaseExpiresBy = m.ReservationExpiresBy.Add(s.timing.Lease)
+			m.LeaseExpiresBy = lease.ExpiresBy(m.ReservationExpiresBy, s.timing.Lease)
 			s.addOrder(Start{VM: m.VM})
 		}
 		s.updateLeaseUntil()
@@ -185,7 +186,7 @@
 	switch {
 	case s.Phase == PhaseStarting && m.State == MemberReserved:
 		m.State = MemberStarted
-		m.LeaseExpiresBy = s.now.Add(s.timing.Lease)
+		m.LeaseExpiresBy = lease.ExpiresBy(s.now, s.timing.Lease)
 	case s.Phase == PhaseEnded && firstReport && m.State != MemberDone:
 		s.addOrder(Release{VM: e.VM})
 	}
@@ -372,9 +373,9 @@
 		if m.State != MemberStarted {
 			continue
 		}
-		lease := s.timing.Lease - m.ConfirmedAt.Sub(s.RoundStart)
-		s.addOrder(Renew{VM: m.VM, AgentRound: m.AgentRound, Lease: min(lease, s.timing.Lease)})
-		m.LeaseExpiresBy = later(m.LeaseExpiresBy, s.RoundStart.Add(s.timing.Lease))
+		left := s.timing.Lease - m.ConfirmedAt.Sub(s.RoundStart)
+		s.addOrder(Renew{VM: m.VM, AgentRound: m.AgentRound, Lease: min(left, s.timing.Lease)})
+		m.LeaseExpiresBy = later(m.LeaseExpiresBy, lease.ExpiresBy(s.RoundStart, s.timing.Lease))
 	}
 	s.updateLeaseUntil()
 }
--- a/gang/types.go
+++ b/gang/types.go
@@ -71,7 +71,8 @@
 	// the attempt was taken over.
 	ReservationExpiresBy time.Time
 	// LeaseExpiresBy is the time from which the member certainly neither runs
-	// nor can start, unless it is moved before. It is zero until the order Start
+	// nor can start, unless it is moved before. It allows for a slow clock of the
+	// agent; see lease.ExpiresBy. It is zero until the order Start
 	// or TakeOver sets it. The event Started sets it anew, usually to an earlier
 	// time. After that it only moves to later times.
 	LeaseExpiresBy time.Time
