entryd: read an agent's connection and boot ID together

Cause: reserve and release read the connection to a VM's agent and the boot ID of the agent by two reads of the table. An agent of the same VM name on another machine that announced itself between them had its boot ID put on the reply of the first one. If it held the attempt, "released" by an agent that does not know the attempt ended the wait for its lease.

Change: both come from one read.

--- a/entryd/agents.go
+++ b/entryd/agents.go
@@ -182,18 +182,20 @@
 // agentConn returns the connection to a VM's agent, or nil when the VM is lost
 // or not connected.
 func (d *Daemon) agentConn(vmID string) *rpc.Conn {
+	conn, _ := d.agentProcess(vmID)
+	return conn
+}
+
+// agentProcess returns the connection to a VM's agent, or nil when the VM is lost or not
+// connected, and the boot ID that was announced on the connection.
+func (d *Daemon) agentProcess(vmID string) (*rpc.Conn, string) {
 	d.vms.mu.Lock()
 	defer d.vms.mu.Unlock()
 	t := d.vms.byID[vmID]
-	if t == nil || t.lost {
-		return nil
-	}
-	select {
-	case <-t.conn.Done():
-		return nil
-	default:
-		return t.conn
+	if t == nil || t.lost || isClosed(t.conn) {
+		return nil, ""
 	}
+	return t.conn, t.vm.BootID
 }
 
 // vmViews returns a copy of what is known of the VMs, sorted by ID. It includes
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -150,20 +150,9 @@
 	return gang.Member{}
 }
 
-// bootIDOf returns the boot ID of the agent that announced the VM last, or "" if the
-// VM is unknown.
-func (d *Daemon) bootIDOf(vmID string) string {
-	d.vms.mu.Lock()
-	defer d.vms.mu.Unlock()
-	if t := d.vms.byID[vmID]; t != nil {
-		return t.vm.BootID
-	}
-	return ""
-}
-
 // reserve asks an agent to reserve the accelerators of a member.
 func (d *Daemon) reserve(a gang.Attempt, j job.Job, o gang.Reserve, now time.Time) {
-	conn := d.agentConn(o.VM)
+	conn, bootID := d.agentProcess(o.VM)
 	if conn == nil {
 		d.runOnPool(func() {
 			d.step(a.ID, gang.Refused{VM: o.VM, Rule: "noVMReachable", Reason: "no connection to the agent"})
@@ -175,7 +164,6 @@
 		Job: a.JobID, Org: j.Org, Attempt: a.ID, Term: int(a.Term), Tasks: m.Tasks, AcceleratorsPerTask: j.AcceleratorsPerTask,
 		Preemptible: j.Preemptible, Urgency: string(j.Urgency), HoldMs: int(o.Hold.Milliseconds()), Reclaim: m.Reclaim, Config: d.vmConfig(o.VM),
 	}
-	bootID := d.bootIDOf(o.VM)
 	send(d, conn, agent.MethodReserve, p, now.Add(o.Hold), func(r wire.GrantResult, err error) {
 		switch {
 		case err != nil:
@@ -307,11 +295,10 @@
 
 // release asks an agent to drop the reservation of a member or to stop its tasks.
 func (d *Daemon) release(a gang.Attempt, o gang.Release, now time.Time) {
-	conn := d.agentConn(o.VM)
+	conn, bootID := d.agentProcess(o.VM)
 	if conn == nil {
 		return
 	}
-	bootID := d.bootIDOf(o.VM)
 	p := wire.ReleaseParams{Job: a.JobID, Attempt: a.ID, Term: int(a.Term), Checkpoint: o.Checkpoint, Reason: a.Reason}
 	send(d, conn, agent.MethodRelease, p, now.Add(d.cfg.Reclaim), func(r wire.ReleaseResult, err error) {
 		if err == nil {
