stepentry: a planner of the same name at another address may live

Cause: an entry took a planner of its own name for its former process and claimed a new term at once. A process of that name on another machine, of one that was replaced and was only cut off, does the same: the two took the term from each other without end.

Change: only a planner at the entry's own address is its former process. Any other is pinged and replaced like the planner of another entry.

Result: go test -count=1 ./stepentry -run TestPlannerOfSameName, before: the first process had lost the term 0.5 s after the test began; after, with go test -count=3 ./stepentry: passes. go test -count=1 ./siteproof -run 'TestEveryProcessKilled|TestEntryStopsGracefully|TestPlanner' passes.

--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -101,7 +101,7 @@
 			reason = "no planner yet"
 		case p.Resigned:
 			reason = "the planner resigned"
-		case p.Entry == d.cfg.Name && p.BootID != d.bootID:
+		case d.isFormerProcess(p):
 			reason = "this entry was the planner before its restart"
 		case health == healthGone:
 			reason = "the planner's process has ended"
@@ -140,6 +140,13 @@
 	}
 }
 
+// isFormerProcess reports whether the planner is an earlier process of this entry. This one
+// listens at its address, so it has ended. A process of the same name at another address
+// may live on another machine.
+func (d *Daemon) isFormerProcess(p stepfold.Planner) bool {
+	return p.Entry == d.cfg.Name && p.BootID != d.bootID && p.Address == d.address()
+}
+
 // claimHandicap is how much longer an entry with the share of a core waits before a
 // claim than one with at least plannerCPUShare.
 func claimHandicap(cpuShare float64) time.Duration {
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -35,14 +35,14 @@
 // listens at the process's address or a process with another boot ID answers. A
 // process that does not answer may still be alive, and one that answers but is
 // not yet the planner may still be reading the records stored before its claim;
-// both are healthUnknown. No ping is sent if p is a process of this entry. If p is
-// this very process, it is healthGone, because checkPlanner is called only while
-// this entry is not the planner.
+// both are healthUnknown. No ping is sent to this process or to a former one of this
+// entry. If p is this very process, it is healthGone, because checkPlanner is called only
+// while this entry is not the planner.
 func (d *Daemon) checkPlanner(ctx context.Context, p stepfold.Planner) plannerHealth {
-	if p.Entry == d.cfg.Name {
-		if p.BootID == d.bootID {
-			return healthGone
-		}
+	switch {
+	case p.BootID == d.bootID && p.Entry == d.cfg.Name:
+		return healthGone
+	case d.isFormerProcess(p):
 		return healthUnknown
 	}
 	bounded, cancel := context.WithTimeout(ctx, pingTimeout)
