entryd: a peer whose hellos arrive is not lost by a refused connection

Cause: one refused connection made an entry take the peer for ended, though a hello of it had just arrived, so that another entry became the planner: with a new term, attempts that reserve end and the others change hands. The network, or a listener that is opened again, refuses connections as well.

--- a/entryd/peers.go
+++ b/entryd/peers.go
@@ -23,6 +23,10 @@
 // to connect to it.
 const peerRetention = 60 * time.Second
 
+// missedHellos is the number of missing hellos after which a peer that refuses connections
+// counts as lost.
+const missedHellos = 2
+
 // dialTimeout is the time limit of one connection attempt to a peer.
 const dialTimeout = time.Second
 
@@ -267,10 +271,11 @@
 		d.peers.seeds[address] = false
 	} else if p := d.peers.byID[id]; p != nil {
 		p.dialing = false
-		if errors.Is(err, syscall.ECONNREFUSED) && p.conn == nil && !p.liveUntil.IsZero() {
-			// No process listens at the address, so the peer has ended. It
-			// counts as lost at once, and another entry can become the
-			// planner without waiting for PeerLostTimeout.
+		lastHello := p.liveUntil.Add(-d.cfg.PeerLostTimeout)
+		if errors.Is(err, syscall.ECONNREFUSED) && p.conn == nil && !p.liveUntil.IsZero() && time.Since(lastHello) > missedHellos*d.cfg.HelloInterval {
+			// Probably no process listens at the address, so that another entry can
+			// become the planner without waiting for PeerLostTimeout. The network
+			// alone may refuse connections to a peer whose hellos arrive.
 			p.liveUntil = time.Now()
 		}
 		if err == nil {
