entryd: an answer is not lost while its VM is only silent

Cause: the planner took an answer for lost after three tries, 1.5 s in all without a connection, though a VM counts as lost after 4 s. An idempotent job that had answered then ran again, and any other ended as unknown.

Change: tries without a reply count only once VMLostTimeout has passed. What the agent answers, or what does not match its checksum, counts as before.

Result: go test -count=1 ./entryd -run TestAnswerOfSilentVM, before: "answer of rank 0: no connection to VM v1" in 2 of 2 runs; after, in 2 of 2: passes. go test -count=1 ./entryd and go test -count=1 ./proof -run 'TestRollingRestart|TestAgent' pass.

--- a/entryd/answers.go
+++ b/entryd/answers.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/outcome"
+	"celerypoint.example/celerypoint/rpc"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -15,7 +18,7 @@
 // a large answer does not delay other messages on its connection.
 const maxAnswerChunk = 256 << 10
 
-// maxPartReads is the maximum number of tries to read one part of an answer.
+// maxPartReads is the maximum number of failed tries to read one part of an answer.
 const maxPartReads = 3
 
 // fetchAnswer reads every part of an answer from the agents, and checks lengths
@@ -42,17 +45,31 @@
 	return a, nil
 }
 
-// readPart reads the whole answer of one task and tries up to maxPartReads times.
+// readPart reads the whole answer of one task. It fails after maxPartReads failed tries. A
+// try without a reply is not one of them until the VM would count as lost.
 func (d *Daemon) readPart(ctx context.Context, p outcome.Part) ([]byte, error) {
-	var err error
-	for range maxPartReads {
-		var data []byte
-		if data, err = d.readPartOnce(ctx, p); err == nil {
+	silentUntil := time.Now().Add(d.cfg.VMLostTimeout)
+	for failed := 0; ; {
+		data, err := d.readPartOnce(ctx, p)
+		if err == nil {
 			return data, nil
 		}
+		if !isSilence(err) || time.Now().After(silentUntil) {
+			failed++
+		}
+		if failed == maxPartReads || ctx.Err() != nil || d.ctx.Err() != nil {
+			return nil, err
+		}
 		d.sleep(retryDelay)
 	}
-	return nil, err
+}
+
+// errNotConnected means that there is no connection to the agent of a VM.
+var errNotConnected = errors.New("no connection")
+
+// isSilence reports whether a call to an agent failed without a reply.
+func isSilence(err error) bool {
+	return errors.Is(err, errNotConnected) || errors.Is(err, rpc.ErrClosed) || errors.Is(err, rpc.ErrTimeout) || errors.Is(err, context.DeadlineExceeded)
 }
 
 // readPartOnce reads the whole answer of one task, and checks its length and
@@ -62,7 +79,7 @@
 	for int64(len(data)) < p.Length {
 		conn := d.agentConn(p.VM)
 		if conn == nil {
-			return nil, fmt.Errorf("answer of rank %d: no connection to VM %s", p.Rank, p.VM)
+			return nil, fmt.Errorf("answer of rank %d on VM %s: %w", p.Rank, p.VM, errNotConnected)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		params := wire.AnswerParams{Attempt: p.Attempt, Rank: p.Rank, Offset: len(data), Max: maxAnswerChunk}
