agentd, entryd, stepentry: one line of comment on each regression test

Cause: the comments of the new tests took two lines. Change: comments only. Result: go vet ./agentd ./entryd ./stepentry is clean; no test was run again.

--- a/agentd/notfound_test.go
+++ b/agentd/notfound_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// TestEndWithLateEvent guards against a task that has ended with its answer and is
-// reported as crashed, so that it starts again, because the event of its end is late.
+// TestEndWithLateEvent guards against a task that answered and is reported as crashed.
 func TestEndWithLateEvent(t *testing.T) {
 	h, proxy := newProxyHarness(t)
 	proxy.stallPolls.Store(true)
@@ -80,8 +79,7 @@
 	qt.Assert(t, h.entry.waitForEnd(t, "j1-a/0").Result, qt.Equals, wire.TaskResultAnswered)
 }
 
-// TestForeignAnswers guards against a task that counts as ended while it runs, because a
-// server that is not the runtime answers at the runtime's address.
+// TestForeignAnswers guards against the 404 of another server that ends a task which runs.
 func TestForeignAnswers(t *testing.T) {
 	h, proxy := newProxyHarness(t)
 	h.startAttempt(h.job("j1", `{"runMs":60000}`, false), 1, 10_000)
@@ -94,8 +92,7 @@
 	qt.Assert(t, confirmed.Running, qt.IsTrue)
 }
 
-// TestCrashOfRuntime guards against a crash of the runtime that is not told apart from a
-// stop, so that a job that crashes every runtime would start without limit.
+// TestCrashOfRuntime guards against a crash of the runtime that is reported as a stop.
 func TestCrashOfRuntime(t *testing.T) {
 	h, _ := newProxyHarness(t)
 	h.startAttempt(h.job("j1", `{"runMs":60000}`, false), 1, 10_000)
--- a/entryd/answers_test.go
+++ b/entryd/answers_test.go
@@ -11,8 +11,7 @@
 	"celerypoint.example/celerypoint/shape"
 )
 
-// TestAnswerOfSilentVM guards against a job that has answered and runs again, because its
-// answer counts as lost although its VM was only out of reach for less than VMLostTimeout.
+// TestAnswerOfSilentVM guards against an answer that counts as lost before its VM does.
 func TestAnswerOfSilentVM(t *testing.T) {
 	s := startCluster(t, 1, 1)
 	s.putOrg("paint", shape.Shape{})
--- a/entryd/bootid_test.go
+++ b/entryd/bootid_test.go
@@ -9,8 +9,7 @@
 	"celerypoint.example/celerypoint/vm"
 )
 
-// TestBootIDOfConnection guards against the reply of one agent that counts as that of
-// another of the same VM name, which has announced itself between two reads of the table.
+// TestBootIDOfConnection guards against one agent's reply under another's boot ID.
 func TestBootIDOfConnection(t *testing.T) {
 	engine, err := rpc.New(func(*rpc.Request) {}, rpc.WithListen("127.0.0.1:0"))
 	qt.Assert(t, err, qt.IsNil)
--- a/entryd/obsolete_test.go
+++ b/entryd/obsolete_test.go
@@ -10,8 +10,7 @@
 	"celerypoint.example/celerypoint/wire"
 )
 
-// TestReportAheadOfLog guards against a report of an end that an entry confirms, so that the
-// agent forgets it, because the entry has not read the commit of the attempt yet.
+// TestReportAheadOfLog guards against confirming a report whose attempt's commit is not read yet.
 func TestReportAheadOfLog(t *testing.T) {
 	for _, test := range []struct {
 		name      string
--- a/entryd/refused_test.go
+++ b/entryd/refused_test.go
@@ -10,8 +10,7 @@
 	"celerypoint.example/celerypoint/wire"
 )
 
-// TestRefusingPathToPeer guards against a change of the planner because connections to a
-// live peer, whose hellos arrive, are refused; and against a peer that ends and is not noticed.
+// TestRefusingPathToPeer guards against a peer that is lost by a refusal while its hellos arrive.
 func TestRefusingPathToPeer(t *testing.T) {
 	s := startCluster(t, 1, 0)
 	d := s.entries[0]
--- a/entryd/replaced_test.go
+++ b/entryd/replaced_test.go
@@ -21,8 +21,7 @@
 	return wire.RuntimeRecord{}, false
 }
 
-// TestReplacedMachine guards against a second start of a task that still runs on a machine
-// that is cut off, because an agent on another machine has taken the VM's name.
+// TestReplacedMachine guards against a second start while the machine replaced by name runs on.
 func TestReplacedMachine(t *testing.T) {
 	s := startCluster(t, 1, 1)
 	s.putOrg("paint", shape.Shape{})
--- a/entryd/unknown_test.go
+++ b/entryd/unknown_test.go
@@ -9,8 +9,7 @@
 	"celerypoint.example/celerypoint/shape"
 )
 
-// TestJobOfSilentEntry guards against a job that a caller is told does not exist, because
-// the entry that accepted it cannot be reached.
+// TestJobOfSilentEntry guards against denying a job whose entry cannot be reached.
 func TestJobOfSilentEntry(t *testing.T) {
 	s := startCluster(t, 2, 1)
 	s.putOrg("paint", shape.Shape{})
@@ -32,8 +31,7 @@
 	qt.Assert(t, err, qt.ErrorIs, ErrUnavailable)
 }
 
-// TestJobBeforeLogIsRead guards against a recorded job that a restarted entry says does not
-// exist, because it has not read the log yet.
+// TestJobBeforeLogIsRead guards against an entry that denies a job before it has read the log.
 func TestJobBeforeLogIsRead(t *testing.T) {
 	s := startCluster(t, 2, 1)
 	s.waitFor("a planner", func() bool {
--- a/stepentry/samename_test.go
+++ b/stepentry/samename_test.go
@@ -11,8 +11,7 @@
 	"celerypoint.example/celerypoint/stepplan"
 )
 
-// TestPlannerOfSameName guards against processes of one name on two machines that take the
-// term from each other without end, each as if the other were its own former process.
+// TestPlannerOfSameName guards against two processes of one name that take the term in turns.
 func TestPlannerOfSameName(t *testing.T) {
 	c := qt.New(t)
 	store, err := standinstore.New("127.0.0.1:0")
