stepplan: an order that is on its way when the lease of its VM ends is not lost

An append of the planner can take longer than the lease of a VM. The order was still sent afterwards, the next pass marked its run as lost because the lease had expired, and the agent, with the lease of its next report, could start it all the same: two runs at once. Change: no order is sent without a lease, and a run whose order the agent has not answered in its present session is not lost with the lease. The answer or the end of the session decides.

--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -330,7 +330,7 @@
 func (d *Daemon) sendStart(o stepplan.StartOrder) {
 	l := d.planner.links[o.Agent]
 	switch {
-	case !d.planner.scheduler.StartWanted(o):
+	case !d.planner.scheduler.StartWanted(o, boottime.Now()):
 		d.planner.scheduler.StartWithdrawn(o, "the run is no longer wanted", boottime.Now())
 		return
 	case l == nil || l.conn == nil || l.session != o.Session:
--- a/stepplan/load_test.go
+++ b/stepplan/load_test.go
@@ -203,7 +203,7 @@
 
 // begin starts a run as a worker would.
 func (s *loadSimulation) begin(o StartOrder) {
-	if !s.scheduler.StartWanted(o) {
+	if !s.scheduler.StartWanted(o, s.now) {
 		s.scheduler.StartWithdrawn(o, "not wanted", s.now)
 		return
 	}
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -145,7 +145,7 @@
 	wanted := 0
 	for _, o := range orders {
 		start := o.(StartOrder)
-		if sc.StartWanted(start) {
+		if sc.StartWanted(start, now) {
 			wanted++
 			continue
 		}
@@ -153,3 +153,31 @@
 	}
 	c.Check(wanted, qt.Equals, 2)
 }
+
+// TestOrderInFlightOutlivesNoLease guards against a task that starts elsewhere while its
+// order, whose record took long to store, is carried out under the agent's next lease.
+func TestOrderInFlightOutlivesNoLease(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	sc := newCluster(1, now)
+	sc.AddJob(newJob("job", "urgent", now, steps.Step{Count: 2, Needs: steps.Resources{GPUs: 1}}), now)
+	sc.Plan(now)
+	orders := sc.TakeOutput(now).Orders
+	c.Assert(orders, qt.HasLen, 2)
+	sent, stored := orders[0].(StartOrder), orders[1].(StartOrder)
+	c.Assert(sc.StartWanted(sent, now), qt.IsTrue)
+	now = sc.VMs["vm0"].LeaseUntil.Add(time.Millisecond)
+	c.Check(sc.StartWanted(stored, now), qt.IsFalse)
+	sc.StartWithdrawn(stored, "the run is no longer wanted", now)
+	sc.ExpireLeases(now)
+	_, _, t0 := sc.findTask(sent.Task)
+	c.Check(t0.Active, qt.IsTrue)
+	sc.StartAnswered(sent, 1, true)
+	sc.LeaseGranted("vm0", now)
+	sc.ExpireLeases(now)
+	c.Check(t0.Active, qt.IsTrue)
+	// Without an answer, the session ends.
+	sc.AgentDetached("vm0", 1)
+	sc.ExpireLeases(sc.VMs["vm0"].LeaseUntil)
+	c.Check(t0.Active, qt.IsFalse)
+}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -138,15 +138,16 @@
 }
 
 // StartWanted reports whether the order still has to be sent: its run is active,
-// was not requested to stop, its job is not over, and its VM takes new runs and has not
-// lost capacity that the runs there need.
-func (sc *Scheduler) StartWanted(o StartOrder) bool {
+// was not requested to stop, its job is not over, and its VM takes new runs, has not
+// lost capacity that the runs there need and holds a lease. Without one the run would
+// count as lost while the agent may start it under the next lease.
+func (sc *Scheduler) StartWanted(o StartOrder, now time.Time) bool {
 	t := sc.taskOfOrder(o)
 	if t == nil || !t.StopRequestedAt.IsZero() || sc.Jobs[o.Task.Job].Phase.Over() {
 		return false
 	}
 	vm := sc.VMs[o.Agent]
-	return !vm.Draining && !sc.Evacuated[vm.Zone] && vm.Capacity.Holds(vm.used)
+	return !vm.Draining && !sc.Evacuated[vm.Zone] && vm.Capacity.Holds(vm.used) && now.Before(vm.LeaseUntil)
 }
 
 // Waiting times after a refused start, until the task is started again and until
@@ -481,14 +482,17 @@
 }
 
 // ExpireLeases marks the active runs as lost on every VM whose VM.LeaseUntil has
-// passed.
+// passed, except those whose start the agent has not answered in its present session: it
+// may still start them under its next lease.
 func (sc *Scheduler) ExpireLeases(now time.Time) {
 	for name, vm := range sc.VMs {
 		if len(vm.ActiveTasks) > 0 && now.Before(vm.LeaseUntil) {
 			continue
 		}
 		for _, t := range sc.activeTasksOn(vm) {
-			sc.markLost(t, now, "the lease expired")
+			if !vm.Attached || t.ConclusiveReport >= 0 {
+				sc.markLost(t, now, "the lease expired")
+			}
 		}
 		if vm.Replaced {
 			delete(sc.VMs, name)
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -207,7 +207,7 @@
 // send delivers an order to its agent. The order or its answer may be delayed or
 // lost.
 func (s *sim) send(o StartOrder) {
-	if !s.scheduler.StartWanted(o) {
+	if !s.scheduler.StartWanted(o, s.now) {
 		s.scheduler.StartWithdrawn(o, "given up", s.now)
 		return
 	}
