faultproxy: refuse connections

Cause: a refused connection has other causes than a crash of the server, but no test could refuse connections on a path while the server goes on. Change: Faults.Refuse closes the listener and the open connections; the proxy listens at the same address again afterwards. The proxy accepts connections itself instead of nbio's engine, which cannot stop and resume.

--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -1,15 +1,17 @@
 // Package faultproxy is a TCP proxy that injects faults between two processes
-// under test. It can cut connections, hold back or discard the bytes of one
+// under test. It can refuse and cut connections, hold back or discard the bytes of one
 // direction while the connection stays open, delay bytes with seeded jitter, and
 // split them into small pieces. It is a test tool and not part of the product.
 //
 // Socket callbacks only queue bytes. A pool of workers writes them, and timers
 // resume the delivery of delayed bytes. One mutex guards all state of a Proxy; it
-// is not held during a write.
+// is not held during a write. SetFaults and Close take a mutex of their own before it,
+// so that the listener fits the newest faults.
 package faultproxy
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -35,6 +37,8 @@
 	workers     = 4
 	queueDepth  = 1 << 14
 	dialTimeout = time.Second
+	// acceptRetryPause is the wait after a failed accept.
+	acceptRetryPause = 20 * time.Millisecond
 )
 
 // Block says whether and how the bytes of a direction are blocked.
@@ -70,6 +74,10 @@
 	// the connections of one client. They have no effect on a connection until
 	// the text has arrived. Empty means every connection.
 	ConnectionMatch string `json:"only"`
+	// Refuse closes the listener, so that new connections are refused, and the open
+	// connections, whatever ConnectionMatch is. The proxy listens at the same address
+	// again when it ends.
+	Refuse bool `json:"refuse"`
 	// Cut closes the open connections, and new ones as soon as they are accepted.
 	Cut bool `json:"cut"`
 	// Up is the direction from the client to the server, Down the opposite one.
@@ -108,9 +116,14 @@
 
 // Proxy is a running proxy. It is safe for concurrent use.
 type Proxy struct {
-	target string
-	engine *nbio.Engine
-	pool   *workpool.Pool
+	address, target string
+	engine          *nbio.Engine
+	pool            *workpool.Pool
+	accepting       sync.WaitGroup
+
+	faultsMu sync.Mutex
+	// listener is nil while connections are refused, and after Close.
+	listener net.Listener
 
 	mu       sync.Mutex
 	faults   Faults
@@ -159,16 +172,16 @@
 // target. The seed makes the jitter repeatable.
 func New(address, target string, seed uint64) (*Proxy, error) {
 	nbiosetup.ApplyLimits()
-	listener, err := nbiosetup.Listen(address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("fault proxy: listen on %s: %w", address, err)
 	}
 	p := &Proxy{
-		target: target, pool: workpool.New(workers, queueDepth),
+		address: listener.Addr().String(), target: target, pool: workpool.New(workers, queueDepth),
 		random: rand.New(rand.NewPCG(seed, 0)), links: map[*link]bool{},
 	}
 	p.engine = nbio.NewEngine(nbio.Config{
-		Name: "faultproxy", Network: "tcp", Addrs: []string{listener.Addr().String()}, Listen: listener.ListenFunc, NPoller: 1,
+		Name: "faultproxy", NPoller: 1,
 		ReadBufferSize: 64 << 10, MaxWriteBufferSize: maxQueuedBytes,
 		// With a limit, nbio closes a connection that its peer has closed before
 		// it has read all bytes from it.
@@ -183,21 +196,79 @@
 		p.pool.Close()
 		return nil, fmt.Errorf("fault proxy: start on %s: %w", address, err)
 	}
-	listener.WaitAccepting()
 	if err := nbiosetup.WaitPolling(p.engine); err != nil {
+		_ = listener.Close()
 		return nil, fmt.Errorf("fault proxy: start on %s: %w", address, err)
 	}
+	p.serve(listener)
 	return p, nil
 }
 
 // Address is the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.engine.Addrs[0] }
+func (p *Proxy) Address() string { return p.address }
+
+// serve accepts the connections of clients until the listener is closed. The caller holds
+// faultsMu, or is the only user of p.
+func (p *Proxy) serve(l net.Listener) {
+	p.listener = l
+	p.accepting.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(acceptRetryPause)
+				continue
+			}
+			if p.rejectsAll() {
+				_ = conn.Close()
+				continue
+			}
+			c, err := nbio.NBConn(conn)
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			if _, err := p.engine.AddConn(c); err != nil {
+				_ = c.Close()
+			}
+		}
+	})
+}
+
+// rejectsAll reports whether a new connection is closed whatever its first bytes are.
+func (p *Proxy) rejectsAll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed || p.faults.Refuse || p.faults.Cut && p.faults.ConnectionMatch == ""
+}
+
+// setListening opens or closes the listener. The caller holds faultsMu.
+func (p *Proxy) setListening(listening bool) error {
+	switch {
+	case listening && p.listener == nil:
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return fmt.Errorf("fault proxy: listen again on %s: %w", p.address, err)
+		}
+		p.serve(l)
+	case !listening && p.listener != nil:
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	return nil
+}
 
 // Close closes the listener and every connection.
 func (p *Proxy) Close() {
+	p.faultsMu.Lock()
+	defer p.faultsMu.Unlock()
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
+	_ = p.setListening(false)
+	p.accepting.Wait()
 	p.closeLinks(func(*link) bool { return true })
 	p.engine.Stop()
 	p.pool.Close()
@@ -218,12 +289,21 @@
 }
 
 // SetFaults replaces the faults, or returns an error and changes nothing if the new
-// ones are invalid. It closes the connections that the new faults cut, and those
-// that have lost bytes in a direction that is no longer blocked by BlockDiscard.
+// ones are invalid or the proxy cannot listen again. It closes the connections that the
+// new faults cut, and those that have lost bytes in a direction that is no longer blocked
+// by BlockDiscard.
 func (p *Proxy) SetFaults(f Faults) error {
 	if err := f.Check(); err != nil {
 		return err
 	}
+	p.faultsMu.Lock()
+	defer p.faultsMu.Unlock()
+	p.mu.Lock()
+	closed := p.closed
+	p.mu.Unlock()
+	if err := p.setListening(!f.Refuse && !closed); err != nil {
+		return err
+	}
 	p.mu.Lock()
 	p.faults = f
 	for l := range p.links {
@@ -234,7 +314,7 @@
 	p.mu.Unlock()
 	p.closeLinks(func(l *link) bool {
 		disturbed := p.faultsApply(l)
-		return disturbed && f.Cut || l.up.hasGap && !(disturbed && f.Up.Block == BlockDiscard) ||
+		return f.Refuse || disturbed && f.Cut || l.up.hasGap && !(disturbed && f.Up.Block == BlockDiscard) ||
 			l.down.hasGap && !(disturbed && f.Down.Block == BlockDiscard)
 	})
 	return nil
@@ -269,7 +349,7 @@
 	c.SetSession(l.up)
 	p.mu.Lock()
 	p.counters.Accepted++
-	refused := p.faults.Cut && p.faultsApply(l) || p.closed
+	refused := p.faults.Refuse || p.faults.Cut && p.faultsApply(l) || p.closed
 	if !refused {
 		p.links[l] = true
 		p.counters.Open++
--- a/faultproxy/faultproxy_test.go
+++ b/faultproxy/faultproxy_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -201,6 +203,67 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// TestRefuse guards against connections that stay open or are accepted while Refuse is
+// set, and against a proxy that does not listen at its address again afterwards.
+func TestRefuse(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{})
+	echo := func(conn net.Conn) error {
+		if _, err := conn.Write([]byte("a")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	for range 3 {
+		conn := dial(c, p)
+		c.Assert(echo(conn), qt.IsNil)
+		c.Assert(p.SetFaults(Faults{Refuse: true}), qt.IsNil)
+		c.Assert(p.SetFaults(Faults{Refuse: true}), qt.IsNil)
+		_, err := net.Dial("tcp", p.Address())
+		c.Assert(err, qt.ErrorIs, syscall.ECONNREFUSED)
+		_, err = conn.Read(make([]byte, 1))
+		c.Assert(err, qt.IsNotNil)
+		waitOpen(c, p, 0)
+		c.Assert(p.SetFaults(Faults{}), qt.IsNil)
+	}
+	c.Assert(echo(dial(c, p)), qt.IsNil)
+}
+
+// TestRefuseWhileConnecting guards against a connection that is accepted while Refuse is
+// being set and stays open.
+func TestRefuseWhileConnecting(t *testing.T) {
+	c := qt.New(t)
+	p := newProxy(c, echoServer(c), Faults{})
+	var clients sync.WaitGroup
+	done := make(chan struct{})
+	for range 4 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if conn, err := net.Dial("tcp", p.Address()); err == nil {
+					_ = conn.Close()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	for range 50 {
+		c.Check(p.SetFaults(Faults{Refuse: true}), qt.IsNil)
+		waitOpen(c, p, 0)
+		c.Check(p.SetFaults(Faults{}), qt.IsNil)
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(done)
+	clients.Wait()
+	c.Assert(p.SetFaults(Faults{Refuse: true}), qt.IsNil)
+	waitOpen(c, p, 0)
+}
+
 // TestConnectionMatch guards against faults that affect the connections of other
 // clients.
 func TestConnectionMatch(t *testing.T) {
