soak: faults of the paths between agents and workers, foreign messages, absent workers

Cause: the soak could not find the runs that were started twice while their worker lived: agents and workers called each other directly, nothing but workers sent heartbeats, and a crashed worker came back within 500 ms. The judge compared each run only with the one that started before it, so that it missed a run that overlaps two later ones, and it did not know that a lapsed lease excuses a start after a success. Change: fault proxies on both paths, with faults drawn by generators of their own, so that a seed keeps its former schedule. A forwarder on the path records leases and acknowledgements for the judge. A failed seed also leaves runs.txt. The soak itself has not been run yet.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -14,7 +14,8 @@
 
 // fault is a fault that the test can inject. It is sealed: linkFault,
 // signalFault, stopFault, storeFault, workerFault, drainFault, crashFault,
-// compactFault, revokeFault, hangupFault, capacityFault.
+// compactFault, revokeFault, hangupFault, capacityFault, pathFault, foreignMessage,
+// absenceFault.
 type fault interface{ fault() }
 
 type (
@@ -209,6 +210,12 @@
 		reduced.GPUs = f.gpus
 		s.setCapacity(f.agent, reduced)
 		return func() { s.setCapacity(f.agent, capacity) }
+	case pathFault:
+		return s.startPathFault(f)
+	case foreignMessage:
+		s.sendForeign(f)
+	case absenceFault:
+		return s.startAbsence(f)
 	case compactFault:
 		s.store.Compact("keyed.celerypoint")
 		s.store.Compact("keyed.op")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"celerypoint.example/celerypoint/crashes"
-	"celerypoint.example/celerypoint/standinworker"
 )
 
 var (
@@ -113,7 +112,8 @@
 	defer stopProbe()
 	var probes sync.WaitGroup
 	probes.Go(func() { prober.probeRevokedKeys(probing) })
-	schedule := append(s.drawSchedule(*faultDuration), s.drawCapacityFaults(*faultDuration)...)
+	schedule := slices.Concat(s.drawSchedule(*faultDuration), s.drawCapacityFaults(*faultDuration),
+		s.drawPathFaults(*faultDuration), s.drawForeignMessages(*faultDuration), s.drawAbsences(*faultDuration))
 	slices.SortStableFunc(schedule, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
 	s.injectFaults(schedule)
 	stop()
@@ -222,7 +222,7 @@
 	runs := s.runsByTask()
 	done := 0
 	for i := range j.taskCount {
-		if slices.ContainsFunc(runs[fmt.Sprintf("%s.0.0.%d", j.id, i)], func(b standinworker.RunRecord) bool { return b.EndReason == "done" }) {
+		if slices.ContainsFunc(runs[fmt.Sprintf("%s.0.0.%d", j.id, i)], func(b runRecord) bool { return b.EndReason == "done" }) {
 			done++
 		}
 	}
@@ -279,20 +279,13 @@
 		if n := s.observedCrashes(runs); j.crashes && n > maxCrashingStarts {
 			s.fail("%s was started %d times, and each start crashed a worker", task, n)
 		}
-		for i, b := range runs {
+		for _, b := range runs {
 			if b.Spec != j.spec {
 				s.fail("%s ran %q instead of %q", task, b.Spec, j.spec)
 			}
-			if i == 0 {
-				continue
-			}
-			previous := runs[i-1]
-			if previous.EndedAt.IsZero() || b.StartedAt.Before(previous.EndedAt) {
-				s.fail("%s: run %d started while run %d was in progress", task, b.Run, previous.Run)
-			}
-			if previous.EndReason == "done" && previous.EndAcknowledged {
-				s.fail("%s: run %d started after run %d had succeeded", task, b.Run, previous.Run)
-			}
+		}
+		for _, text := range duplicateStarts(runs) {
+			s.fail("%s", text)
 		}
 	}
 	for _, a := range s.agents {
@@ -316,35 +309,19 @@
 
 // observedCrashes counts the runs that crashed their worker, other than those whose agent
 // ended before it certainly had reported the crash.
-func (s *system) observedCrashes(runs []standinworker.RunRecord) int {
+func (s *system) observedCrashes(runs []runRecord) int {
 	n := 0
 	for _, b := range runs {
-		a := s.agentOf(b)
-		if b.EndReason == "crashed" && (a == nil || !a.endedBetween(b.StartedAt, b.EndedAt.Add(crashReportTime))) {
+		if b.EndReason == "crashed" && !b.agent.endedBetween(b.StartedAt, b.EndedAt.Add(crashReportTime)) {
 			n++
 		}
 	}
 	return n
 }
 
-// agentOf returns the agent whose worker recorded the run.
-func (s *system) agentOf(b standinworker.RunRecord) *agentNode {
-	for _, a := range s.agents {
-		a.mu.Lock()
-		workers := append(slices.Clone(a.earlierWorkers), a.worker)
-		a.mu.Unlock()
-		for _, w := range workers {
-			if slices.Contains(w.History(), b) {
-				return a
-			}
-		}
-	}
-	return nil
-}
-
-// report fails the test if there were violations, and names the directory with
-// the logs of the processes. It removes the logs of a seed without violations,
-// unless -soak.keep is set.
+// report fails the test if there were violations, and names the directory with the
+// story, the runs and the logs of the processes. It removes the directory of a seed
+// without violations, unless -soak.keep is set.
 func (s *system) report(t *testing.T, jobs []*submission) {
 	accepted, tasks := 0, len(s.runsByTask())
 	for _, j := range jobs {
@@ -352,18 +329,22 @@
 			accepted++
 		}
 	}
+	runs := s.describeRuns()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.Logf("seed %d: %d jobs, %d accepted, %d tasks, %d faults", s.seed, len(jobs), accepted, tasks, len(s.timeline)/2)
-	if len(s.violations) == 0 {
-		if *keepDir == "" {
-			_ = os.RemoveAll(s.dir)
-		}
+	if len(s.violations) == 0 && *keepDir == "" {
+		_ = os.RemoveAll(s.dir)
 		return
 	}
-	text := strings.Join(s.timeline, "\n") + "\n" + strings.Join(s.violations, "\n") + "\n"
-	if err := os.WriteFile(filepath.Join(s.dir, "story.txt"), []byte(text), 0o644); err != nil {
-		t.Logf("story.txt: %v", err)
+	story := fmt.Sprintf("seed %d, seconds since %s\n", s.seed, s.startedAt.UTC().Format(time.RFC3339Nano)) +
+		strings.Join(s.timeline, "\n") + "\n" + strings.Join(s.violations, "\n") + "\n"
+	for name, text := range map[string]string{"story.txt": story, "runs.txt": runs} {
+		if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o644); err != nil {
+			t.Logf("%s: %v", name, err)
+		}
+	}
+	if len(s.violations) > 0 {
+		t.Errorf("seed %d: %d violations, logs in %s\n%s", s.seed, len(s.violations), s.dir, strings.Join(s.violations[:min(len(s.violations), 12)], "\n"))
 	}
-	t.Errorf("seed %d: %d violations, logs in %s\n%s", s.seed, len(s.violations), s.dir, strings.Join(s.violations[:min(len(s.violations), 12)], "\n"))
 }
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -58,19 +58,35 @@
 }
 
 // agentNode is an agent with its worker, and with fault proxies in front of its
-// address for the planner and between it and the store.
+// address for the planner, between it and the store, and on both paths between it and
+// its worker. The mutex mu is taken before paths.mu.
 type agentNode struct {
 	*process
 	peerProxy, storeProxy *faultproxy.Proxy
-	workerAddress         string
-	heartbeatAddress      string
-	rack                  string
+	// workerAddress is the address that the worker listens on, heartbeatAddress that on
+	// which the agent receives heartbeats.
+	workerAddress, heartbeatAddress string
+	rack                            string
+	paths                           workerPaths
+	forwarder                       callForwarder
 
 	mu     sync.Mutex
-	worker *standinworker.Worker
+	worker *workerNode
+	// workerID is the ID of the worker, newIDs counts the ones that it had before.
+	workerID string
+	newIDs   int
+	// absent says that the worker has crashed and is not started again for a while.
+	absent bool
 	// earlierWorkers are the earlier incarnations of the worker, which crashed or
 	// ended after a drain, oldest first.
-	earlierWorkers []*standinworker.Worker
+	earlierWorkers []*workerNode
+}
+
+// workerNode is an incarnation of a worker.
+type workerNode struct {
+	*standinworker.Worker
+	id    string
+	calls *callRecord
 }
 
 // system is the processes under test with the stand-ins that they use.
@@ -171,7 +187,13 @@
 
 // newProxy starts a fault proxy in front of an address.
 func (s *system) newProxy(t *testing.T, address string) *faultproxy.Proxy {
-	p, err := faultproxy.New("127.0.0.1:0", address, s.seed)
+	return s.newProxyAt(t, "127.0.0.1:0", address)
+}
+
+// newProxyAt starts a fault proxy that listens on the first address in front of the
+// second. A proxy that refuses connections needs a port of its own, see freePorts.
+func (s *system) newProxyAt(t *testing.T, listen, address string) *faultproxy.Proxy {
+	p, err := faultproxy.New(listen, address, s.seed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -247,12 +269,16 @@
 }
 
 func (s *system) startAgent(t *testing.T, i int) {
-	ports := freePorts(t, 4)
+	ports := freePorts(t, 7)
 	name := fmt.Sprintf("agent-%d", i)
 	a := &agentNode{
 		peerProxy: s.newProxy(t, loopbackAddress(ports[0])), storeProxy: s.newProxy(t, s.store.Address()), workerAddress: loopbackAddress(ports[2]), heartbeatAddress: loopbackAddress(ports[3]),
-		rack: fmt.Sprintf("r%d", i/2),
+		rack: fmt.Sprintf("r%d", i/2), workerID: fmt.Sprintf("i-%d", i),
 	}
+	forwarderAddress := loopbackAddress(ports[4])
+	a.paths.calls, a.paths.heartbeats = s.newProxyAt(t, loopbackAddress(ports[5]), forwarderAddress), s.newProxyAt(t, loopbackAddress(ports[6]), forwarderAddress)
+	a.forwarder.workerAddress, a.forwarder.heartbeatAddress, a.forwarder.announcedAddress = a.workerAddress, a.heartbeatAddress, a.paths.calls.Address()
+	a.forwarder.listen(t, forwarderAddress)
 	if err := s.startWorker(a, i); err != nil {
 		t.Fatal(err)
 	}
@@ -264,51 +290,78 @@
 	})
 	a.process = s.newProcess(t, "agent", name, agentMemoryMB, nodeSettings(name, ports, a.peerProxy.Address(), a.storeProxy.Address(), agentMemoryMB)+
 		fmt.Sprintf("[agent]\nworkerAddress = %s\nheartbeatAddress = %s\nheartbeatMs = %d\ncapacityGraceMs = %d\n",
-			a.workerAddress, a.heartbeatAddress, heartbeatInterval.Milliseconds(), capacityGrace.Milliseconds()))
+			a.paths.calls.Address(), a.heartbeatAddress, heartbeatInterval.Milliseconds(), capacityGrace.Milliseconds()))
 	s.agents = append(s.agents, a)
 }
 
 // startWorker starts a new incarnation of the agent's worker. The caller holds
 // a.mu, or is the only user of a.
 func (s *system) startWorker(a *agentNode, i int) error {
+	calls := newCallRecord()
+	a.forwarder.follow(calls)
 	w, err := standinworker.New(a.workerAddress, standinworker.Config{
-		ID: fmt.Sprintf("i-%d", i), Service: "paint", Zone: "a", Rack: a.rack, Capacity: capacity, MaxLease: maxLease, StopDuration: stopDuration,
-		HeartbeatAddress: a.heartbeatAddress, HeartbeatInterval: heartbeatInterval, TaskResources: s.resourcesOfTask,
+		ID: a.workerID, Service: "paint", Zone: "a", Rack: a.rack, Capacity: capacity, MaxLease: maxLease, StopDuration: stopDuration,
+		HeartbeatAddress: a.paths.heartbeats.Address(), HeartbeatInterval: heartbeatInterval, TaskResources: s.resourcesOfTask,
 		ShrinkGrace: heartbeatInterval + capacityGrace, OnCrash: func() { s.restartWorker(i) },
 	})
-	if err == nil {
-		a.worker = w
+	if err != nil {
+		return err
+	}
+	if a.worker != nil {
+		a.earlierWorkers = append(a.earlierWorkers, a.worker)
+	}
+	a.worker = &workerNode{w, a.workerID, calls}
+	return a.paths.setWorkerDown(false)
+}
+
+// startNextWorker starts the incarnation that follows the current one, which has ended.
+// The caller holds a.mu.
+func (s *system) startNextWorker(a *agentNode, i int) {
+	if s.ended.Load() {
+		return
+	}
+	if err := s.startWorker(a, i); err != nil {
+		s.fail("stand-in worker %d did not start: %v", i, err)
+	}
+}
+
+// closeWorker ends a worker and all its runs. Afterwards connections to it are refused.
+// The caller holds a.mu.
+func (s *system) closeWorker(a *agentNode) {
+	a.worker.Close()
+	if err := a.paths.setWorkerDown(true); err != nil {
+		s.fail("fault injection: %v", err)
 	}
-	return err
 }
 
 // restartWorker starts a new incarnation of a worker that one of its runs has crashed. A
 // fault may have replaced it already.
 func (s *system) restartWorker(i int) {
-	time.Sleep(workerRestart)
 	a := s.agents[i]
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if s.ended.Load() || !a.worker.Closed() {
-		return
+	if a.worker.Closed() {
+		s.closeWorker(a)
 	}
-	a.earlierWorkers = append(a.earlierWorkers, a.worker)
-	if err := s.startWorker(a, i); err != nil {
-		s.fail("stand-in worker %d did not start: %v", i, err)
+	a.mu.Unlock()
+	time.Sleep(workerRestart)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.worker.Closed() && !a.absent {
+		s.startNextWorker(a, i)
 	}
 }
 
 // replaceWorker ends a worker and all its runs, and starts a new incarnation at
-// the same address.
+// the same address, unless the worker is absent.
 func (s *system) replaceWorker(i int) {
 	a := s.agents[i]
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.worker.Close()
-	a.earlierWorkers = append(a.earlierWorkers, a.worker)
-	if err := s.startWorker(a, i); err != nil {
-		s.fail("stand-in worker %d did not start: %v", i, err)
+	if a.absent {
+		return
 	}
+	s.closeWorker(a)
+	s.startNextWorker(a, i)
 }
 
 func (s *system) resourcesOfTask(task string) steps.Resources {
@@ -339,23 +392,3 @@
 	}
 	return n
 }
-
-// runsByTask returns the runs on all workers by task, those of a task in the
-// order in which they started.
-func (s *system) runsByTask() map[string][]standinworker.RunRecord {
-	all := map[string][]standinworker.RunRecord{}
-	for _, a := range s.agents {
-		a.mu.Lock()
-		workers := append(slices.Clone(a.earlierWorkers), a.worker)
-		a.mu.Unlock()
-		for _, w := range workers {
-			for _, b := range w.History() {
-				all[b.Task] = append(all[b.Task], b)
-			}
-		}
-	}
-	for _, runs := range all {
-		slices.SortFunc(runs, func(x, y standinworker.RunRecord) int { return x.StartedAt.Compare(y.StartedAt) })
-	}
-	return all
-}
