soak: flag -soak.faults selects families of faults

Change: -soak.faults names the families that are injected; the default is all of them. A seed draws the same faults of a family whatever other families are injected.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -90,6 +93,30 @@
 	return text + fmt.Sprintf("%+v", e.fault)
 }
 
+// drawSchedules chooses the faults of a run, those of the families that -soak.faults
+// names, in the order of their start times. Each family has a random generator of its own.
+func (s *system) drawSchedules(length time.Duration) []scheduledFault {
+	var all []scheduledFault
+	for family := range strings.SplitSeq(*families, ",") {
+		switch family {
+		case "general":
+			all = append(all, s.drawSchedule(length)...)
+		case "capacity":
+			all = append(all, s.drawCapacityFaults(length)...)
+		case "path":
+			all = append(all, s.drawPathFaults(length)...)
+		case "foreign":
+			all = append(all, s.drawForeignMessages(length)...)
+		case "absence":
+			all = append(all, s.drawAbsences(length)...)
+		default:
+			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence", family)
+		}
+	}
+	slices.SortStableFunc(all, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
+	return all
+}
+
 // drawSchedule chooses the faults of a run with the seeded random generator, in
 // the order of their start times.
 func (s *system) drawSchedule(length time.Duration) []scheduledFault {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -25,6 +24,7 @@
 	freshSeeds    = flag.Int("soak.seeds", 0, "number of random seeds in addition to those of testdata/seeds.txt and testdata/ci.txt")
 	maxParallel   = flag.Int("soak.parallel", 3, "number of seeds that run at once; each starts about 10 processes")
 	faultDuration = flag.Duration("soak.length", 20*time.Second, "how long faults are injected")
+	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence", "families of faults that are injected")
 	keepDir       = flag.String("soak.keep", "", "directory in which the logs of all seeds are kept; without it, only logs of failed seeds are kept")
 )
 
@@ -112,10 +112,7 @@
 	defer stopProbe()
 	var probes sync.WaitGroup
 	probes.Go(func() { prober.probeRevokedKeys(probing) })
-	schedule := slices.Concat(s.drawSchedule(*faultDuration), s.drawCapacityFaults(*faultDuration),
-		s.drawPathFaults(*faultDuration), s.drawForeignMessages(*faultDuration), s.drawAbsences(*faultDuration))
-	slices.SortStableFunc(schedule, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
-	s.injectFaults(schedule)
+	s.injectFaults(s.drawSchedules(*faultDuration))
 	stop()
 	// A client may be in the middle of a submission.
 	busy.Wait()
