soak: give each process ports of its own

Cause: freePorts took the counter after the addition, so that a range of seven ports overlapped the next range of four. Change: ranges begin at the counter before the addition. The first ports depend on the PID, because a second test process probes for free ports while a process of this one is stopped. Result: TestFreePorts failed before (ports given out twice) and passes.

--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"celerypoint.example/celerypoint/faultproxy"
 	"celerypoint.example/celerypoint/standinstore"
 	"celerypoint.example/celerypoint/standinworker"
@@ -202,7 +204,8 @@
 }
 
 // nextPort counts the ports that freePorts has tried, which determines the ones
-// that it tries next. A process listens on the same ports again after a restart.
+// that it tries next. The first ones depend on the PID, because another test process takes
+// a port of a process that is stopped for free. A process listens on the same ports again after a restart.
 // All ports are below the range from which the kernel chooses the ports of
 // outgoing connections (32768 and up), so that no connection uses the ports of a
 // process while it is stopped.
@@ -213,7 +216,7 @@
 // freePorts returns n adjacent free loopback ports.
 func freePorts(t *testing.T, n int) []int {
 	for range 1000 {
-		first := firstPort + int(nextPort.Add(int64(n)))%(lastPort-firstPort)
+		first := firstPort + (os.Getpid()*64+int(nextPort.Add(int64(n)))-n)%(lastPort-firstPort)
 		var ports []int
 		for port := first; port < first+n; port++ {
 			l, err := net.Listen("tcp", loopbackAddress(port))
@@ -231,6 +234,17 @@
 	return nil
 }
 
+// TestFreePorts guards against ports that are given out twice before anything listens.
+func TestFreePorts(t *testing.T) {
+	given := map[int]bool{}
+	for _, n := range []int{7, 4, 1, 7, 4, 4, 1, 1} {
+		for _, port := range freePorts(t, n) {
+			qt.Check(t, given[port], qt.IsFalse, qt.Commentf("port %d", port))
+			given[port] = true
+		}
+	}
+}
+
 func loopbackAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // newProcess writes the settings file of a process and starts it.
