soak: pass calls on late, also to the next incarnation of a worker

Cause: the stand-in worker carries out a late order only while it lives, so that no order for one life of a worker reached the next life under the same ID (hypothesis 3 of docs/incidents/false-crash-verdict.md). Change: the forwarder passes some calls on 100 ms to 4 s late and leaves them unanswered; in half of the cases the worker crashes and starts again under its ID meanwhile. They have a random generator of their own.

--- a/soak/calls_test.go
+++ b/soak/calls_test.go
@@ -79,6 +79,11 @@
 	return at, slices.ContainsFunc(c.lapsedAt, func(t time.Time) bool { return !t.Before(endedAt) && t.Before(at) })
 }
 
+const (
+	startPath  = "/api/run-start"
+	statusPath = "/api/hold"
+)
+
 // forwardTimeout is longer than the stand-in worker leaves a call unanswered.
 const forwardTimeout = 5 * time.Second
 
@@ -93,6 +98,32 @@
 	mu sync.Mutex
 	// record is that of the worker's current incarnation.
 	record *callRecord
+	late   lateCalls
+}
+
+// lateCalls is how many of the next calls, or of the next start orders only, are passed on
+// after a delay and are not answered. The worker may be another incarnation by then.
+type lateCalls struct {
+	count      int
+	onlyStarts bool
+	delay      time.Duration
+}
+
+func (f *callForwarder) setLate(l lateCalls) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.late = l
+}
+
+// takeLate counts a call down and returns whether it is passed on late.
+func (f *callForwarder) takeLate(path string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.late.count == 0 || f.late.onlyStarts && path != startPath {
+		return 0, false
+	}
+	f.late.count--
+	return f.late.delay, true
 }
 
 // listen serves the forwarder on an address until the test ends.
@@ -113,18 +144,41 @@
 	f.record = c
 }
 
-// ServeHTTP forwards a request. If there is no answer, it closes the connection. It awaits
-// the answer also when the caller has gone, because the worker carries out the call.
+// ServeHTTP forwards a request. If there is no answer, it closes the connection.
 func (f *callForwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrivedAt := time.Now()
-	f.mu.Lock()
-	record := f.record
-	f.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	isCall := r.Method == http.MethodPost
+	if isCall {
+		if delay, late := f.takeLate(r.URL.Path); late {
+			time.AfterFunc(delay, func() { _, _, _ = f.forward(r, body, isCall) })
+			select {
+			case <-r.Context().Done():
+			case <-time.After(delay):
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	response, answer, err := f.forward(r, body, isCall)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(response.StatusCode)
+	_, _ = w.Write(answer)
+}
+
+// forward passes on a request and returns the answer. It awaits the answer also when the
+// caller has gone, because the worker carries out the call.
+func (f *callForwarder) forward(r *http.Request, body []byte, isCall bool) (*http.Response, []byte, error) {
+	arrivedAt := time.Now()
+	f.mu.Lock()
+	record := f.record
+	f.mu.Unlock()
 	target := f.workerAddress
 	if !isCall {
 		target = f.heartbeatAddress
@@ -132,26 +186,22 @@
 	}
 	forwarded, err := http.NewRequest(r.Method, "http://"+target+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return nil, nil, err
 	}
 	forwarded.Header = r.Header.Clone()
 	response, err := f.client.Do(forwarded)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return nil, nil, err
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return nil, nil, err
 	}
 	if isCall {
 		record.add(r.URL.Path, arrivedAt, body, response.StatusCode, answer)
 	}
-	for name, values := range response.Header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(response.StatusCode)
-	_, _ = w.Write(answer)
+	return response, answer, nil
 }
 
 // add records a call with its answer.
@@ -169,9 +219,9 @@
 	}
 	deadline := time.Duration(request.DeadlineMs) * time.Millisecond
 	switch {
-	case path == "/api/run-start" && (status == http.StatusOK || result.Reason == "old" || result.Reason == "room"):
+	case path == startPath && (status == http.StatusOK || result.Reason == "old" || result.Reason == "room"):
 		c.extendLease(arrivedAt, deadline)
-	case path == "/api/hold" && status == http.StatusOK:
+	case path == statusPath && status == http.StatusOK:
 		c.extendLease(arrivedAt, deadline)
 		c.acknowledge(arrivedAt, request.AckCursor)
 		c.list(decodeEnds(result.Finished))
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -18,7 +18,7 @@
 // fault is a fault that the test can inject. It is sealed: linkFault,
 // signalFault, stopFault, storeFault, workerFault, drainFault, crashFault,
 // compactFault, revokeFault, hangupFault, capacityFault, pathFault, foreignMessage,
-// absenceFault.
+// absenceFault, lateFault.
 type fault interface{ fault() }
 
 type (
@@ -109,8 +109,10 @@
 			all = append(all, s.drawForeignMessages(length)...)
 		case "absence":
 			all = append(all, s.drawAbsences(length)...)
+		case "late":
+			all = append(all, s.drawLateCalls(length)...)
 		default:
-			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence", family)
+			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late", family)
 		}
 	}
 	slices.SortStableFunc(all, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
@@ -243,6 +245,8 @@
 		s.sendForeign(f)
 	case absenceFault:
 		return s.startAbsence(f)
+	case lateFault:
+		return s.startLate(f)
 	case compactFault:
 		s.store.Compact("keyed.celerypoint")
 		s.store.Compact("keyed.op")
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -186,7 +186,7 @@
 					cursor = 7
 				}
 				request := fmt.Sprintf(`{"deadline_ms":%d,"ack_cursor":%d}`, 1000*(hold+2), cursor)
-				c.add("/api/hold", c.startedAt.Add(time.Duration(hold)*time.Second), []byte(request), 200, []byte(`{"finished":[[7,"t",1,"done",""]]}`))
+				c.add(statusPath, c.startedAt.Add(time.Duration(hold)*time.Second), []byte(request), 200, []byte(`{"finished":[[7,"t",1,"done",""]]}`))
 			}
 			at, lapsed := c.acknowledgement(run, c.startedAt.Add(time.Duration(test.ended)*time.Second))
 			qt.Assert(t, at, qt.Equals, c.startedAt.Add(time.Duration(test.acknowledged)*time.Second))
--- a/soak/workerfault_test.go
+++ b/soak/workerfault_test.go
@@ -43,11 +43,19 @@
 		newID   bool
 		silence time.Duration
 	}
+	// lateFault passes calls to a worker on late, which crashes meanwhile if crash is set
+	// and starts again under its ID.
+	lateFault struct {
+		agent int
+		calls lateCalls
+		crash bool
+	}
 )
 
 func (pathFault) fault()      {}
 func (foreignMessage) fault() {}
 func (absenceFault) fault()   {}
+func (lateFault) fault()      {}
 
 // workerPaths holds the fault proxies on the paths between an agent and its worker.
 type workerPaths struct {
@@ -130,12 +138,16 @@
 
 func (p *workerPaths) recordDelay(f pathFault, startedAt time.Time) {
 	if up := f.faults.Up; f.path == pathCalls && (up.Block == faultproxy.BlockHold || up.DelayMs > 0) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.delays = append(p.delays, period{startedAt, time.Now().Add(deliveryTime)})
+		p.addDelay(period{startedAt, time.Now().Add(deliveryTime)})
 	}
 }
 
+func (p *workerPaths) addDelay(d period) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delays = append(p.delays, d)
+}
+
 // callsDelayed reports whether a call that arrived at that time may have been delayed.
 func (p *workerPaths) callsDelayed(at time.Time) bool {
 	p.mu.Lock()
@@ -323,3 +335,28 @@
 	s.check(a.paths.setWorkerSilent(f.silence > 0))
 	s.startNextWorker(a, f.agent)
 }
+
+// drawLateCalls chooses calls that are passed on late, with a random generator of their
+// own.
+func (s *system) drawLateCalls(length time.Duration) []scheduledFault {
+	r := rand.New(rand.NewPCG(s.seed, 6))
+	var all []scheduledFault
+	for at := milliseconds(r, 0, 5000); at < length; at += milliseconds(r, 1000, 7000) {
+		calls := lateCalls{1 + r.IntN(3), r.IntN(3) > 0, milliseconds(r, 100, 4000)}
+		all = append(all, scheduledFault{at, milliseconds(r, 500, 3000), lateFault{r.IntN(len(s.agents)), calls, r.IntN(2) == 0}})
+	}
+	return all
+}
+
+// startLate delays calls for the duration of the fault. Delayed calls may arrive after it.
+func (s *system) startLate(f lateFault) (end func()) {
+	a, startedAt := s.agents[f.agent], time.Now()
+	a.forwarder.setLate(f.calls)
+	return func() {
+		if f.crash {
+			s.replaceWorker(f.agent)
+		}
+		a.forwarder.setLate(lateCalls{})
+		a.paths.addDelay(period{startedAt, time.Now().Add(f.calls.delay + deliveryTime)})
+	}
+}
