stepagent: ages of lost runs exclude the time until the worker is back

Cause: since a worker's incarnation ends only when the next one answers, the ages of the runs that were lost with it included the time for which the worker was down. The planner clears a suspect only if a later run is still there after one and a half times that age. A long task that a few unrelated crashes hit, with workers that are away for a while, could be blamed. Change: the age ends when the worker stopped to answer calls. A refusal is an answer.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -82,7 +82,7 @@
 			failingSince = time.Now()
 			d.log.Add("workerUnreachable", eventlog.Fields{"cause": err.Error()})
 		}
-		d.markUnhealthy()
+		d.markUnhealthy(err)
 		pause.For(ctx, retryPause)
 	}
 }
@@ -105,9 +105,12 @@
 
 // markUnhealthy records that a status call of poll has returned an error, so that
 // what the agent reports about the worker may be out of date.
-func (d *Daemon) markUnhealthy() {
+func (d *Daemon) markUnhealthy(err error) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
+	if d.table.unansweredSince.IsZero() && !errors.Is(err, errRefused) {
+		d.table.unansweredSince = time.Now()
+	}
 	if !d.table.unhealthy {
 		d.table.unhealthy = true
 		d.table.requestReport()
--- a/stepagent/former.go
+++ b/stepagent/former.go
@@ -29,7 +29,9 @@
 type formerWorker struct {
 	incarnation string
 	end         worker.IncarnationEnd
-	endedAt     time.Time
+	// endedAt is when the worker stopped to answer, and not when the next incarnation
+	// answered, because the ages of the runs would include the time for which it was down.
+	endedAt time.Time
 	// running is sorted by task.
 	running []formerRun
 	// ended are the ends that the planner had not stored. The worker can no longer list
@@ -45,7 +47,11 @@
 	if !t.identified() {
 		return
 	}
-	f := formerWorker{incarnation: t.name(), end: worker.IncarnationCrashed, endedAt: now, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
+	endedAt := now
+	if !t.unansweredSince.IsZero() {
+		endedAt = t.unansweredSince
+	}
+	f := formerWorker{incarnation: t.name(), end: worker.IncarnationCrashed, endedAt: endedAt, ended: t.endedRuns, reportUntil: now.Add(formerReportTime)}
 	if t.leaving || t.announced.Draining {
 		f.end = worker.IncarnationLeft
 	}
@@ -71,7 +77,7 @@
 	for _, f := range t.former {
 		w := wire.FormerWorker{Boot: f.incarnation, End: string(f.end), Ended: encodeEnds(f.ended)}
 		for _, r := range f.running {
-			w.Running = append(w.Running, wire.FormerRun{Task: r.Task, Run: r.Number, AgeMs: int(f.endedAt.Sub(r.startedAt).Milliseconds())})
+			w.Running = append(w.Running, wire.FormerRun{Task: r.Task, Run: r.Number, AgeMs: int(max(0, f.endedAt.Sub(r.startedAt)).Milliseconds())})
 		}
 		all = append(all, w)
 	}
--- a/stepagent/former_test.go
+++ b/stepagent/former_test.go
@@ -1,6 +1,7 @@
 package stepagent
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 		name string
 		sign func(d *Daemon)
 	}{
-		{"callsFail", func(d *Daemon) { d.markUnhealthy() }},
+		{"callsFail", func(d *Daemon) { d.markUnhealthy(worker.ErrOutcomeUnknown) }},
 		{"announcementOfAnotherID", func(d *Daemon) {
 			d.table.applyAnnouncement(worker.Announcement{ID: "stranger", StartedAtUnixMs: 9, Service: "t"})
 			d.table.refute("stranger")
@@ -139,3 +140,55 @@
 	c.Assert(former[0].Running, qt.HasLen, 1)
 	c.Check(former[0].Running[0].Task, qt.Equals, "a.0.0.0")
 }
+
+// restartingWorker answers as its second incarnation after backAt. Until then its calls
+// fail, or are refused.
+type restartingWorker struct {
+	unresponsiveWorker
+	backAt  time.Time
+	refuses bool
+}
+
+func (w restartingWorker) Status(context.Context, string, worker.StatusRequest) (worker.Status, worker.Reply, error) {
+	switch {
+	case !time.Now().Before(w.backAt):
+		return worker.Status{StartedAtUnixMs: 2, Clock: time.Millisecond, Complete: true}, worker.Reply{Clock: time.Millisecond}, nil
+	case w.refuses:
+		return worker.Status{}, worker.Reply{Refusal: worker.RefusalUnhealthy}, nil
+	}
+	return worker.Status{}, worker.Reply{}, worker.ErrOutcomeUnknown
+}
+
+// TestAgesExcludeDownTime guards against blaming a task that has outlived its lost runs,
+// because their ages include the time until their worker was back.
+func TestAgesExcludeDownTime(t *testing.T) {
+	const (
+		downTime = 800 * time.Millisecond
+		age      = time.Second
+	)
+	for _, test := range []struct {
+		name    string
+		refuses bool
+		want    time.Duration
+	}{
+		{"callsFail", false, age},
+		{"callsAreRefused", true, age + downTime},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDaemon(Config{Name: "vm", Worker: restartingWorker{backAt: time.Now().Add(downTime), refuses: test.refuses}})
+			defer d.log.Close()
+			defer d.pool.Close()
+			identify(d.table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+			d.table.runs[worker.Run{Task: "a.0.0.0", Number: 1}] = &run{confirmed: true, sent: true, startedAt: time.Now().Add(-age)}
+			ctx, cancel := context.WithTimeout(context.Background(), downTime+500*time.Millisecond)
+			defer cancel()
+			d.poll(ctx)
+			former := d.table.reportedFormer(time.Now())
+			c.Assert(former, qt.HasLen, 1)
+			c.Assert(former[0].Running, qt.HasLen, 1)
+			reported := time.Duration(former[0].Running[0].AgeMs) * time.Millisecond
+			c.Check(reported >= test.want && reported < test.want+400*time.Millisecond, qt.IsTrue, qt.Commentf("age %s, want %s", reported, test.want))
+		})
+	}
+}
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -84,7 +84,10 @@
 	// acknowledge no end, because another incarnation may receive them, and no start order
 	// is sent.
 	unhealthy bool
-	runs      map[worker.Run]*run
+	// unansweredSince is when the first status call of poll failed since the current
+	// incarnation last answered one, zero if none has. A refusal is an answer.
+	unansweredSince time.Time
+	runs            map[worker.Run]*run
 	// endedRuns are the ended runs that the worker has listed and the planner
 	// has not yet stored, ordered by EndNumber.
 	endedRuns []worker.Ended
@@ -239,7 +242,7 @@
 	t.readClock(s.Clock, number)
 	t.tokenStep = 0
 	changed := t.unhealthy
-	t.unhealthy = false
+	t.unhealthy, t.unansweredSince = false, time.Time{}
 	present := map[worker.Run]bool{}
 	for _, r := range s.Running {
 		present[r.Run] = true
