stepagent: forget a run whose start order was never sent

Cause: a run that is registered, or whose earlier orders are fenced off, is absent from every status, but counts as absent only after a status call with a higher token than that of its order. Without an order that token is the largest number. If the agent gave up at that moment (two seconds, while no order may be sent because another incarnation was sighted), it listed the run as unconfirmed until the worker restarted, and the planner kept it active, without end (LOST). The moment is short today; refusing to send to an unreachable worker makes it longer. Change: when the agent gives up, the run counts as absent after the next status call. Result: go test -run TestUnsentStartIsForgotten ./stepagent fails before (the run is still listed) and passes.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -218,6 +218,11 @@
 	defer t.mu.Unlock()
 	if r := t.runs[key]; r != nil {
 		r.starting = false
+		if r.absentAfter == notSent {
+			// No order is sent any more. The next status call proves that the run is absent.
+			r.absentAfter = t.token
+			t.raiseToken()
+		}
 	}
 	return wire.StartRunResult{Version: t.version, Reason: agent.ReasonOutcomeUnknown}
 }
