stepagent: send no start order after calls to the worker have begun to fail

Cause: only the registration of a run asked whether the worker can be reached. An order that was registered before, or refused as stale and repeated, was sent while calls failed. Change: an order that was never sent is refused, another is repeated once the worker answers. Result: go test -run TestNoStartWhileCallsFail ./stepagent fails before in both cases (an order is sent) and passes.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -245,7 +245,7 @@
 	case p.Worker != t.name():
 		reason = reasonOtherWorker
 	case t.unhealthy:
-		reason = "workerUnreachable"
+		reason = reasonUnreachable
 	case t.leaving:
 		reason = "workerLeaving"
 	case t.announced.Draining:
@@ -284,10 +284,11 @@
 
 // Reasons of refusals. With the first, the incarnation of the worker that the order is for
 // has ended. With the second, the worker has announced nothing for so long that its
-// capacity may have shrunk.
+// capacity may have shrunk. With the third, calls to the worker fail.
 const (
 	reasonOtherWorker     = "otherWorker"
 	reasonOldAnnouncement = "oldAnnouncement"
+	reasonUnreachable     = "workerUnreachable"
 )
 
 // sendStart makes one attempt to start the run, for which the worker has the given time.
@@ -306,7 +307,10 @@
 	case r == nil || t.name() != p.Worker:
 		t.mu.Unlock()
 		return outcomeRefused, reasonOtherWorker
-	case t.sighted != nil:
+	case t.unhealthy && !r.sent:
+		t.mu.Unlock()
+		return outcomeRefused, reasonUnreachable
+	case t.unhealthy || t.sighted != nil:
 		t.mu.Unlock()
 		return outcomeRetry, ""
 	case !current:
--- a/stepagent/start_test.go
+++ b/stepagent/start_test.go
@@ -62,3 +62,38 @@
 	c.Assert(answer(d.table, firstIncarnation, worker.Status{}), qt.IsNil)
 	c.Check(d.buildReport().Running, qt.HasLen, 0)
 }
+
+// TestNoStartWhileCallsFail guards against an order that reaches another incarnation of the
+// worker, with less capacity, after calls have begun to fail.
+func TestNoStartWhileCallsFail(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// sent says that an order has been refused before.
+		sent bool
+		want outcome
+	}{
+		{"neverSent", false, outcomeRefused},
+		{"refusedBefore", true, outcomeRetry},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			orders := 0
+			w := &scriptedWorker{start: func(worker.StartRequest) (worker.Reply, error) {
+				orders++
+				return worker.Reply{Refusal: worker.RefusalStaleToken}, nil
+			}}
+			d := newStartingDaemon(t, w)
+			_, done := d.registerRun(startParams, startedRun)
+			c.Assert(done, qt.IsFalse)
+			if test.sent {
+				outcome, _ := d.sendStart(context.Background(), time.Second, startParams, startedRun)
+				c.Assert(outcome, qt.Equals, outcomeRetry)
+			}
+			before := orders
+			d.markUnhealthy(worker.ErrOutcomeUnknown)
+			outcome, _ := d.sendStart(context.Background(), time.Second, startParams, startedRun)
+			c.Check(orders, qt.Equals, before)
+			c.Check(outcome, qt.Equals, test.want)
+		})
+	}
+}
