stepagent: an ended run is no refused one if the next incarnation has carried it out

Cause: an order that the worker's earlier incarnation did not answer can be carried out to the end by the next one. If a repetition of the order is refused as stale meanwhile, the agent finds the run no longer in progress and tells the planner that the start was refused. The planner starts the task again, unless the report with the end arrives within the 200 ms for which a refused task waits. Change: before it repeats an order the agent looks at the ends as well. Result: go test -run TestEndedRunOfNextIncarnationIsNoRefusal ./stepagent fails before (reason otherWorker) and passes; all tests of stepagent pass in one run.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -301,7 +301,7 @@
 	d.session.mu.Unlock()
 	r := t.runs[key]
 	switch {
-	case r != nil && r.confirmed:
+	case r != nil && r.confirmed, t.hasEnded(key):
 		t.mu.Unlock()
 		return outcomeStarted, ""
 	case r == nil || t.name() != p.Worker:
@@ -381,10 +381,8 @@
 	t := d.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.endedRuns {
-		if e.Run == key {
-			return wire.StartRunResult{Started: true, Version: t.version}, outcomeStarted
-		}
+	if t.hasEnded(key) {
+		return wire.StartRunResult{Started: true, Version: t.version}, outcomeStarted
 	}
 	switch r := t.runs[key]; {
 	case r == nil:
--- a/stepagent/start_test.go
+++ b/stepagent/start_test.go
@@ -97,3 +97,20 @@
 		})
 	}
 }
+
+// TestEndedRunOfNextIncarnationIsNoRefusal guards against a second start of a task whose
+// order the worker's next incarnation has carried out to the end.
+func TestEndedRunOfNextIncarnationIsNoRefusal(t *testing.T) {
+	c := qt.New(t)
+	var d *Daemon
+	w := &scriptedWorker{start: func(worker.StartRequest) (worker.Reply, error) {
+		// An earlier order has reached the next incarnation, which refuses this one.
+		status := worker.Status{Ended: []worker.Ended{{EndNumber: 1, Run: startedRun, Reason: worker.EndDone}}}
+		c.Check(answer(d.table, secondIncarnation, status), qt.Equals, errSighted)
+		c.Check(answer(d.table, secondIncarnation, status), qt.IsNil)
+		return worker.Reply{Refusal: worker.RefusalStaleToken}, nil
+	}}
+	d = newStartingDaemon(t, w)
+	result := d.startRun(context.Background(), startParams)
+	c.Check(result.Started, qt.IsTrue, qt.Commentf("reason %s", result.Reason))
+}
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -287,11 +288,9 @@
 // to have ended. number is the number of the status call.
 func (t *workerTable) mergeRunning(r worker.Running, number int64) bool {
 	known := t.runs[r.Run]
-	for _, e := range t.endedRuns {
-		if e.Run == r.Run {
-			// The worker made this status before the run ended.
-			return false
-		}
+	if t.hasEnded(r.Run) {
+		// The worker made this status before the run ended.
+		return false
 	}
 	if known == nil {
 		known = &run{absentAfter: number, startedAt: time.Now()}
@@ -308,6 +307,12 @@
 	return changed
 }
 
+// hasEnded reports whether the worker has listed an end of the run that the planner has not
+// stored. The caller holds the mutex.
+func (t *workerTable) hasEnded(key worker.Run) bool {
+	return slices.ContainsFunc(t.endedRuns, func(e worker.Ended) bool { return e.Run == key })
+}
+
 // mayStall reports whether a run that the worker has listed has made no progress for
 // two statuses.
 func (t *workerTable) mayStall(now time.Time) bool {
