stepplan: an unstored end of an incarnation does not end the run's repetition in the next

Cause: the next incarnation of a worker may carry out an order that the one before has carried out as well. A report then lists the run in progress, and among the ends that were not stored before the restart. The planner moved the run and applied the end to it, so that it started the task elsewhere: two runs at once. Change: of the ends of an incarnation, only successes count for a run that is not active there. Result: go test -run TestEndOfFormerRunKeepsItsRepetition ./stepplan fails before for failed and stopped (run 2 starts on vm1) and passes; all tests of stepplan pass in one run, and -run UnderFaults -rapid.checks=1000 -rapid.steps=200 as well.

--- a/stepplan/former.go
+++ b/stepplan/former.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"celerypoint.example/celerypoint/steps"
 	"celerypoint.example/celerypoint/worker"
 )
 
@@ -20,6 +21,10 @@
 			sc.addEvent(formerEvent(vm, f))
 		}
 		for _, e := range f.Ended {
+			if e.Reason != worker.EndDone && vm.runsIn(e.Run) != f.Worker {
+				// The run has ended before, or a later incarnation repeats it.
+				continue
+			}
 			sc.applyEnd(vm, e, now)
 		}
 		for _, t := range sc.activeTasksOn(vm) {
@@ -35,6 +40,19 @@
 	}
 }
 
+// runsIn is the incarnation of the VM's worker that has the active run, empty if none has.
+func (vm *VM) runsIn(r worker.Run) string {
+	id, err := steps.ParseTaskID(r.Task)
+	if err != nil {
+		return ""
+	}
+	t := vm.ActiveTasks[id]
+	if t == nil || t.Run != r.Number {
+		return ""
+	}
+	return t.Worker
+}
+
 // formerEvent is the event for an incarnation that has not been reported before.
 func formerEvent(vm *VM, f FormerWorker) Event {
 	kind := "workerCrashed"
