stepplan: workers that are gone count against the tasks that they had

Change: a run that is lost with the lease of a worker which its agent cannot reach counts as an absence. Five crashes and absences of different runs make the job fail by the rule taskCrashesWorkers, unless a run in between has outlived them. Three crashes do as before. Cut workers are no crashes, so that it takes more of them; absences are not stored, so that a new planner begins to count anew.

--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -263,6 +263,7 @@
 		sc.addEvent(Event{Kind: "workerDraining", VM: r.Agent, Reason: fmt.Sprintf("remainingMs=%d", r.RemainingMs)})
 	}
 	vm.Service, vm.Zone, vm.Rack, vm.Labels, vm.Capacity = r.Service, r.Zone, r.Rack, r.Labels, r.Capacity
+	vm.Unreachable = r.Unreachable
 	vm.Draining, vm.DrainDeadline = r.Draining, now.Add(time.Duration(r.RemainingMs)*time.Millisecond)
 	if r.Unhealthy {
 		vm.UnhealthyUntil = now.Add(unhealthyVMBackoff)
@@ -490,9 +491,13 @@
 			continue
 		}
 		for _, t := range sc.activeTasksOn(vm) {
-			if !vm.Attached || t.ConclusiveReport >= 0 {
-				sc.markLost(t, now, "the lease expired")
+			if vm.Attached && t.ConclusiveReport < 0 {
+				continue
 			}
+			if vm.Attached && vm.Unreachable {
+				sc.recordAbsence(t, now)
+			}
+			sc.markLost(t, now, "the lease expired")
 		}
 		if vm.Replaced {
 			delete(sc.VMs, name)
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -23,6 +23,12 @@
 // capacity.
 const isolationWait = 1200 * time.Millisecond
 
+// maxLosses is the number of workers that may crash under a task, or be gone until their
+// leases have expired, before its job fails. Most workers that cannot be reached are cut off,
+// so that it takes more of them than of crashes. The platform allows less than three starts
+// after three crashes.
+const maxLosses = crashes.Limit + 2
+
 // recordCrash counts the crash of a worker's incarnation against the task of one of its
 // runs, and fails the job of a task that is to blame for its crashes.
 func (sc *Scheduler) recordCrash(vm *VM, former string, r FormerRun, now time.Time) {
@@ -59,11 +65,40 @@
 	}
 }
 
+// recordAbsence counts the loss of the task's run on a worker that its agent could not reach
+// until the lease had expired. The worker may have crashed, and its next incarnation may
+// never answer. A planner does not know the absences that an earlier one counted.
+func (sc *Scheduler) recordAbsence(t *Task, now time.Time) {
+	j := sc.Jobs[t.ID.Job]
+	if t.Done || j.Phase.Over() {
+		return
+	}
+	t.absences = append(t.absences, t.Run)
+	if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
+		t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
+	}
+	losses := t.Crashes.Count()
+	for _, run := range t.absences {
+		if !slices.Contains(t.Crashes.Runs[:], run) {
+			losses++
+		}
+	}
+	if losses < maxLosses {
+		return
+	}
+	sc.addEvent(Event{Kind: "taskGivenUp", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("%s: crashes=%d, crashes and absences=%d", crashes.Rule, t.Crashes.Count(), losses)})
+	sc.endJob(j, stepfold.PhaseFailed, now)
+}
+
 // clearIfOutlived drops the suspicion against a task whose run has made progress at an
 // age at which no earlier run was still there.
 func (sc *Scheduler) clearIfOutlived(t *Task) {
 	lost := t.lostAt.Sub(t.lostFrom)
-	if !t.Crashes.Suspect() || !crashes.Outlives(t.ProgressAt.Sub(t.StartedAt), lost) {
+	if !t.Crashes.Suspect() && len(t.absences) == 0 || !crashes.Outlives(t.ProgressAt.Sub(t.StartedAt), lost) {
+		return
+	}
+	t.absences = nil
+	if !t.Crashes.Suspect() {
 		return
 	}
 	t.Crashes = t.Crashes.Clear(t.Run)
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -47,18 +47,26 @@
 
 // report lets time pass and has all agents report. Runs make one percent of progress
 // every 50 ms.
-func (ct *crashTest) report(after time.Duration) {
+func (ct *crashTest) report(after time.Duration) { ct.reportExcept(nil, after) }
+
+// reportExcept is report, where the agents of the lost VMs cannot reach their workers.
+func (ct *crashTest) reportExcept(lost map[string]bool, after time.Duration) {
 	ct.now = ct.now.Add(after)
 	for i := range len(ct.sessions) {
 		vm := fmt.Sprintf("vm%d", i)
 		for k := range ct.running[vm] {
-			ct.running[vm][k].Progress += int(after / (50 * time.Millisecond))
+			if !lost[vm] {
+				ct.running[vm][k].Progress += int(after / (50 * time.Millisecond))
+			}
 		}
 		ct.scheduler.HandleReport(Report{
 			Agent: vm, Session: ct.sessions[vm], Version: 1, WorkerPresent: true, Worker: ct.worker(vm), Rack: fmt.Sprintf("r%d", i/2),
 			Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}, Running: ct.running[vm], Former: ct.former[vm],
+			Unhealthy: lost[vm], Unreachable: lost[vm],
 		}, ct.now)
-		ct.scheduler.LeaseGranted(vm, ct.now)
+		if !lost[vm] {
+			ct.scheduler.LeaseGranted(vm, ct.now)
+		}
 	}
 }
 
@@ -261,3 +269,25 @@
 	ct.report(100 * time.Millisecond)
 	ct.c.Check(ct.pass(), qt.HasLen, 1)
 }
+
+// TestCrashesOfAbsentWorkersCount guards against a task that crashes one worker after the
+// other, none of which is back soon, and is started again and again.
+func TestCrashesOfAbsentWorkersCount(t *testing.T) {
+	const vms = 8
+	ct := newCrashTest(t, vms)
+	ct.add("a", oneGPU)
+	lost := map[string]bool{}
+	starts := 0
+	for range 2 * vms {
+		for _, o := range ct.pass() {
+			starts++
+			lost[o.Agent] = true
+		}
+		for range 70 {
+			ct.reportExcept(lost, 100*time.Millisecond)
+		}
+		ct.scheduler.ExpireLeases(ct.now)
+	}
+	ct.c.Check(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -80,9 +80,12 @@
 	// planner knew these times.
 	// lostWith is the incarnation of a worker that crashed under the newest of them, empty
 	// if only an earlier planner knew it.
+	// absences holds the runs that were lost on workers that could not be reached until
+	// their leases had expired, in increasing order.
 	Crashes          crashes.Record
 	lostFrom, lostAt time.Time
 	lostWith         string
+	absences         []int
 
 	// needs is the VM capacity that the active run occupies.
 	needs steps.Resources
@@ -194,6 +197,8 @@
 	// FormerWorkers holds the incarnations of the worker that the newest report lists as
 	// ended.
 	FormerWorkers []string
+	// Unreachable says that, by the newest report, the agent's calls to the worker fail.
+	Unreachable bool
 	// LastEndNumber is the highest worker.Ended.EndNumber that was processed for
 	// the worker's incarnation.
 	LastEndNumber int64
