stepplan: a long-running task is cleared by the time for which it is at work

Cause: a run clears its task from the suspicion of crashing workers by progress at an age that no lost run reached. A long-running task makes no progress beyond 100 %, so that three crashes of its workers, however far apart, made its job fail. Change: a long-running run that the worker lists at 100 % clears its task by its age. Result: TestLastingTaskIsCleared fails without the change (run 4 is not started, the job has failed) and passes.

--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -363,9 +363,13 @@
 		t.ProgressAt = now
 	}
 	t.Running = true
-	if run.Progress > t.Progress {
+	switch {
+	case run.Progress > t.Progress:
 		t.Progress, t.ProgressAt = run.Progress, now
-		sc.clearIfOutlived(t)
+		sc.clearIfOutlived(t, now)
+	case sc.stepOf(t).Spec.LongRunning && run.Progress >= 100 && !sc.VMs[t.Agent].Unreachable:
+		// Such a run makes no further progress while it is at work.
+		sc.clearIfOutlived(t, now)
 	}
 	if run.Checkpoint != "" && run.Checkpoint != t.Checkpoint {
 		t.Checkpoint = run.Checkpoint
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -90,11 +90,11 @@
 	sc.endJob(j, stepfold.PhaseFailed, now)
 }
 
-// clearIfOutlived drops the suspicion against a task whose run has made progress at an
-// age at which no earlier run was still there.
-func (sc *Scheduler) clearIfOutlived(t *Task) {
+// clearIfOutlived drops the suspicion against a task whose run was at work at the time, at
+// an age at which no earlier run was still there.
+func (sc *Scheduler) clearIfOutlived(t *Task, at time.Time) {
 	lost := t.lostAt.Sub(t.lostFrom)
-	if !t.Crashes.Suspect() && len(t.absences) == 0 || !crashes.Outlives(t.ProgressAt.Sub(t.StartedAt), lost) {
+	if !t.Crashes.Suspect() && len(t.absences) == 0 || !crashes.Outlives(at.Sub(t.StartedAt), lost) {
 		return
 	}
 	t.absences = nil
@@ -103,7 +103,7 @@
 	}
 	t.Crashes = t.Crashes.Clear(t.Run)
 	sc.dirty[t.ID.Job] = true
-	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", t.ProgressAt.Sub(t.StartedAt).Milliseconds())})
+	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", at.Sub(t.StartedAt).Milliseconds())})
 }
 
 // isolatedVMs lists the VMs that run a task with more than one crash and nothing but its
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -46,7 +46,7 @@
 func (ct *crashTest) worker(vm string) string { return fmt.Sprintf("%s/%d", vm, ct.restarts[vm]) }
 
 // report lets time pass and has all agents report. Runs make one percent of progress
-// every 50 ms.
+// every 50 ms, up to 100 %.
 func (ct *crashTest) report(after time.Duration) { ct.reportExcept(nil, after) }
 
 // reportExcept is report, where the agents of the lost VMs cannot reach their workers.
@@ -56,7 +56,7 @@
 		vm := fmt.Sprintf("vm%d", i)
 		for k := range ct.running[vm] {
 			if !lost[vm] {
-				ct.running[vm][k].Progress += int(after / (50 * time.Millisecond))
+				ct.running[vm][k].Progress = min(100, ct.running[vm][k].Progress+int(after/(50*time.Millisecond)))
 			}
 		}
 		ct.scheduler.HandleReport(Report{
@@ -291,3 +291,23 @@
 	ct.c.Check(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
 }
+
+// TestLastingTaskIsCleared guards against giving up a long-running task after crashes that
+// are far apart, because its progress ends at 100 % and so shows nothing of its age.
+func TestLastingTaskIsCleared(t *testing.T) {
+	ct := newCrashTest(t, 3)
+	lasting := oneGPU
+	lasting.LongRunning = true
+	ct.add("a", lasting)
+	for n := range 5 {
+		order := ct.pass()
+		ct.c.Assert(order, qt.HasLen, 1, qt.Commentf("run %d", n+1))
+		for range 20 << n {
+			ct.report(time.Second)
+		}
+		ct.crash(order[0].Agent, ct.now.Sub(ct.task("a").StartedAt))
+		ct.report(3 * time.Second)
+		ct.former = map[string][]FormerWorker{}
+	}
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
+}
