platform: reject ambiguous and deeply nested heartbeats

Cause: the decoder of heartbeats stopped behind the first JSON value, took the last of two fields with one name, replaced invalid UTF-8, and accepted unknown fields nested up to 10000 deep. Such a body comes from another writer and was taken for an announcement. Change: httpbody.DecodeOpen decodes exactly one value, ignores unknown fields, and bounds nesting to 16; its errors name the field and stay below 300 bytes.

--- a/httpbody/httpbody.go
+++ b/httpbody/httpbody.go
@@ -4,11 +4,13 @@
 package httpbody
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"reflect"
 	"strings"
+	"unicode/utf8"
 
 	"celerypoint.example/celerypoint/wire"
 )
@@ -16,10 +18,78 @@
 // Decode decodes a body of exactly one JSON value into v, a pointer to a type
 // of package wire. Unknown fields are an error.
 func Decode(body []byte, v any) error {
-	err := wire.Decode(body, v)
-	if err == nil {
-		return nil
+	if err := wire.Decode(body, v); err != nil {
+		return describe(err, body, v)
+	}
+	return nil
+}
+
+// MaxDepth bounds how deeply the values of a body that DecodeOpen decodes are nested.
+const MaxDepth = 16
+
+// DecodeOpen decodes a body of exactly one JSON value into v, a pointer. It ignores
+// unknown fields, which a peer of a later version may send. Text that is not UTF-8,
+// values that are nested more deeply than MaxDepth, and a field that occurs twice in one
+// object are errors.
+func DecodeOpen(body []byte, v any) error {
+	if !utf8.Valid(body) {
+		return fmt.Errorf("body: found %d bytes that are not UTF-8, allowed: UTF-8", len(body))
+	}
+	if err := checkStructure(body); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return describe(err, body, v)
 	}
+	return nil
+}
+
+// checkStructure reports excessive nesting and repeated fields. It reports no syntax
+// error.
+func checkStructure(body []byte) error {
+	// Each open object has the set of its field names so far; an open list has nil.
+	var open []map[string]bool
+	// isName is true where the next token of an object is a field name.
+	isName := false
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.UseNumber()
+	for {
+		token, err := d.Token()
+		if err != nil {
+			return nil
+		}
+		n := len(open)
+		switch token := token.(type) {
+		case json.Delim:
+			switch token {
+			case '{':
+				open = append(open, map[string]bool{})
+			case '[':
+				open = append(open, nil)
+			default:
+				open = open[:n-1]
+			}
+			if len(open) > MaxDepth {
+				return fmt.Errorf("body: found values nested more than %d deep, allowed: at most %d", MaxDepth, MaxDepth)
+			}
+		case string:
+			if isName {
+				// encoding/json ignores the case of field names.
+				name := strings.ToLower(token)
+				if open[n-1][name] {
+					return fmt.Errorf("%.64s: found twice, allowed: once", token)
+				}
+				open[n-1][name] = true
+				isName = false
+				continue
+			}
+		}
+		isName = len(open) > 0 && open[len(open)-1] != nil
+	}
+}
+
+// describe returns the error of decoding body into v in the words of this package.
+func describe(err error, body []byte, v any) error {
 	var wrongType *json.UnmarshalTypeError
 	var syntax *json.SyntaxError
 	switch {
@@ -28,13 +98,13 @@
 		if field == "" {
 			field = "body"
 		}
-		return fmt.Errorf("%s: found a JSON %s, allowed: %s", field, wrongType.Value, describeType(wrongType.Type))
+		return fmt.Errorf("%.80s: found a JSON %.80s, allowed: %s", field, wrongType.Value, describeType(wrongType.Type))
 	case errors.As(err, &syntax):
 		return fmt.Errorf("body: found no valid JSON at byte %d (%w), allowed: one JSON object", syntax.Offset, syntax)
 	}
 	// encoding/json has no error type for an unknown field.
 	if _, name, ok := strings.Cut(err.Error(), "json: unknown field "); ok {
-		return fmt.Errorf("%s: found an unknown field, allowed: %s", strings.Trim(name, `"`), strings.Join(fieldNames(reflect.TypeOf(v), ""), ", "))
+		return fmt.Errorf("%.80s: found an unknown field, allowed: %s", strings.Trim(name, `"`), strings.Join(fieldNames(reflect.TypeOf(v), ""), ", "))
 	}
 	return fmt.Errorf("body: found %d bytes that are not one JSON object (%w), allowed: one JSON object", len(body), err)
 }
@@ -61,7 +131,9 @@
 func describeType(t reflect.Type) string {
 	switch t.Kind() {
 	case reflect.Int, reflect.Int64:
-		return "a whole number"
+		return "a whole number of at most 64 bits"
+	case reflect.Float64:
+		return "a number"
 	case reflect.Bool:
 		return "true or false"
 	case reflect.String:
