platform, settings: reject announcements of another service

Cause: an agent took the announcement of any service for its worker. Change: the setting workerService, rendered from the service of the machine, names the only service that is accepted; empty means any. It follows a reload. Each rejected request is counted and logged as announcementRejected, at the rate limit of lines. Result: go test ./platform ./settings ./cli passes.

--- a/cli/site.go
+++ b/cli/site.go
@@ -6,12 +6,15 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"celerypoint.example/celerypoint/balancer"
+	"celerypoint.example/celerypoint/counters"
+	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/httpserver"
 	"celerypoint.example/celerypoint/platform"
 	"celerypoint.example/celerypoint/settings"
@@ -161,8 +164,18 @@
 	if err != nil {
 		return err
 	}
+	log := eventlog.New(p.stdout, s.Name, d.Metrics())
+	defer log.Close()
+	var service atomic.Value
+	service.Store(s.WorkerService)
+	heartbeats := platform.HeartbeatHandler(d,
+		platform.WithService(func() string { return service.Load().(string) }),
+		platform.WithRejectionHandler(func(request string, cause error) {
+			counters.Counters{Registry: d.Metrics()}.Count("announcementRejected")
+			log.Add("announcementRejected", eventlog.Fields{"request": request, "cause": cause.Error()})
+		}))
 	servers, err := serveAll(
-		server{s.HeartbeatAddress, probeHandlers, platform.HeartbeatHandler(d)},
+		server{s.HeartbeatAddress, probeHandlers, heartbeats},
 		server{s.MetricsAddress(), probeHandlers, balancer.Metrics(d.Metrics())},
 	)
 	if err != nil {
@@ -170,7 +183,10 @@
 		return err
 	}
 	watchSettings(ctx, path, func(cause string) {
-		_, err := load()
+		next, err := load()
+		if err == nil {
+			service.Store(next.WorkerService)
+		}
 		d.LogReload(cause, err)
 	})
 	err = stop(ctx, s.TerminationGrace-stopMargin, d.Stop)
--- a/settings/site.go
+++ b/settings/site.go
@@ -43,6 +43,9 @@
 	// CapacityGrace how long, beyond one such interval, a start may rely on capacity that
 	// the worker has lost. Both are 0 if they are not known.
 	HeartbeatInterval, CapacityGrace time.Duration
+	// WorkerService is the service of the worker. Announcements of a worker of another
+	// service are rejected. It is empty if the service is not known.
+	WorkerService string
 }
 
 // SiteNode holds the settings that entries and agents on the users' platform
@@ -141,6 +144,8 @@
 		durationMs(func(a *SiteAgent) *time.Duration { return &a.HeartbeatInterval })},
 	{Key{Section: "agent", Name: "capacityGraceMs", Optional: true, Allowed: durationMsAllowed, Help: "how long, beyond heartbeatMs, a start may rely on capacity that the worker has lost, in ms"},
 		durationMs(func(a *SiteAgent) *time.Duration { return &a.CapacityGrace })},
+	{Key{Section: "agent", Name: "workerService", Optional: true, Allowed: "empty, or " + nameAllowed, Help: "service of the worker; announcements of any other are rejected, unless this is empty"},
+		optionalName(func(a *SiteAgent) *string { return &a.WorkerService })},
 }...)
 
 // SiteEntryKeys lists the keys of an entry's settings on the users' platform.
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -55,3 +55,21 @@
 		c.Check(err, qt.ErrorMatches, test.want)
 	}
 }
+
+// TestWorkerService guards against settings of a VM without a worker, where the platform
+// renders no service, that are rejected, and against an invalid name that is accepted.
+func TestWorkerService(t *testing.T) {
+	c := qt.New(t)
+	good, err := os.ReadFile("testdata/good/site-agent.ini")
+	c.Assert(err, qt.IsNil)
+	path := filepath.Join(c.TempDir(), "agent.ini")
+	for line, want := range map[string]string{"": "", "workerService = \n": "", "workerService =\n": "", "workerService = huvo11a\n": "huvo11a"} {
+		c.Assert(os.WriteFile(path, append(good, line...), 0o600), qt.IsNil)
+		s, err := LoadSiteAgent(path, nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(s.WorkerService, qt.Equals, want)
+	}
+	c.Assert(os.WriteFile(path, append(good, "workerService = a b\n"...), 0o600), qt.IsNil)
+	_, err = LoadSiteAgent(path, nil)
+	c.Assert(err, qt.ErrorMatches, `.*: \[agent\] workerService: found "a b", allowed: empty, or .*`)
+}
--- a/settings/values.go
+++ b/settings/values.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// optionalName accepts a name or nothing.
+func optionalName[S any](field func(*S) *string) func(*S, string) bool {
+	return func(s *S, value string) bool {
+		*field(s) = value
+		return value == "" || namePattern.MatchString(value)
+	}
+}
+
 // listenAddress accepts an address to listen on. If unspecified is false, it
 // rejects 0.0.0.0 and ::, to which other processes cannot connect.
 func listenAddress[S any](field func(*S) *string, unspecified bool) func(*S, string) bool {
