steps: check the number of tasks without overflow

Cause: the counts of a job were added as int. Two counts of 2^63-1 and one of 3 add up to 1, so that the job was accepted, stored, and ended the process of the planner, and of each that followed, with "makeslice: len out of range". Change: the sum is compared before each addition.

--- a/steps/steps.go
+++ b/steps/steps.go
@@ -139,11 +139,12 @@
 		if err := s.check(i); err != nil {
 			return fmt.Errorf("steps[%d].%w", i, err)
 		}
+		if s.Count > MaxTasks-tasks {
+			// The sum may exceed an int.
+			return fmt.Errorf("steps: found %d tasks, allowed: at most %d", uint64(tasks)+uint64(s.Count), MaxTasks)
+		}
 		tasks += s.Count
 	}
-	if tasks > MaxTasks {
-		return fmt.Errorf("steps: found %d tasks, allowed: at most %d", tasks, MaxTasks)
-	}
 	return nil
 }
 
--- a/steps/steps_test.go
+++ b/steps/steps_test.go
@@ -1,6 +1,7 @@
 package steps
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -42,6 +43,16 @@
 	}
 }
 
+// TestCheckTaskCountOverflow guards against a job whose counts add up to a small number only
+// because the sum overflows: each entry that becomes the planner ends with it.
+func TestCheckTaskCountOverflow(t *testing.T) {
+	c := qt.New(t)
+	j := Job{ID: validID, Steps: []Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 3}}}
+	c.Check(j.Check(), qt.ErrorMatches, `steps: found 9223372036854775807 tasks, allowed: at most 16384`)
+	j.Steps = []Step{{Count: 1}, {Count: math.MaxInt}}
+	c.Check(j.Check(), qt.ErrorMatches, `steps: found 9223372036854775808 tasks, allowed: at most 16384`)
+}
+
 // Guards against two task IDs with the same name: the name of each parsed ID has to
 // parse to the same ID again.
 func FuzzParseTaskID(f *testing.F) {
