steps: bound the tasks of all occurrences of a job

Cause: a planner keeps the tasks of all occurrences of a job, and begins up to 64 in a pass. A job of 100000 occurrences of 16384 tasks that are due at once took more memory than any entry has, on each that became the planner. The bounds of Check were each for themselves. Change: a job has at most 262144 tasks over all its occurrences. Result: go test ./steps passes; before, TestCheckTotalTasks failed with no error for 100000 x 16384.

--- a/steps/steps.go
+++ b/steps/steps.go
@@ -116,6 +116,9 @@
 	MaxTasks        = 16384
 	// MaxOccurrences limits Job.OccurrenceCount.
 	MaxOccurrences = 100_000
+	// MaxTotalTasks limits the tasks of all occurrences of a job. Entries keep the state
+	// of each.
+	MaxTotalTasks = 16 * MaxTasks
 )
 
 // Check checks the ID, the sizes that the constants above limit, and the Count,
@@ -145,6 +148,9 @@
 		}
 		tasks += s.Count
 	}
+	if tasks*j.OccurrenceCount > MaxTotalTasks {
+		return fmt.Errorf("times: found %d of %d tasks each, allowed: at most %d tasks in all", j.OccurrenceCount, tasks, MaxTotalTasks)
+	}
 	return nil
 }
 
--- a/steps/steps_test.go
+++ b/steps/steps_test.go
@@ -53,6 +53,18 @@
 	c.Check(j.Check(), qt.ErrorMatches, `steps: found 9223372036854775808 tasks, allowed: at most 16384`)
 }
 
+// TestCheckTotalTasks guards against a job that is due often at once and takes the memory of
+// each entry that becomes the planner, which keeps the tasks of all its occurrences.
+func TestCheckTotalTasks(t *testing.T) {
+	c := qt.New(t)
+	j := Job{ID: validID, OccurrenceCount: MaxOccurrences, Steps: []Step{{Count: MaxTasks}}}
+	c.Check(j.Check(), qt.ErrorMatches, `times: found 100000 of 16384 tasks each, allowed: at most 262144 tasks in all`)
+	j.OccurrenceCount = 16
+	c.Check(j.Check(), qt.IsNil)
+	j = Job{ID: validID, OccurrenceCount: MaxOccurrences, Steps: []Step{{Count: 2}}}
+	c.Check(j.Check(), qt.IsNil)
+}
+
 // Guards against two task IDs with the same name: the name of each parsed ID has to
 // parse to the same ID again.
 func FuzzParseTaskID(f *testing.F) {
