codec: check the numbers of stored progress

Cause: the record of a job's progress was decoded without a check of its step, its occurrence, the index of a task in the form without ranges, and the numbers of runs and failures. A planner restores the jobs with them when its term begins, on a goroutine whose panic ends the process, so that one record with a negative step or index ended each entry that became the planner. Change: each number has a range, and the state has to be one of the phases. Result: go test ./codec passes. An occurrence that the job does not have, up to 99999, is still begun by RestoreJob.

--- /dev/null
+++ b/codec/odd_test.go
@@ -0,0 +1,60 @@
+package codec
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/stepplan"
+	"celerypoint.example/celerypoint/steps"
+)
+
+// restore passes decoded progress of a job to a new planner's scheduler, and runs a pass.
+func restore(p stepfold.Progress) {
+	now := time.Unix(1000, 0)
+	job := steps.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []steps.Step{{Count: 2}, {Count: 1, After: []int{0}}}, AcceptedAt: now}
+	timed := job
+	timed.ID, timed.OccurrenceCount, timed.StartAt, timed.Interval = "5c0e7a21d94b36f9", 2, now, time.Second
+	sc := stepplan.New(stepplan.Timing{LeaseDuration: 10 * time.Second})
+	sc.Configure(access.Config{Queues: []access.Queue{{Name: "q", MaxAttempts: 2}}})
+	for _, j := range []steps.Job{job, timed} {
+		sc.RestoreJob(stepfold.JobState{Job: &j, Progress: p}, now, now, now)
+	}
+	sc.Plan(now)
+	sc.TakeOutput(now)
+}
+
+// TestOddProgressEndsNoPlanner guards against a stored record whose numbers name no task and
+// that each entry that becomes the planner ends with.
+func TestOddProgressEndsNoPlanner(t *testing.T) {
+	for value, want := range map[string]string{
+		`{"state":"running","steps":[{"occurrence":0,"step":-1,"ranges":[[0,1,1,-1]]}]}`:                        `steps\[0\].step: found -1, allowed: 0 to 255`,
+		`{"state":"running","steps":[{"occurrence":0,"step":256,"ranges":[[0,1,1,-1]]}]}`:                       `steps\[0\].step: found 256, allowed: 0 to 255`,
+		`{"state":"running","steps":[{"occurrence":-1,"step":0,"ranges":[[0,1,1,-1]]}]}`:                        `steps\[0\].occurrence: found -1, allowed: 0 to 99999`,
+		`{"state":"running","steps":[{"occurrence":100000,"step":0,"ranges":[[0,1,1,-1]]}]}`:                    `steps\[0\].occurrence: found 100000, allowed: 0 to 99999`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"tasks":[{"index":-1,"run":1}]}]}`:                `steps\[0\].tasks\[0\].index: found -1, allowed: 0 to 16383`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"tasks":[{"index":0,"run":-1}]}]}`:                `steps\[0\].tasks\[0\].run: found -1, allowed: 0 to 2147483648`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"tasks":[{"index":0,"failures":-1}]}]}`:           `steps\[0\].tasks\[0\].failures: found -1, allowed: 0 to 2147483648`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,9223372036854775807,-1]]}]}`:       `steps\[0\].ranges\[0\]: run: found 9223372036854775807, allowed: 0 to 2147483648`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1,-1,-7]]}]}`:                      `steps\[0\].ranges\[0\]: failures: found -7, allowed: 0 to 2147483648`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1,-1,0,0,9223372036854775807]]}]}`: `steps\[0\].ranges\[0\]: cleared crashes: found 9223372036854775807, allowed: 0 to 2147483648`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[9223372036854775807,1,1,-1]]}]}`:       `steps\[0\].ranges\[0\]: found 1 tasks from 9223372036854775807 on, .*`,
+		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,-9223372036854775808,1,-1]]}]}`:      `steps\[0\].ranges\[0\]: found -9223372036854775808 tasks from 0 on, .*`,
+		`{"state":"exploded"}`: `state: found "exploded", allowed: queued, running, completed, failed, cancelled`,
+	} {
+		t.Run(value, func(t *testing.T) {
+			c := qt.New(t)
+			record, err := DecodeStepRecord(recordlog.Record{Key: "advanced/x", Value: []byte(value)})
+			c.Check(err, qt.ErrorMatches, `record "advanced/x": `+want)
+			if err != nil {
+				return
+			}
+			defer func() { c.Check(recover(), qt.IsNil) }()
+			restore(record.(stepfold.Progressed).Progress)
+		})
+	}
+}
--- a/codec/progress.go
+++ b/codec/progress.go
@@ -115,7 +115,23 @@
 	return number
 }
 
+// maxCount bounds the numbers of runs and failures in a record.
+const maxCount = 1 << 31
+
+// checkRange returns an error unless the field is from 0 to most.
+func checkRange(field string, found, most int) error {
+	if found < 0 || found > most {
+		return fmt.Errorf("%s: found %d, allowed: 0 to %d", field, found, most)
+	}
+	return nil
+}
+
 func decodeProgress(w wire.StepsProgress) (stepfold.Progress, error) {
+	switch stepfold.Phase(w.State) {
+	case stepfold.PhaseQueued, stepfold.PhaseRunning, stepfold.PhaseCompleted, stepfold.PhaseFailed, stepfold.PhaseCancelled:
+	default:
+		return stepfold.Progress{}, fmt.Errorf("state: found %.64q, allowed: queued, running, completed, failed, cancelled", w.State)
+	}
 	p := stepfold.Progress{Phase: stepfold.Phase(w.State), Begun: w.Begun, Tasks: map[steps.TaskID]stepfold.TaskProgress{}}
 	if w.EndedAtMs != 0 {
 		p.EndedAt = time.UnixMilli(int64(w.EndedAtMs))
@@ -124,7 +140,13 @@
 		return stepfold.Progress{}, fmt.Errorf("workers: found %d, allowed: as many as agents, %d", len(w.Workers), len(w.Agents))
 	}
 	for i, s := range w.Steps {
-		for _, t := range s.Tasks {
+		if err := cmp.Or(checkRange("occurrence", s.Occurrence, steps.MaxOccurrences-1), checkRange("step", s.Step, steps.MaxSteps-1)); err != nil {
+			return stepfold.Progress{}, fmt.Errorf("steps[%d].%w", i, err)
+		}
+		for k, t := range s.Tasks {
+			if err := cmp.Or(checkRange("index", t.Index, steps.MaxTasks-1), checkRange("run", t.Run, maxCount), checkRange("failures", t.Failures, maxCount)); err != nil {
+				return stepfold.Progress{}, fmt.Errorf("steps[%d].tasks[%d].%w", i, k, err)
+			}
 			p.Tasks[steps.TaskID{Occurrence: s.Occurrence, Step: s.Step, Index: t.Index}] = stepfold.TaskProgress{
 				Run: t.Run, Done: t.Phase == taskPhaseDone, Agent: t.Agent, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint,
 			}
@@ -153,6 +175,9 @@
 	case checkpoint < 0 || checkpoint > len(w.Checkpoints):
 		return fmt.Errorf("checkpoint: found %d, allowed: 0 to %d", checkpoint, len(w.Checkpoints))
 	}
+	if err := cmp.Or(checkRange("run", fields[rangeRun], maxCount), checkRange("failures", fields[rangeFailures], maxCount), checkRange("cleared crashes", fields[rangeCrashesCleared], maxCount)); err != nil {
+		return err
+	}
 	t := stepfold.TaskProgress{Run: fields[rangeRun], Done: place == placeDone, Failures: fields[rangeFailures]}
 	t.Crashes = t.Crashes.Clear(fields[rangeCrashesCleared])
 	for _, run := range fields[rangeCrashes:] {
