codec: bound the tasks in a record of progress

Cause: a range of 16 bytes in a record stands for up to 16384 tasks. A record of 256 KiB, the most that the store takes, expanded to more tasks than an entry has memory for, at each reader. Change: the tasks are counted before the ranges are expanded; at most steps.MaxTotalTasks, which no accepted job exceeds.

--- a/codec/odd_test.go
+++ b/codec/odd_test.go
@@ -1,6 +1,9 @@
 package codec
 
 import (
+	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +61,28 @@
 		})
 	}
 }
+
+// TestProgressOfTooManyTasks guards against a record of a few kilobytes that takes gigabytes
+// of each entry's memory.
+func TestProgressOfTooManyTasks(t *testing.T) {
+	c := qt.New(t)
+	decode := func(occurrences int) (int, error) {
+		var all []string
+		for i := range occurrences {
+			all = append(all, fmt.Sprintf(`{"occurrence":%d,"step":0,"ranges":[[0,16384,1,-1]]}`, i))
+		}
+		value := `{"state":"running","steps":[` + strings.Join(all, ",") + `]}`
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := DecodeStepRecord(recordlog.Record{Key: "advanced/x", Value: []byte(value)})
+		runtime.ReadMemStats(&after)
+		return int(after.TotalAlloc-before.TotalAlloc) >> 20, err
+	}
+	size, err := decode(16)
+	t.Logf("16 occurrences of 16384 tasks: %d MiB", size)
+	c.Assert(err, qt.IsNil)
+	size, err = decode(64)
+	t.Logf("64 occurrences of 16384 tasks: %d MiB", size)
+	c.Assert(err, qt.ErrorMatches, `.*: steps: found more than 262144 tasks, allowed: at most 262144`)
+	c.Assert(size < 16, qt.IsTrue)
+}
--- a/codec/progress.go
+++ b/codec/progress.go
@@ -126,13 +126,34 @@
 	return nil
 }
 
+// countTasks returns the number of tasks in a record before their ranges are expanded.
+func countTasks(w wire.StepsProgress) (int, error) {
+	tasks := 0
+	for _, s := range w.Steps {
+		tasks += len(s.Tasks)
+		for _, r := range s.Ranges {
+			if len(r) > rangeCount {
+				tasks += max(0, min(r[rangeCount], steps.MaxTasks))
+			}
+			if tasks > steps.MaxTotalTasks {
+				return 0, fmt.Errorf("steps: found more than %d tasks, allowed: at most %d", steps.MaxTotalTasks, steps.MaxTotalTasks)
+			}
+		}
+	}
+	return tasks, nil
+}
+
 func decodeProgress(w wire.StepsProgress) (stepfold.Progress, error) {
 	switch stepfold.Phase(w.State) {
 	case stepfold.PhaseQueued, stepfold.PhaseRunning, stepfold.PhaseCompleted, stepfold.PhaseFailed, stepfold.PhaseCancelled:
 	default:
 		return stepfold.Progress{}, fmt.Errorf("state: found %.64q, allowed: queued, running, completed, failed, cancelled", w.State)
 	}
-	p := stepfold.Progress{Phase: stepfold.Phase(w.State), Begun: w.Begun, Tasks: map[steps.TaskID]stepfold.TaskProgress{}}
+	tasks, err := countTasks(w)
+	if err != nil {
+		return stepfold.Progress{}, err
+	}
+	p := stepfold.Progress{Phase: stepfold.Phase(w.State), Begun: w.Begun, Tasks: make(map[steps.TaskID]stepfold.TaskProgress, tasks)}
 	if w.EndedAtMs != 0 {
 		p.EndedAt = time.UnixMilli(int64(w.EndedAtMs))
 	}
