codec: reject records of agents and planners that cannot be used

Cause: an agent was stored and dialled again and again with port 70000 or without an address. A planner record with a term near 2^63 made the number of the next claim overflow, so that the store fences every claim that follows (by reading stepentry randomTerm; not run against a store). Change: an agent needs a name, an IP address and a port; a term is 1 to 2^53. Result: go test ./codec ./stepentry ./stepagent passes. Before, TestOddAgentAndPlannerRecords failed: 7 of 8 records were decoded without an error.

--- a/codec/odd_test.go
+++ b/codec/odd_test.go
@@ -86,3 +86,22 @@
 	c.Assert(err, qt.ErrorMatches, `.*: steps: found more than 262144 tasks, allowed: at most 262144`)
 	c.Assert(size < 16, qt.IsTrue)
 }
+
+// TestOddAgentAndPlannerRecords guards against an agent's record that nobody can dial, and
+// against a term after which no entry can claim another one.
+func TestOddAgentAndPlannerRecords(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ key, value, want string }{
+		{"agent/vm", `{"address":"10.1.0.20:70000","zone":"z"}`, `address: found "10.1.0.20:70000", allowed: an IP address and a port from 1 to 65535`},
+		{"agent/vm", `{"address":"10.1.0.20:0","zone":"z"}`, `address: found .*`},
+		{"agent/vm", `{"address":"","zone":"z"}`, `address: found "", .*`},
+		{"agent/vm", `{"address":"` + strings.Repeat("1", 10_000) + `","zone":"z"}`, `address: found "1{64}", .*`},
+		{"agent/", `{"address":"10.1.0.20:7000","zone":"z"}`, `key: found no name of an agent, allowed: one`},
+		{"planner", `{"entry":"e","boot":"b","address":"a","term":9223372036854775807,"beat":1}`, `term: found 9223372036854775807, allowed: 1 to 9007199254740992`},
+		{"planner", `{"entry":"e","boot":"b","address":"a","term":-1,"beat":1}`, `term: found -1, allowed: .*`},
+		{"planner", `{"entry":"e","boot":"b","address":"a","term":1e30,"beat":1}`, `.*cannot unmarshal number 1e30 .*term.*`},
+	} {
+		_, err := DecodeStepRecord(recordlog.Record{Key: test.key, Value: []byte(test.value)})
+		c.Check(err, qt.ErrorMatches, `record ".*": `+test.want)
+	}
+}
--- a/codec/steps.go
+++ b/codec/steps.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"celerypoint.example/celerypoint/recordlog"
@@ -36,6 +37,10 @@
 	return recordlog.Record{Key: stepfold.Key(r), Value: value}, nil
 }
 
+// maxTerm bounds the term in a planner's record. It leaves room for the terms of later
+// claims.
+const maxTerm = 1 << 53
+
 // DecodeStepRecord decodes a record of the record log. A record without a value is
 // a deletion of its key. The error names the key.
 func DecodeStepRecord(r recordlog.Record) (stepfold.Record, error) {
@@ -75,12 +80,21 @@
 		if err := wire.Decode(value, &w); err != nil {
 			return nil, err
 		}
+		if id == "" {
+			return nil, fmt.Errorf("key: found no name of an agent, allowed: one")
+		}
+		if a, err := netip.ParseAddrPort(w.Address); err != nil || a.Port() == 0 {
+			return nil, fmt.Errorf("address: found %.64q, allowed: an IP address and a port from 1 to 65535", w.Address)
+		}
 		return stepfold.AgentRegistered{Name: id, Agent: stepfold.Agent{Address: w.Address, Zone: w.Zone}}, nil
 	case stepfold.PlannerUpdated:
 		var w wire.PlannerRecord
 		if err := wire.Decode(value, &w); err != nil {
 			return nil, err
 		}
+		if w.Term < 1 || w.Term > maxTerm {
+			return nil, fmt.Errorf("term: found %d, allowed: 1 to %d", w.Term, maxTerm)
+		}
 		return stepfold.PlannerUpdated{Planner: stepfold.Planner{Entry: w.Entry, BootID: w.Boot, Address: w.Address, Term: int64(w.Term), Heartbeat: int64(w.Beat), Resigned: w.Resigned}}, nil
 	}
 	return nil, fmt.Errorf("key: found an unknown kind, allowed: accepted, advanced, cancelled, agent, planner")
