recordlog: end a load whose pages do not advance

Cause: loadNewest asked for the next page behind the last key of the one before. If that is the empty key, or not beyond the one before, the same page came again, without a pause; a negative end offset made the load repeat as well. Change: both are errors, after which the reader pauses as after any failed read.

--- a/recordlog/recordlog_test.go
+++ b/recordlog/recordlog_test.go
@@ -161,3 +161,37 @@
 	})
 	c.Assert(events, qt.DeepEquals, []string{"newest", "newest", "loaded", "record 0", "record 1", "record 2", "up to date"})
 }
+
+// pagesLog serves the same page of newest records again and again.
+type pagesLog struct {
+	scriptedLog
+	page  NewestPage
+	calls int
+}
+
+func (l *pagesLog) Newest(ctx context.Context, _, _ string) (NewestPage, error) {
+	l.calls++
+	return l.page, ctx.Err()
+}
+
+// TestNewestWithoutProgress guards against a reader that asks for the same page without a
+// pause because the page's last key is empty or not beyond the one before.
+func TestNewestWithoutProgress(t *testing.T) {
+	c := qt.New(t)
+	for _, page := range []NewestPage{
+		{Records: []StoredRecord{{Record: Record{Key: ""}}}, More: true},
+		{Records: []StoredRecord{{Record: Record{Key: "a"}}}, More: true},
+		{End: -3},
+	} {
+		log := &pagesLog{page: page}
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		failures := 0
+		Follow(ctx, log, "t", Handler{
+			OnRecords: func([]StoredRecord) {}, OnNewest: func([]StoredRecord) {}, OnLoaded: func(Load) {}, OnUpToDate: func(time.Time) {},
+			OnReadFailing: func(error) { failures++ }, OnReadRecovered: func() {},
+		})
+		cancel()
+		c.Check(log.calls < 10, qt.IsTrue, qt.Commentf("%d calls in 0.3 s", log.calls))
+		c.Check(failures, qt.Equals, 1)
+	}
+}
--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -164,15 +165,26 @@
 		if load.End < 0 {
 			load.End = page.End
 		}
+		last := after
+		if n := len(page.Records); n > 0 {
+			last = page.Records[n-1].Key
+		}
+		switch {
+		case load.End < 0:
+			return fmt.Errorf("%w: newest of %s: end: found %d, allowed: at least 0", ErrUnavailable, r.topic, load.End)
+		case page.More && last <= after:
+			// The next page would be the same again.
+			return fmt.Errorf("%w: newest of %s: last key: found %.64q, allowed: one beyond %.64q", ErrUnavailable, r.topic, last, after)
+		}
 		for _, record := range page.Records {
 			load.Keys[record.Key] = true
 		}
 		r.handler.OnNewest(page.Records)
 		pages++
-		if !page.More || len(page.Records) == 0 {
+		if !page.More {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		after = last
 	}
 	r.nextOffset = load.End
 	r.handler.OnLoaded(load)
