platform: read the other rows of a status when one cannot be read

Cause: one odd row of a status (too few columns, another type, a number out of range) failed the status. The agent repeats it, finds the worker unhealthy and learns of no run that starts or ends for as long as the worker lists the row. Rows with an empty task or run -1 and checkpoints of any size were passed on. Change: such a row is left out, counted and logged (statusRowUnreadable). The status is then not complete, so that no run is lost because it is missing.

--- a/cli/site.go
+++ b/cli/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os/signal"
 	"runtime"
@@ -145,10 +146,10 @@
 
 // siteAgentConfig converts the settings of an agent on the users' platform to the
 // configuration of its daemon.
-func siteAgentConfig(s settings.SiteAgent) stepagent.Config {
+func siteAgentConfig(s settings.SiteAgent, w *platform.Worker) stepagent.Config {
 	c := stepagent.Config{
 		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic,
-		Log: platform.NewStore(s.StoreAddress), Worker: platform.NewWorker(s.WorkerAddress),
+		Log: platform.NewStore(s.StoreAddress), Worker: w,
 	}
 	if s.HeartbeatInterval > 0 && s.CapacityGrace > 0 {
 		c.AnnouncementValidity = stepagent.AnnouncementValidity(s.HeartbeatInterval, s.CapacityGrace)
@@ -160,19 +161,25 @@
 	limitProcess(s.MemoryMiB)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
-	d, err := stepagent.New(siteAgentConfig(s), stepagent.WithOutput(p.stdout))
+	// The metrics that events are counted in exist once the daemon does.
+	var events atomic.Pointer[eventSink]
+	w := platform.NewWorker(s.WorkerAddress, platform.WithUnreadableRowHandler(func(cause error) {
+		events.Load().add("statusRowUnreadable", cause)
+	}))
+	d, err := stepagent.New(siteAgentConfig(s, w), stepagent.WithOutput(p.stdout))
 	if err != nil {
 		return err
 	}
 	log := eventlog.New(p.stdout, s.Name, d.Metrics())
 	defer log.Close()
+	defer events.Store(nil)
+	events.Store(&eventSink{log, counters.Counters{Registry: d.Metrics()}})
 	var service atomic.Value
 	service.Store(s.WorkerService)
 	heartbeats := platform.HeartbeatHandler(d,
 		platform.WithService(func() string { return service.Load().(string) }),
 		platform.WithRejectionHandler(func(request string, cause error) {
-			counters.Counters{Registry: d.Metrics()}.Count("announcementRejected")
-			log.Add("announcementRejected", eventlog.Fields{"request": request, "cause": cause.Error()})
+			events.Load().add("announcementRejected", fmt.Errorf("%s: %w", request, cause))
 		}))
 	servers, err := serveAll(
 		server{s.HeartbeatAddress, probeHandlers, heartbeats},
@@ -194,6 +201,20 @@
 	return err
 }
 
+// eventSink is where an agent's process counts and logs input that is not valid.
+type eventSink struct {
+	log      *eventlog.Log
+	counters counters.Counters
+}
+
+// add counts and logs an event. It does nothing on a nil eventSink.
+func (e *eventSink) add(kind string, cause error) {
+	if e != nil {
+		e.counters.Count(kind)
+		e.log.Add(kind, eventlog.Fields{"cause": cause.Error()})
+	}
+}
+
 // server describes an HTTP server of a process. At most handlers requests run at
 // the same time.
 type server struct {
