access: deny requests without a key whatever the configuration lists

Cause: a request without a key has the empty key. An organisation with an empty key, which null in the list of keys is decoded as, admitted each of them. Change: the empty key belongs to no organisation. Result: go test ./access passes. Before, TestEmptyKeyIsDenied failed: the request was admitted.

--- a/access/access.go
+++ b/access/access.go
@@ -124,8 +124,12 @@
 	return slices.MaxFunc(matching, func(a, b Queue) int { return cmp.Compare(len(a.Prefix), len(b.Prefix)) }), true
 }
 
-// OrgForKey finds the name of the organisation that has the key.
+// OrgForKey finds the name of the organisation that has the key. No organisation has the
+// empty key, which is that of a request without one.
 func (c Config) OrgForKey(key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
 	for _, o := range c.Orgs {
 		if slices.Contains(o.Keys, key) {
 			return o.Name, true
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -38,3 +38,11 @@
 		})
 	}
 }
+
+// TestEmptyKeyIsDenied guards against a configuration with an empty key, or with null in its
+// place, that admits every request without a key.
+func TestEmptyKeyIsDenied(t *testing.T) {
+	config := Config{Queues: []Queue{{Name: "q", Prefix: "/"}}, Orgs: []Org{{Name: "o", Keys: []string{"", "k"}}}}
+	qt.Assert(t, Decide(config, Request{Path: "/1", ConfigFresh: true}).Denial, qt.Equals, DeniedUnknownKey)
+	qt.Assert(t, Decide(config, Request{Path: "/1", Key: "k", ConfigFresh: true}).Org, qt.Equals, "o")
+}
