--- a/steps/steps.go
+++ b/steps/steps.go
@@ -121,12 +121,20 @@
 	MaxTotalTasks = 16 * MaxTasks
 )
 
+// CheckID returns an error unless id has the form of a job's ID.
+func CheckID(id string) error {
+	if len(id) != 16 || strings.Trim(id, "0123456789abcdefABCDEF") != "" {
+		return fmt.Errorf("id: found %.64q, allowed: 16 hexadecimal digits", id)
+	}
+	return nil
+}
+
 // Check checks the ID, the sizes that the constants above limit, and the Count,
 // Needs and After of each step. It returns an error that names the first invalid
 // field that it finds, or nil. Errors call OccurrenceCount times, as requests do.
 func (j Job) Check() error {
-	if len(j.ID) != 16 || strings.Trim(j.ID, "0123456789abcdefABCDEF") != "" {
-		return fmt.Errorf("id: found %q, allowed: 16 hexadecimal digits", j.ID)
+	if err := CheckID(j.ID); err != nil {
+		return err
 	}
 	if len(j.Payload) > MaxPayloadBytes {
 		return fmt.Errorf("payload: found %d bytes, allowed: at most %d", len(j.Payload), MaxPayloadBytes)
