httpserver: bound the bytes that a connection buffers

Cause: nbhttp checks the size of a body of known length, or of a chunk, only when all of it has arrived, and no line of a header: a connection could make the server buffer 64 MiB, beside a limit of 8 MiB for bodies. Change: a connection buffers at most the largest body and 64 KiB. Bodies have at most 1 MiB at the address of clients, 128 KiB at that of heartbeats and 4 KiB at those of readiness and metrics. A request beyond that is closed without an answer. The number of header lines of a request is still not bounded, nor that of connections.

--- a/cli/site.go
+++ b/cli/site.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"io"
 	"net/http"
 	"os/signal"
 	"runtime"
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rcrowley/go-metrics"
 
 	"celerypoint.example/celerypoint/balancer"
 	"celerypoint.example/celerypoint/counters"
@@ -35,6 +36,11 @@
 	// metrics and heartbeats handles at the same time. Their handlers do not
 	// block.
 	probeHandlers = 4
+	// clientBody, heartbeatBody and probeBody bound the bodies of requests. Package platform
+	// answers those of clients and workers that exceed its own, lower bounds.
+	clientBody    = 1 << 20
+	heartbeatBody = 128 << 10
+	probeBody     = 4 << 10
 	// memoryLimitPercent is the percentage of the settings' memoryMB that is
 	// set as the memory limit of the Go runtime, above which garbage collection
 	// runs more often.
@@ -123,9 +129,9 @@
 		return err
 	}
 	servers, err := serveAll(
-		server{s.ClientAddress, clientHandlers, platform.ClientHandler(d)},
-		server{s.ReadinessAddress, probeHandlers, platform.ReadinessHandler(d)},
-		server{s.MetricsAddress(), probeHandlers, balancer.Metrics(d.Metrics())},
+		server{s.ClientAddress, clientHandlers, clientBody, platform.ClientHandler(d)},
+		server{s.ReadinessAddress, probeHandlers, probeBody, platform.ReadinessHandler(d)},
+		server{s.MetricsAddress(), probeHandlers, probeBody, balancer.Metrics(d.Metrics())},
 	)
 	if err != nil {
 		d.Kill()
@@ -161,29 +167,26 @@
 	limitProcess(s.MemoryMiB)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
-	// The metrics that events are counted in exist once the daemon does.
-	var events atomic.Pointer[eventSink]
+	var events eventSink
 	w := platform.NewWorker(s.WorkerAddress, platform.WithUnreadableRowHandler(func(cause error) {
-		events.Load().add("statusRowUnreadable", cause)
+		events.add("statusRowUnreadable", eventlog.Fields{"cause": cause.Error()})
 	}))
 	d, err := stepagent.New(siteAgentConfig(s, w), stepagent.WithOutput(p.stdout))
 	if err != nil {
 		return err
 	}
-	log := eventlog.New(p.stdout, s.Name, d.Metrics())
-	defer log.Close()
-	defer events.Store(nil)
-	events.Store(&eventSink{log, counters.Counters{Registry: d.Metrics()}})
+	events.start(p.stdout, s.Name, d.Metrics())
+	defer events.stop()
 	var service atomic.Value
 	service.Store(s.WorkerService)
 	heartbeats := platform.HeartbeatHandler(d,
 		platform.WithService(func() string { return service.Load().(string) }),
 		platform.WithRejectionHandler(func(request string, cause error) {
-			events.Load().add("announcementRejected", fmt.Errorf("%s: %w", request, cause))
+			events.add("announcementRejected", eventlog.Fields{"request": request, "cause": cause.Error()})
 		}))
 	servers, err := serveAll(
-		server{s.HeartbeatAddress, probeHandlers, heartbeats},
-		server{s.MetricsAddress(), probeHandlers, balancer.Metrics(d.Metrics())},
+		server{s.HeartbeatAddress, probeHandlers, heartbeatBody, heartbeats},
+		server{s.MetricsAddress(), probeHandlers, probeBody, balancer.Metrics(d.Metrics())},
 	)
 	if err != nil {
 		d.Kill()
@@ -201,32 +204,49 @@
 	return err
 }
 
-// eventSink is where an agent's process counts and logs input that is not valid.
+// eventSink counts and logs what a process's HTTP servers and clients find wrong with their
+// peers' input. It ignores events before start and after stop.
 type eventSink struct {
+	out atomic.Pointer[eventOutput]
+}
+
+type eventOutput struct {
 	log      *eventlog.Log
 	counters counters.Counters
 }
 
-// add counts and logs an event. It does nothing on a nil eventSink.
-func (e *eventSink) add(kind string, cause error) {
-	if e != nil {
-		e.counters.Count(kind)
-		e.log.Add(kind, eventlog.Fields{"cause": cause.Error()})
+// start lets events be counted in the registry and logged on w. process names the process.
+func (e *eventSink) start(w io.Writer, process string, registry metrics.Registry) {
+	e.out.Store(&eventOutput{eventlog.New(w, process, registry), counters.Counters{Registry: registry}})
+}
+
+// stop writes the lines that are queued. No server of the process may run any more.
+func (e *eventSink) stop() {
+	if out := e.out.Swap(nil); out != nil {
+		out.log.Close()
+	}
+}
+
+func (e *eventSink) add(kind string, fields eventlog.Fields) {
+	if out := e.out.Load(); out != nil {
+		out.counters.Count(kind)
+		out.log.Add(kind, fields)
 	}
 }
 
 // server describes an HTTP server of a process. At most handlers requests run at
-// the same time.
+// the same time, and a body has at most maxBody bytes.
 type server struct {
 	address  string
 	handlers int
+	maxBody  int
 	handler  http.Handler
 }
 
 func serveAll(all ...server) ([]*httpserver.Server, error) {
 	var running []*httpserver.Server
 	for _, s := range all {
-		h, err := httpserver.New(s.address, s.handlers, s.handler)
+		h, err := httpserver.New(s.address, s.handlers, s.handler, httpserver.WithMaxBody(s.maxBody))
 		if err != nil {
 			closeAll(running)
 			return nil, err
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -17,12 +17,16 @@
 	"celerypoint.example/celerypoint/nbiosetup"
 )
 
-// MaxBodyBytes bounds the body of a request.
+// MaxBodyBytes bounds the body of a request unless WithMaxBody is given.
 const MaxBodyBytes = 8 << 20
 
+// maxHeadBytes bounds the request line and each line of the header.
+const maxHeadBytes = 64 << 10
+
 // Server is a running HTTP server.
 type Server struct {
 	engine  *nbhttp.Engine
+	maxBody int
 	onPanic func(r *http.Request, value any, stack []byte)
 }
 
@@ -35,11 +39,14 @@
 	return func(s *Server) { s.onPanic = f }
 }
 
+// WithMaxBody bounds the body of a request. The connection of a longer one is closed.
+func WithMaxBody(bytes int) Option { return func(s *Server) { s.maxBody = bytes } }
+
 // New listens on the TCP address and serves h. At most handlers requests are
 // handled at the same time; further requests wait on their connections. A request whose
 // handler panics is answered with status 500.
 func New(address string, handlers int, h http.Handler, options ...Option) (*Server, error) {
-	s := &Server{}
+	s := &Server{maxBody: MaxBodyBytes}
 	for _, o := range options {
 		o(s)
 	}
@@ -55,8 +62,10 @@
 		Handler:                s.recoverPanics(leaveCloseToClient(h)),
 		NPoller:                1,
 		MessageHandlerPoolSize: handlers,
-		MaxHTTPBodySize:        MaxBodyBytes,
-		ReadBufferSize:         32 << 10,
+		MaxHTTPBodySize:        s.maxBody,
+		// nbhttp buffers a body of known length before it checks its size.
+		ReadLimit:      s.maxBody + maxHeadBytes,
+		ReadBufferSize: 32 << 10,
 	})
 	if err := engine.Start(); err != nil {
 		_ = listener.Close()
