cli: report panics in the handling of HTTP requests

Cause: the servers of the site roles recover a panic and answer 500, and said so nowhere; docs/OPERATIONS.md promises panicRecovered. Change: it is counted and logged, with the stack. Result: go test ./cli passes with TestSiteServerReportsPanics, which could not be written before: serveAll took no place to report to.

--- a/cli/site.go
+++ b/cli/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"os/signal"
@@ -128,7 +129,10 @@
 	if err != nil {
 		return err
 	}
-	servers, err := serveAll(
+	var events eventSink
+	events.start(p.stdout, s.Name, d.Metrics())
+	defer events.stop()
+	servers, err := serveAll(&events,
 		server{s.ClientAddress, clientHandlers, clientBody, platform.ClientHandler(d)},
 		server{s.ReadinessAddress, probeHandlers, probeBody, platform.ReadinessHandler(d)},
 		server{s.MetricsAddress(), probeHandlers, probeBody, balancer.Metrics(d.Metrics())},
@@ -184,7 +188,7 @@
 		platform.WithRejectionHandler(func(request string, cause error) {
 			events.add("announcementRejected", eventlog.Fields{"request": request, "cause": cause.Error()})
 		}))
-	servers, err := serveAll(
+	servers, err := serveAll(&events,
 		server{s.HeartbeatAddress, probeHandlers, heartbeatBody, heartbeats},
 		server{s.MetricsAddress(), probeHandlers, probeBody, balancer.Metrics(d.Metrics())},
 	)
@@ -243,10 +247,14 @@
 	handler  http.Handler
 }
 
-func serveAll(all ...server) ([]*httpserver.Server, error) {
+// serveAll starts the servers. Panics of their handlers are counted and logged in events.
+func serveAll(events *eventSink, all ...server) ([]*httpserver.Server, error) {
 	var running []*httpserver.Server
 	for _, s := range all {
-		h, err := httpserver.New(s.address, s.handlers, s.handler, httpserver.WithMaxBody(s.maxBody))
+		h, err := httpserver.New(s.address, s.handlers, s.handler, httpserver.WithMaxBody(s.maxBody),
+			httpserver.WithPanicHandler(func(r *http.Request, v any, stack []byte) {
+				events.add("panicRecovered", eventlog.Fields{"during": fmt.Sprintf("%s %.80q", r.Method, r.URL.Path), "cause": fmt.Sprint(v), "stack": string(stack)})
+			}))
 		if err != nil {
 			closeAll(running)
 			return nil, err
--- a/cli/site_test.go
+++ b/cli/site_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"celerypoint.example/celerypoint/loopback"
 )
@@ -84,13 +85,33 @@
 	c.Assert(put("unnamed"), qt.Equals, http.StatusBadRequest)
 	response, err := http.Get("http://" + metricsAddress + "/metrics")
 	c.Assert(err, qt.IsNil)
-	var metrics bytes.Buffer
-	_, err = metrics.ReadFrom(response.Body)
+	var text bytes.Buffer
+	_, err = text.ReadFrom(response.Body)
 	c.Assert(err, qt.IsNil)
 	_ = response.Body.Close()
-	c.Assert(metrics.String(), qt.Contains, "announcementRejected")
+	c.Assert(text.String(), qt.Contains, "announcementRejected")
 	c.Assert(output.String(), qt.Contains, `found \"unnamed\", allowed: \"paint\"`)
 	write("other")
 	await("other", http.StatusOK)
 	c.Assert(put("paint"), qt.Equals, http.StatusBadRequest)
 }
+
+// TestSiteServerReportsPanics guards against an unexpected error in the handling of a
+// client's or a worker's request that leaves no line and no counter.
+func TestSiteServerReportsPanics(t *testing.T) {
+	c := qt.New(t)
+	var output syncBuffer
+	var events eventSink
+	registry := metrics.NewRegistry()
+	events.start(&output, "vm", registry)
+	servers, err := serveAll(&events, server{loopback.Address(), 1, probeBody, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("malformed") })})
+	c.Assert(err, qt.IsNil)
+	response, err := http.Get("http://" + servers[0].Address() + "/a")
+	c.Assert(err, qt.IsNil)
+	_ = response.Body.Close()
+	c.Check(response.StatusCode, qt.Equals, http.StatusInternalServerError)
+	closeAll(servers)
+	events.stop()
+	c.Check(metrics.GetOrRegisterCounter("panicRecovered", registry).Count(), qt.Equals, int64(1))
+	c.Check(output.String(), qt.Matches, `(?s).*"cause":"malformed","during":"GET \\"/a\\"".*`)
+}
