rpc: count the overhead of queued frames

Cause: a connection queues up to 64 MiB of frames, counted without the memory that each takes beside its bytes. Empty frames counted nothing. Change: a frame counts 64 bytes beside its own. The parts of a connection can be used without a socket.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -359,7 +359,11 @@
 func (e *Engine) attach(c *nbio.Conn) *Conn {
 	s := newStream(c, &e.bytesSent)
 	c.SetSession(s)
-	conn := &Conn{remote: c.RemoteAddr().String(), stream: s, pendingCalls: map[string]*asyncCall{}}
+	return e.newConn(s, c.RemoteAddr().String())
+}
+
+func (e *Engine) newConn(s *stream, remote string) *Conn {
+	conn := &Conn{remote: remote, stream: s, pendingCalls: map[string]*asyncCall{}}
 	s.onClose = conn.failPendingCalls
 	ready := make(chan struct{})
 	conn.conn = jsonrpc2.NewConn(context.Background(), s, handlerFunc(func(r *jsonrpc2.Request) {
--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -8,19 +8,27 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/lesismal/nbio"
-
 	"celerypoint.example/celerypoint/boottime"
 )
 
 // headerBytes is the size of a frame's length field.
 const headerBytes = 4
 
+// frameOverhead is what a queued frame counts beside its bytes. Peers could otherwise queue
+// any number of empty ones.
+const frameOverhead = 64
+
+// transport is the part of *nbio.Conn that stream uses.
+type transport interface {
+	io.WriteCloser
+	CloseWithError(error) error
+}
+
 // stream implements jsonrpc2.ObjectStream for a connection. It splits the
 // received bytes into frames and queues them for the goroutine that reads
 // messages.
 type stream struct {
-	conn *nbio.Conn
+	conn transport
 	// bytesSent counts the bytes written to all connections of the engine.
 	bytesSent *atomic.Int64
 	// receivedAt is when bytes last arrived, in Unix nanoseconds on CLOCK_BOOTTIME.
@@ -35,13 +43,13 @@
 	// ready is signalled when a frame is queued and when closed is set.
 	ready *sync.Cond
 	// frames holds the JSON texts of the complete frames that ReadObject has not
-	// returned yet. queuedBytes is the sum of their sizes.
+	// returned yet. queuedBytes is the sum of their sizes, with frameOverhead for each.
 	frames      [][]byte
 	queuedBytes int
 	closed      bool
 }
 
-func newStream(c *nbio.Conn, bytesSent *atomic.Int64) *stream {
+func newStream(c transport, bytesSent *atomic.Int64) *stream {
 	s := &stream{conn: c, bytesSent: bytesSent}
 	s.ready = sync.NewCond(&s.mu)
 	s.receivedAt.Store(boottime.Now().UnixNano())
@@ -80,11 +88,12 @@
 func (s *stream) enqueue(frame []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queuedBytes+len(frame) > maxQueuedBytes {
+	size := len(frame) + frameOverhead
+	if s.queuedBytes+size > maxQueuedBytes {
 		return false
 	}
 	s.frames = append(s.frames, frame)
-	s.queuedBytes += len(frame)
+	s.queuedBytes += size
 	s.ready.Signal()
 	return true
 }
@@ -114,7 +123,7 @@
 	frame := s.frames[0]
 	s.frames[0] = nil
 	s.frames = s.frames[1:]
-	s.queuedBytes -= len(frame)
+	s.queuedBytes -= len(frame) + frameOverhead
 	s.mu.Unlock()
 	if err := json.Unmarshal(frame, v); err != nil {
 		return fmt.Errorf("rpc: frame of %d bytes is not JSON-RPC: %w", len(frame), err)
