rpc: bound the message of an error reply

Cause: an error that repeats what the caller sent could exceed a frame. It was not sent, and the caller waited until its deadline. Change: a message has at most 4 KiB. Result: go test ./rpc passes. Before, TestLongErrorIsReturned failed with its deadline of 2 s. TestMalformedFrames has ten more frames (a million brackets, numbers above int64 and float64, long identifiers, 300000 members), each also cut in half: no fault found.

--- a/rpc/limits_test.go
+++ b/rpc/limits_test.go
@@ -1,8 +1,13 @@
 package rpc
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -18,3 +23,21 @@
 	}
 	qt.Assert(t, n < 2_000_000, qt.IsTrue, qt.Commentf("%d frames", n))
 }
+
+// TestLongErrorIsReturned guards against a caller that waits until its deadline because the
+// error of its call, which repeats what the caller sent, does not fit into a frame.
+func TestLongErrorIsReturned(t *testing.T) {
+	c := qt.New(t)
+	server := listen(t, func(r *Request) { r.Fail(fmt.Errorf("unknown method %q", r.Method)) })
+	client := listen(t, func(*Request) {})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	conn, err := client.Dial(ctx, server.Address())
+	c.Assert(err, qt.IsNil)
+	// Each quotation mark takes two bytes in the request and four in the reply.
+	err = conn.Call(ctx, strings.Repeat(`"`, 400_000), nil, nil)
+	c.Assert(err, qt.Satisfies, func(err error) bool {
+		var refused *Error
+		return errors.As(err, &refused) && strings.Contains(refused.Message, "unknown method") && strings.HasSuffix(refused.Message, "...")
+	})
+}
--- a/rpc/malformed_test.go
+++ b/rpc/malformed_test.go
@@ -38,6 +38,16 @@
 	"truncated":                 `{"jsonrpc":"2.0","id":"1","met`,
 	"deeply nested":             strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000),
 	"deeply nested params":      `{"jsonrpc":"2.0","id":"1","method":"echo","params":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + `}`,
+	"a million brackets":        strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000),
+	"a million open brackets":   strings.Repeat("[", 1_000_000),
+	"a million open objects":    strings.Repeat(`{"":`, 250_000),
+	"number above int64":        `{"jsonrpc":"2.0","id":99999999999999999999,"method":"echo"}`,
+	"number above float64":      `{"jsonrpc":"2.0","id":1e999,"method":"echo"}`,
+	"negative fraction":         `{"jsonrpc":"2.0","id":-1.5,"method":"echo"}`,
+	"long identifier":           `{"jsonrpc":"2.0","id":"` + strings.Repeat("x", 1_000_000) + `","method":"echo"}`,
+	"long method":               `{"jsonrpc":"2.0","id":"1","method":"` + strings.Repeat("x", 1_000_000) + `"}`,
+	"many members":              `{"jsonrpc":"2.0","id":"1","method":"echo"` + strings.Repeat(`,"a":1`, 150_000) + `}`,
+	"large batch":               "[" + strings.Repeat("{},", 300_000) + "{}]",
 	"handler that panics":       `{"jsonrpc":"2.0","id":"1","method":"panic"}`,
 	"notification that panics":  `{"jsonrpc":"2.0","method":"panic"}`,
 	"duplicate keys":            `{"jsonrpc":"2.0","id":"1","id":"2","method":"echo","method":"panic"}`,
@@ -67,6 +77,14 @@
 			defer raw.Close()
 			_, err = raw.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(frame))), frame...))
 			c.Assert(err, qt.IsNil)
+			if half := len(frame) / 2; half > 0 {
+				// The same frame without its end, on a connection that closes.
+				cut, err := net.Dial("tcp", server.Address())
+				c.Assert(err, qt.IsNil)
+				_, err = cut.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(frame))), frame[:half]...))
+				c.Assert(err, qt.IsNil)
+				c.Assert(cut.Close(), qt.IsNil)
+			}
 			// The server replies, closes the connection, or ignores the message.
 			c.Assert(raw.SetReadDeadline(time.Now().Add(50*time.Millisecond)), qt.IsNil)
 			// Only what the server does afterwards matters.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -23,6 +23,7 @@
 	"net"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,13 +91,20 @@
 	_ = r.Conn.conn.Reply(context.Background(), r.id, json.RawMessage(body))
 }
 
+// maxErrorBytes bounds the message of an error reply, which may repeat parts of the call.
+const maxErrorBytes = 4096
+
 // Fail sends an error as the reply to the call. It does nothing for a
 // notification.
 func (r *Request) Fail(err error) {
 	if r.isNotification {
 		return
 	}
-	_ = r.Conn.conn.ReplyWithError(context.Background(), r.id, &jsonrpc2.Error{Code: CodeHandlerError, Message: err.Error()})
+	message := err.Error()
+	if len(message) > maxErrorBytes {
+		message = strings.ToValidUTF8(message[:maxErrorBytes], "") + "..."
+	}
+	_ = r.Conn.conn.ReplyWithError(context.Background(), r.id, &jsonrpc2.Error{Code: CodeHandlerError, Message: message})
 }
 
 // Handler handles a request. The requests of one connection are passed to it one
