--- a/codec/steps_test.go
+++ b/codec/steps_test.go
@@ -116,12 +116,24 @@
 	qt.Assert(t, len(record.Value) < 2500, qt.IsTrue, qt.Commentf("%d bytes", len(record.Value)))
 }
 
+// fewOccurrences reports whether a planner restores the progress within milliseconds.
+func fewOccurrences(p stepfold.Progress) bool {
+	for id := range p.Tasks {
+		if id.Occurrence > 100 {
+			return false
+		}
+	}
+	return true
+}
+
 // FuzzDecodeStepRecord guards against a stored record of another program that
-// crashes the process or is decoded as a record with another key.
+// crashes the process, or a planner that restores it, or is decoded with another key.
 func FuzzDecodeStepRecord(f *testing.F) {
 	f.Add("accepted/5c0e7a21d94b36f8", `{"queue":"q","org":"","payload":"","steps":[{"count":1}],"acceptedAtMs":1}`)
 	f.Add("advanced/x", `{"state":"running"}`)
 	f.Add("advanced/x", `{"state":"running","agents":["a"],"workers":["i/1"],"checkpoints":["c"],"steps":[{"occurrence":0,"step":0,"ranges":[[0,3,1,0,1,1],[3,1,2,-2],[4,2,9,-1,0,0,3,5,7]]}]}`)
+	f.Add("advanced/x", `{"state":"queued","steps":[{"occurrence":1,"step":1,"tasks":[{"index":0,"run":2,"agent":"vm","worker":"i/1","failures":1,"checkpoint":"c"}]},{"occurrence":0,"step":0,"ranges":[[1,1,1,-2]]}]}`)
+	f.Add("agent/vm", `{"address":"10.1.0.20:7000","zone":"z"}`)
 	f.Add("planner", `{"entry":"e","boot":"b","address":"a","term":1,"beat":1}`)
 	f.Add("other", `{}`)
 	f.Add("", ``)
@@ -133,5 +145,8 @@
 		if stepfold.Key(record) != key {
 			t.Fatalf("the record under %q has the key %q", key, stepfold.Key(record))
 		}
+		if p, ok := record.(stepfold.Progressed); ok && fewOccurrences(p.Progress) {
+			restore(p.Progress)
+		}
 	})
 }
