settings: bound the size of files, names and errors

Cause: a file of any size was read, names of any length were accepted (they are parts of keys in the store, which have 255 bytes), errors repeated what was found in full, also in the line of each reload, and a key that was repeated with the same value was not reported. Change: a file has at most 64 KiB, a name 128 characters; errors quote at most 256 bytes; each repeated key is an error. Result: go test ./settings ./cli passes.

--- a/settings/check.go
+++ b/settings/check.go
@@ -10,9 +10,13 @@
 // [entry] or [agent] tells which role the file is for. A file with the section
 // [node] is for `celerypoint site`, see SiteEntry and SiteAgent.
 func Check(path string) error {
-	file, err := ini.Load(path)
+	text, err := readLimited(path)
 	if err != nil {
-		return fmt.Errorf("settings: %s: %w", path, err)
+		return fmt.Errorf("settings: %w", err)
+	}
+	file, err := ini.Load(text)
+	if err != nil {
+		return fmt.Errorf("settings: %s: %.256s", path, err.Error())
 	}
 	entry, agent, site := file.HasSection("entry"), file.HasSection("agent"), file.HasSection("node")
 	switch {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -177,12 +179,31 @@
 			}
 		}
 		if !b.set(&s, value) {
-			return s, fmt.Errorf("%s: found %q, allowed: %s", origin, value, b.Allowed)
+			return s, fmt.Errorf("%s: found %.64q, allowed: %s", origin, value, b.Allowed)
 		}
 	}
 	return s, nil
 }
 
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 64 << 10
+
+func readLimited(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", path, err)
+	case len(text) > maxFileBytes:
+		return nil, fmt.Errorf("%s: found more than %d bytes, allowed: at most %d", path, maxFileBytes, maxFileBytes)
+	}
+	return text, nil
+}
+
 // readFile returns the values of an INI file by flag name. Unknown sections,
 // unknown keys and repeated keys are errors.
 func readFile(path string, keys []Key) (map[string]string, error) {
@@ -190,11 +211,15 @@
 	if path == "" {
 		return values, nil
 	}
-	// With AllowShadows the library keeps every value of a repeated key, so
-	// that the repetition can be reported.
-	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, KeyValueDelimiters: "="}, path)
+	text, err := readLimited(path)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
+	}
+	// With AllowShadows and AllowDuplicateShadowValues the library keeps every value of a
+	// repeated key, so that the repetition can be reported.
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true, KeyValueDelimiters: "="}, text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %.256s", path, err.Error())
 	}
 	for _, section := range file.Sections() {
 		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
@@ -207,11 +232,11 @@
 			}
 		}
 		if len(allowed) == 0 {
-			return nil, fmt.Errorf("%s: [%s]: found an unknown section, allowed: %s", path, section.Name(), strings.Join(sections(keys), ", "))
+			return nil, fmt.Errorf("%s: [%.64s]: found an unknown section, allowed: %s", path, section.Name(), strings.Join(sections(keys), ", "))
 		}
 		for _, k := range section.Keys() {
 			if !slices.Contains(allowed, k.Name()) {
-				return nil, fmt.Errorf("%s: [%s] %s: found an unknown key, allowed: %s", path, section.Name(), k.Name(), strings.Join(allowed, ", "))
+				return nil, fmt.Errorf("%s: [%s] %.64s: found an unknown key, allowed: %s", path, section.Name(), k.Name(), strings.Join(allowed, ", "))
 			}
 			if n := len(k.ValueWithShadows()); n > 1 {
 				return nil, fmt.Errorf("%s: [%s] %s: found %d values, allowed: one", path, section.Name(), k.Name(), n)
--- a/settings/values.go
+++ b/settings/values.go
@@ -12,7 +12,7 @@
 
 // Descriptions of the values that the parsers in this file allow.
 const (
-	nameAllowed       = "letters, digits, '.', '_' and '-'"
+	nameAllowed       = "at most 128 letters, digits, '.', '_' and '-'"
 	rpcAllowed        = "IP:PORT with one IP address of this VM; port 0 selects a free port"
 	httpAllowed       = "IP:PORT; port 0 selects a free port"
 	listAllowed       = "IP:PORT, separated by commas"
@@ -22,8 +22,9 @@
 )
 
 // namePattern excludes "~", which separates the parts of a job ID, and "/", which
-// separates the kind and the name of an object of the configuration.
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]+$`)
+// separates the kind and the name of an object of the configuration. Names are parts of
+// keys in the store, which have at most 255 bytes.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
 
 func name[S any](field func(*S) *string) func(*S, string) bool {
 	return func(s *S, value string) bool {
