platformlog: skip a record that cannot be decoded

Cause: a page of the log was decoded as a whole. A record of another writer with a number above float64, an identifier of another type or a further field failed the page, and each reader of the stream repeats the read for ever. Change: each record is decoded by itself. One that cannot be decoded, or has another offset than its place in the page, is passed on without an ID, so that all processes skip and count it alike.

--- a/platformlog/read.go
+++ b/platformlog/read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -94,11 +95,33 @@
 	default:
 		return Page{}, fmt.Errorf("log stream %s: read: status %d: %s", stream, response.StatusCode, bytes.TrimSpace(text))
 	}
-	var p wire.ReadResponse
+	var p struct {
+		wire.ReadResponse
+		// Records hides that of ReadResponse: one that cannot be decoded must not hide the
+		// others.
+		Records []json.RawMessage `json:"records"`
+	}
 	if err := wire.Decode(text, &p); err != nil {
 		return Page{}, fmt.Errorf("log stream %s: read: %w", stream, err)
 	}
-	return Page{Oldest: int64(p.Oldest), Next: int64(p.Next), Records: p.Records}, nil
+	return Page{Oldest: int64(p.Oldest), Next: int64(p.Next), Records: decodeRecords(from, p.Records)}, nil
+}
+
+// decodeRecords decodes the records of a page that begins at the offset from. Offsets have no
+// gaps. A record that cannot be decoded, or has another offset, gets the one that follows and
+// no ID, so that ParseConfig and ParseJob return an error for it.
+func decodeRecords(from int64, all []json.RawMessage) []wire.LogRecord {
+	records := make([]wire.LogRecord, 0, len(all))
+	next := max(1, int(from))
+	for _, raw := range all {
+		var r wire.LogRecord
+		if err := wire.Decode(raw, &r); err != nil || r.Offset != next {
+			r = wire.LogRecord{Offset: next}
+		}
+		next++
+		records = append(records, r)
+	}
+	return records
 }
 
 // Tail calls f with the records from the offset on, page by page as they are appended,
