--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -87,7 +87,8 @@
 	put := func(id, service, address string) func(*site, *agentProcess) {
 		return func(s *site, a *agentProcess) {
 			s.announce(a, http.MethodPut, cmp.Or(id, workerID(a)), map[string]any{
-				"service": service, "address": address, "state": "ready", "sequence": 1, "born": time.Now().UnixMilli(),
+				"service": service, "address": address, "zone": a.zone, "state": "ready", "sequence": 1 << 40, "born": time.Now().UnixMilli(),
+				"capacity": map[string]any{"cpu": capacity.CPU, "mem_mb": capacity.MemMB, "gpus": capacity.GPUs}, "clock_ms": 1 << 30, "labels": []string{"a", a.rack},
 			})
 		}
 	}
@@ -96,7 +97,9 @@
 		send func(*site, *agentProcess)
 	}{
 		{"stranger", put("i-stranger", "sculpt", "127.0.0.1:1")},
-		{"ownID", put("", "paint", "127.0.0.1:70000")},
+		{"strangerOfService", put("i-stranger", "paint", "127.0.0.1:1")},
+		{"ownID", put("", "paint", "127.0.0.1:1")},
+		{"ownIDImpossibleAddress", put("", "paint", "127.0.0.1:70000")},
 		{"endOfEarlierIncarnation", func(s *site, a *agentProcess) { s.announce(a, http.MethodDelete, workerID(a), nil) }},
 		{"endOfStranger", func(s *site, a *agentProcess) { s.announce(a, http.MethodDelete, "i-stranger", nil) }},
 	} {
@@ -300,3 +303,17 @@
 		})
 	}
 }
+
+// TestAnnouncedIDWithBlank guards against withheld leases because of an ID that the worker takes for its own.
+func TestAnnouncedIDWithBlank(t *testing.T) {
+	const maxCalls = 200
+	s := newSite(t, 1, 1)
+	a := s.agents[0]
+	s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 4000", 1, 1, false))
+	s.awaitStart(jobID(1))
+	s.announce(a, http.MethodPut, workerID(a)+"%20", map[string]any{"service": "paint", "address": "127.0.0.1:1", "state": "ready", "sequence": 1, "born": 5})
+	s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+	s.c.Check(s.starts(jobID(1)), qt.HasLen, 1)
+	s.c.Check(a.worker.Calls() < maxCalls, qt.IsTrue, qt.Commentf("%d calls", a.worker.Calls()))
+	s.checkRuns()
+}
