stepagent: a high sequence number of another writer hides no worker

Cause: an announcement under the worker's own ID and start time, with a sequence number far above the worker's, made all later ones of the worker count as old. Its capacity could not be relied on any more, and nothing started there for good. Change: once the newest announcement has expired, two with rising numbers in order take its place. Result: TestHighSequenceHidesNoWorker fails without the change (outdated, want current) and passes.

--- a/stepagent/announcement_test.go
+++ b/stepagent/announcement_test.go
@@ -71,3 +71,29 @@
 	time.Sleep(2 * callTimeout)
 	c.Check(m.starts, qt.HasLen, 0)
 }
+
+// TestHighSequenceHidesNoWorker guards against a worker that stays unused after an
+// announcement of another writer with a high sequence number.
+func TestHighSequenceHidesNoWorker(t *testing.T) {
+	c := qt.New(t)
+	table := newWorkerTable(time.Minute)
+	a := worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s", Sequence: 5, Capacity: steps.Resources{GPUs: 8}}
+	identify(table, a)
+	foreign := a
+	foreign.Sequence, foreign.Capacity.GPUs = 1<<40, 1
+	c.Assert(table.applyAnnouncement(foreign), qt.Equals, appliedCurrent)
+	announce := func() applied {
+		a.Sequence++
+		return table.applyAnnouncement(a)
+	}
+	c.Check(announce(), qt.Equals, appliedOutdated)
+	c.Check(announce(), qt.Equals, appliedOutdated)
+	table.announcementUntil = boottime.Now().Add(-time.Millisecond)
+	c.Check(announce(), qt.Equals, appliedCurrent)
+	c.Check(table.announced.Capacity.GPUs, qt.Equals, 8)
+	// A single late announcement is no proof.
+	table.announcementUntil = boottime.Now().Add(-time.Millisecond)
+	late := a
+	late.Sequence, late.Capacity.GPUs = 2, 4
+	c.Check(table.applyAnnouncement(late), qt.Equals, appliedOutdated)
+}
--- a/stepagent/incarnation.go
+++ b/stepagent/incarnation.go
@@ -74,8 +74,15 @@
 // mutex.
 func (t *workerTable) applyCurrent(a worker.Announcement, validUntil time.Time) applied {
 	if a.Sequence < t.announced.Sequence {
-		return appliedOutdated
+		// While nothing newer comes, two in order show that the high number was not the
+		// worker's.
+		followed := t.outdatedSequence > 0 && a.Sequence > t.outdatedSequence
+		t.outdatedSequence = a.Sequence
+		if t.announcementValid() || !followed {
+			return appliedOutdated
+		}
 	}
+	t.outdatedSequence = 0
 	draining := a.Draining && !t.announced.Draining
 	changed := draining || t.leaving || a.Capacity != t.announced.Capacity || !t.announcementValid()
 	t.announced, t.announcementUntil, t.leaving = a, validUntil, false
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -67,6 +67,9 @@
 	// announced is the newest announcement of the current incarnation. It has only an ID
 	// until there is one.
 	announced worker.Announcement
+	// outdatedSequence is the number of the newest announcement with a lower one than
+	// announced, 0 if none has come since.
+	outdatedSequence int64
 	// candidate is the newest announcement of another incarnation than the current one, or
 	// nil. refuted is the last candidate that the worker has denied to be.
 	candidate *candidate
