stepplan, stepentry: a new planner does not preempt before its VMs have reported

Traced: the new planner saw the first VMs, all in use, 20 ms before those with free capacity, and stopped eight runs for an urgent gang. Change: no run is stopped to make room within the first 0.4 s of a term. Result: TestNewPlannerDoesNotPreemptAtOnce fails without the change and passes.

--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -50,6 +50,10 @@
 	// slowStore is the time of a call from which on the store counts as slow for everybody.
 	// Another planner, or an append by another entry, would then only add to its load.
 	slowStore = 150 * time.Millisecond
+	// preemptDelay is how long a new planner waits for the reports of its VMs before it
+	// stops runs to make room. It is a fraction of the time in which a guarantee has to be
+	// reclaimed, and several times that of attaching all agents.
+	preemptDelay = 400 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
 	claimTimeout = 3 * time.Second
 	// applyTimeout bounds the wait until the claim's own record has been read
@@ -254,7 +258,7 @@
 	} else {
 		scheduler.Configure(access.Config{})
 	}
-	scheduler.Evacuated = d.config.evacuatedZones()
+	scheduler.Evacuated, scheduler.PreemptFrom = d.config.evacuatedZones(), now.Add(preemptDelay)
 	earlierLeasesEnd, wall := lease.EarlierTermsExpireBy(now, timing.LeaseDuration), time.Now()
 	for id, e := range d.records.state.Jobs {
 		if e.Job == nil && e.Cancelled {
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -189,7 +189,7 @@
 	if p.waitsForEmptyVM(u) {
 		return holdBack{p.nextEmptyVM(u)}
 	}
-	if u.job.Queue.Priority == 0 {
+	if u.job.Queue.Priority == 0 && !p.now.Before(p.scheduler.PreemptFrom) {
 		if e := p.chooseEviction(u); e != nil {
 			return stopOthers{e}
 		}
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -181,3 +181,20 @@
 	sc.ExpireLeases(sc.VMs["vm0"].LeaseUntil)
 	c.Check(t0.Active, qt.IsFalse)
 }
+
+// TestNewPlannerDoesNotPreemptAtOnce guards against runs that are stopped for an urgent task
+// because VMs with free capacity have not reported to a new planner yet.
+func TestNewPlannerDoesNotPreemptAtOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	sc := newCluster(1, now)
+	sc.PreemptFrom = now.Add(time.Second)
+	sc.AddJob(newJob("batch", "normal", now, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 2}, Estimate: time.Minute}), now)
+	sc.Plan(now)
+	c.Assert(sc.VMs["vm0"].ActiveTasks, qt.HasLen, 1)
+	sc.AddJob(newJob("job", "urgent", now, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 8}, Estimate: time.Hour}), now)
+	sc.Plan(now)
+	c.Check(sc.TakeStops(), qt.HasLen, 0)
+	sc.Plan(sc.PreemptFrom)
+	c.Check(sc.TakeStops(), qt.HasLen, 1)
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -357,6 +357,9 @@
 	Queues     map[string]access.Queue
 	Orgs       map[string]access.Org
 	Quarantine *quarantine.State
+	// PreemptFrom is the time before which no run is stopped to make room. VMs with free
+	// capacity may not have reported yet when a planner begins.
+	PreemptFrom time.Time
 	// Evacuated holds the zones on whose VMs no task starts.
 	Evacuated map[string]bool
 
