stepagent: acknowledge ends only until the worker has forgotten them

Cause: every status call repeated the last acknowledgement. The first call that reaches the worker's next incarnation under the same ID, without a failed call between, let it forget its own first ends, whose numbers are lower. A short run that it had carried out for a late order then counted as lost and was started again after its success was acknowledged. Change: a call acknowledges ends only while the worker may still list them.

--- a/stepagent/calls.go
+++ b/stepagent/calls.go
@@ -136,7 +136,10 @@
 	number, token := t.nextCall()
 	request := worker.StatusRequest{FencingToken: token, MaxWait: wait}
 	if id == t.current.ID && !t.unhealthy && t.sighted == nil {
-		request.LeaseExpiresAt, request.AckThrough = t.lease, t.forgetThrough
+		request.LeaseExpiresAt = t.lease
+		if t.ackDue {
+			request.AckThrough = t.forgetThrough
+		}
 	}
 	t.mu.Unlock()
 	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
--- a/stepagent/calls_test.go
+++ b/stepagent/calls_test.go
@@ -194,3 +194,38 @@
 	calls := w.calls.Load()
 	c.Check(calls >= 5 && calls <= int64(time.Second/unstoredPause)+5, qt.IsTrue, qt.Commentf("%d calls in a second", calls))
 }
+
+// acknowledgedWorker lists an end until a status call acknowledges it. The first such call
+// is answered with the list from before.
+type acknowledgedWorker struct {
+	unresponsiveWorker
+	acks  *[]int64
+	ended *[]worker.Ended
+}
+
+func (w acknowledgedWorker) Status(_ context.Context, _ string, r worker.StatusRequest) (worker.Status, worker.Reply, error) {
+	s := worker.Status{StartedAtUnixMs: 1, Clock: time.Second, Ended: *w.ended, Complete: true}
+	if r.AckThrough > 0 {
+		*w.ended = nil
+	}
+	*w.acks = append(*w.acks, r.AckThrough)
+	return s, worker.Reply{Clock: time.Second}, nil
+}
+
+// TestAcknowledgementIsNotRepeated guards against a worker that forgets ends because of the
+// numbers of its incarnation before.
+func TestAcknowledgementIsNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	acks, ended := []int64{}, []worker.Ended{{EndNumber: 7, Run: worker.Run{Task: "a.0.0.0", Number: 1}, Reason: worker.EndDone}}
+	d := newDaemon(Config{Name: "vm", Worker: acknowledgedWorker{acks: &acks, ended: &ended}})
+	defer d.log.Close()
+	defer d.pool.Close()
+	identify(d.table, worker.Announcement{ID: "i", StartedAtUnixMs: 1, Service: "s"})
+	call := func() { c.Assert(d.readStatus(context.Background(), 0), qt.IsNil) }
+	call()
+	d.table.applyEndsAck("i/1", 7)
+	for range 4 {
+		call()
+	}
+	c.Check(acks, qt.DeepEquals, []int64{0, 7, 7, 0, 0})
+}
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -98,6 +98,9 @@
 	// forgetThrough is the EndNumber of the last ended run that the worker may
 	// forget, because the planner has stored all ended runs up to it.
 	forgetThrough int64
+	// ackDue says that the worker may not have forgotten all of these. Otherwise calls
+	// acknowledge nothing, because the next incarnation numbers its ends from 1 again.
+	ackDue bool
 	// token is the fencing token of orders to the worker. It never decreases, because an
 	// order for one incarnation can reach the next. tokenStep is by how much it rises
 	// after a refusal as stale.
@@ -256,8 +259,10 @@
 	if n := len(t.endedRuns); n > 0 {
 		lastEnd = t.endedRuns[n-1].EndNumber
 	}
+	t.ackDue = false
 	for _, e := range s.Ended {
 		present[e.Run] = true
+		t.ackDue = t.ackDue || e.EndNumber <= t.forgetThrough
 		if e.EndNumber > lastEnd {
 			lastEnd = e.EndNumber
 			t.endedRuns = append(t.endedRuns, e)
@@ -338,7 +343,7 @@
 	if incarnation != t.name() || through <= t.forgetThrough {
 		return
 	}
-	t.forgetThrough = through
+	t.forgetThrough, t.ackDue = through, true
 	select {
 	case t.endsStored <- struct{}{}:
 	default:
