--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -212,7 +212,10 @@
 	switch result := d.table.applyAnnouncement(a); result {
 	case appliedDraining:
 		d.log.Add("workerDraining", eventlog.Fields{"worker": incarnationOf(a).String(), "remainingMs": a.RemainingMs})
-	case appliedCandidate, appliedOutdated:
+	case appliedCandidate:
+		d.counters.Count("announcement." + string(result))
+		d.log.Add("candidateAnnounced", eventlog.Fields{"announced": incarnationOf(a).String(), "service": a.Service, "sequence": a.Sequence})
+	case appliedRepeated, appliedOutdated:
 		d.counters.Count("announcement." + string(result))
 	}
 	return nil
--- a/stepagent/former.go
+++ b/stepagent/former.go
@@ -100,5 +100,5 @@
 		running = append(running, r.Task)
 	}
 	d.counters.Count("workerEnded." + string(f.end))
-	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "running": running, "unstoredEnds": len(f.ended)})
+	d.log.Add("workerEnded", eventlog.Fields{"worker": f.incarnation, "end": string(f.end), "running": running, "unstoredEnds": len(f.ended), "endedMsAgo": time.Since(f.endedAt).Milliseconds()})
 }
--- a/stepagent/incarnation.go
+++ b/stepagent/incarnation.go
@@ -50,6 +50,9 @@
 	appliedDraining applied = "draining"
 	// appliedCandidate means that the worker is asked whether it is that incarnation.
 	appliedCandidate applied = "candidate"
+	// appliedRepeated means the same, and that the worker is being asked already, or has
+	// denied it.
+	appliedRepeated applied = "repeated"
 	// appliedOutdated means that a newer announcement of the incarnation is known.
 	appliedOutdated applied = "outdated"
 )
@@ -63,10 +66,17 @@
 	if t.identified() && incarnationOf(a) == t.current {
 		return t.applyCurrent(a, validUntil)
 	}
-	if c := t.candidate; c != nil && incarnationOf(a) == incarnationOf(c.announcement) && a.Sequence < c.announcement.Sequence {
-		return appliedOutdated
+	repeated := incarnationOf(a) == t.refuted
+	if c := t.candidate; c != nil && incarnationOf(a) == incarnationOf(c.announcement) {
+		if a.Sequence < c.announcement.Sequence {
+			return appliedOutdated
+		}
+		repeated = true
 	}
 	t.candidate = &candidate{a, validUntil}
+	if repeated {
+		return appliedRepeated
+	}
 	return appliedCandidate
 }
 
