--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -6,6 +6,10 @@
 // as the planner granted, and reports to the planner which runs are in progress
 // and which have ended.
 //
+// The agent knows the worker, and each restart of it, only by the worker's answers to its
+// status calls. Announcements, refused connections and silence do not show that a run has
+// ended.
+//
 // An agent stores nothing durably. After a restart it reads from the worker
 // which runs are in progress and which have ended, and stops none of them.
 //
@@ -377,7 +381,8 @@
 }
 
 // buildReport returns a report of the table. The report contains no worker until
-// the worker has been identified. The caller holds the table's mutex and sets the session number.
+// the worker has been identified. The caller holds the table's mutex and sets the session
+// number.
 func (d *Daemon) buildReport() wire.WorkerReport {
 	t := d.table
 	a := t.announced
