recordlog, stepentry: fail the one job whose progress the store refuses for good

The progress record of a timed job outgrows the largest record of the store. ErrNotAppended did not tell a refusal for good from one for now, so that the planner and each successor repeated the append, and everything else waited behind it. AppendWithRetry does not repeat it. The planner divides a rejected batch down to the record, fails the job of a progress record, leaves out a deletion, and ends its term only if the heartbeat or the smaller record is rejected too. The progress of a job that is over holds only the runs that have yet to be stopped. The stand-in store refuses too large records, as the platform does.

--- a/recordlog/append.go
+++ b/recordlog/append.go
@@ -34,8 +34,8 @@
 //
 // ErrNotAppended means that every attempt was refused, so none of them will take
 // effect. ErrOutcomeUnknown means that ctx ended while an attempt was in flight
-// or after the outcome of one remained unknown. ErrFenced and
-// ErrOutOfOrderSequence are not retried.
+// or after the outcome of one remained unknown. ErrFenced, ErrOutOfOrderSequence and
+// ErrRejected are not retried.
 func AppendWithRetry(ctx context.Context, log Log, topic string, fence *Fence, records []Record, options ...Option) (int64, error) {
 	call := appendCall{log: log, topic: topic, fence: fence, records: records, results: make(chan appendResult, maxInFlight)}
 	for _, o := range options {
@@ -64,6 +64,8 @@
 	// taken effect or still do so.
 	inFlight       int
 	outcomeUnknown bool
+	// rejected is the ErrRejected of an attempt, after which no further one is started.
+	rejected error
 	// refusalDeadline is set by WithRefusalDeadline; zero means that refusals are
 	// retried until ctx ends.
 	refusalDeadline time.Time
@@ -84,7 +86,7 @@
 		case <-ctx.Done():
 			return 0, c.contextError(ctx.Err())
 		case <-hedge.C:
-			if c.inFlight < maxInFlight {
+			if c.inFlight < maxInFlight && c.rejected == nil {
 				c.startAttempt(ctx)
 			}
 			hedgeInterval *= 2
@@ -96,10 +98,15 @@
 				return result.offset, nil
 			case errors.Is(result.err, ErrFenced), errors.Is(result.err, ErrOutOfOrderSequence):
 				return 0, result.err
+			case errors.Is(result.err, ErrRejected):
+				c.rejected = result.err
 			case errors.Is(result.err, ErrOutcomeUnknown):
 				c.outcomeUnknown = true
 			}
 			if c.inFlight == 0 {
+				if c.rejected != nil {
+					return 0, c.rejection()
+				}
 				if !c.outcomeUnknown && !c.refusalDeadline.IsZero() && time.Now().After(c.refusalDeadline) {
 					return 0, result.err
 				}
@@ -110,6 +117,14 @@
 	}
 }
 
+// rejection returns the error of a call whose attempts have all ended, one of them rejected.
+func (c *appendCall) rejection() error {
+	if c.outcomeUnknown {
+		return fmt.Errorf("topic %s: %w, then %s", c.topic, ErrOutcomeUnknown, c.rejected.Error())
+	}
+	return c.rejected
+}
+
 // contextError returns the error of a call whose context has ended.
 func (c *appendCall) contextError(cause error) error {
 	if c.outcomeUnknown || c.inFlight > 0 {
--- a/recordlog/recordlog.go
+++ b/recordlog/recordlog.go
@@ -22,6 +22,13 @@
 	Value []byte
 }
 
+// MaxRecordBytes is the largest Record.Size that the store takes.
+const MaxRecordBytes = 256 << 10
+
+// Size is the size of the record in the store: the length of the key in 1 byte, the key
+// and the value.
+func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
 // StoredRecord is a record with its offset in the topic.
 type StoredRecord struct {
 	Offset int64
@@ -62,6 +69,9 @@
 var (
 	// ErrNotAppended means that nothing was appended and nothing will be.
 	ErrNotAppended = errors.New("not appended to the store")
+	// ErrRejected means that nothing was appended, and that repeating the append does not
+	// help: the store does not take these records. It comes with ErrNotAppended.
+	ErrRejected = errors.New("rejected by the store")
 	// ErrOutcomeUnknown means that the records may have been appended, or may
 	// still be appended later.
 	ErrOutcomeUnknown = errors.New("unknown whether appended to the store")
@@ -88,7 +98,7 @@
 	// Append appends the records at consecutive offsets and returns the offset
 	// of the first. fence may be nil. A call without records only raises the
 	// producer's epoch to that of the fence. Errors are ErrNotAppended,
-	// ErrOutcomeUnknown, ErrFenced and ErrOutOfOrderSequence.
+	// ErrRejected, ErrOutcomeUnknown, ErrFenced and ErrOutOfOrderSequence.
 	Append(ctx context.Context, topic string, fence *Fence, records []Record) (int64, error)
 	// Read returns the records from the offset on, as many as the store puts into
 	// one page. If there are none, it waits for one for at most wait. Errors are
--- a/recordlog/recordlog_test.go
+++ b/recordlog/recordlog_test.go
@@ -60,6 +60,9 @@
 		{"refused past the refusal deadline", []error{ErrNotAppended, ErrNotAppended, ErrNotAppended}, nil, 2 * time.Second, time.Millisecond, ErrNotAppended},
 		{"refused until the time-out", []error{ErrNotAppended, ErrNotAppended, ErrNotAppended, ErrNotAppended, ErrNotAppended}, nil, 200 * time.Millisecond, 0, ErrNotAppended},
 		{"reply lost, then refused", []error{nil, ErrNotAppended, ErrNotAppended, ErrNotAppended}, []bool{true}, 600 * time.Millisecond, time.Millisecond, ErrOutcomeUnknown},
+		{"rejected", []error{errors.Join(ErrNotAppended, ErrRejected)}, nil, time.Second, 0, ErrRejected},
+		{"refused, then rejected", []error{ErrNotAppended, errors.Join(ErrNotAppended, ErrRejected)}, nil, time.Second, 0, ErrRejected},
+		{"reply lost, then rejected", []error{nil, errors.Join(ErrNotAppended, ErrRejected)}, []bool{true}, 4 * time.Second, 0, ErrOutcomeUnknown},
 		{"fenced", []error{ErrFenced}, nil, time.Second, 0, ErrFenced},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/standinstore/standinstore.go
+++ b/standinstore/standinstore.go
@@ -90,6 +90,10 @@
 	appends int
 }
 
+// maxRecordBytes bounds the key and the value of a record, with the byte for the length of
+// the key.
+const maxRecordBytes = 262144
+
 // maxConcurrentRequests bounds the requests in progress. Each long-poll read
 // holds one.
 const maxConcurrentRequests = 256
@@ -225,6 +229,10 @@
 		return
 	}
 	records, err := decodeRecords(body)
+	if slices.ContainsFunc(records, func(r record) bool { return len(r.encoded) > maxRecordBytes }) {
+		httpserver.JSON(w, http.StatusRequestEntityTooLarge, struct{}{})
+		return
+	}
 	if err != nil {
 		httpserver.JSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
 		return
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"runtime/debug"
 	"time"
 
@@ -63,7 +64,7 @@
 		if !ok {
 			return
 		}
-		records := d.encodeRecords(output)
+		records := d.encodeRecords(ctx, output)
 		if now := boottime.Now(); now.Sub(heartbeatAt) >= heartbeatInterval {
 			heartbeatAt = now
 			self.Heartbeat++
@@ -123,7 +124,7 @@
 	}
 }
 
-func (d *Daemon) encodeRecords(o stepplan.Output) []recordlog.Record {
+func (d *Daemon) encodeRecords(ctx context.Context, o stepplan.Output) []recordlog.Record {
 	var records []recordlog.Record
 	add := func(r stepfold.Record) {
 		record, err := codec.EncodeStepRecord(r)
@@ -131,6 +132,13 @@
 			d.log.Add("recordInvalid", eventlog.Fields{"cause": err.Error()})
 			return
 		}
+		if record.Size() > recordlog.MaxRecordBytes {
+			reason := fmt.Sprintf("its record has %d bytes, allowed: at most %d", record.Size(), recordlog.MaxRecordBytes)
+			var replaced bool
+			if record, replaced = d.giveUpJob(ctx, record, reason); !replaced {
+				return
+			}
+		}
 		records = append(records, record)
 	}
 	for _, p := range o.Progress {
@@ -144,6 +152,43 @@
 	return records
 }
 
+// giveUpJob fails the job whose progress the store does not take, and returns a smaller
+// record to store in place of r. It reports false for other records, and when the term has
+// ended.
+func (d *Daemon) giveUpJob(ctx context.Context, r recordlog.Record, reason string) (recordlog.Record, bool) {
+	zero, id := stepfold.ParseKey(r.Key)
+	d.counters.Count("recordRejected")
+	d.log.Add("recordRejected", eventlog.Fields{"key": r.Key, "bytes": r.Size(), "cause": reason})
+	if _, ok := zero.(stepfold.Progressed); !ok {
+		return recordlog.Record{}, false
+	}
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.scheduler == nil || ctx.Err() != nil {
+		return recordlog.Record{}, false
+	}
+	progress := d.planner.scheduler.GiveUp(id, reason, time.Now(), boottime.Now())
+	d.sendStops()
+	small, err := codec.EncodeStepRecord(progress)
+	if err == nil && small.Size() > recordlog.MaxRecordBytes {
+		// A successor stops the runs that its agents report and it does not know.
+		progress.Progress.Tasks = nil
+		small, err = codec.EncodeStepRecord(progress)
+	}
+	if err != nil {
+		d.log.Add("recordInvalid", eventlog.Fields{"cause": err.Error()})
+		return recordlog.Record{}, false
+	}
+	return small, true
+}
+
+// droppable reports whether the term goes on if the store rejects the record.
+func droppable(r recordlog.Record) bool {
+	zero, _ := stepfold.ParseKey(r.Key)
+	_, heartbeat := zero.(stepfold.PlannerUpdated)
+	return !heartbeat
+}
+
 func (d *Daemon) heartbeatRecord(self stepfold.Planner) []recordlog.Record {
 	record, err := codec.EncodeStepRecord(stepfold.PlannerUpdated{Planner: self})
 	if err != nil {
@@ -155,11 +200,13 @@
 
 // appendFenced appends the records in batches under the term's fence. It ends
 // the term when an append fails before ctx ends, and reports whether the term
-// continues.
+// continues. A batch that the store rejects is divided until the rejected record is
+// found, which is replaced or left out.
 func (d *Daemon) appendFenced(ctx context.Context, fence recordlog.Fence, records []recordlog.Record) bool {
+	limit, replacedKey := maxBatch, ""
 	for len(records) > 0 {
 		n, size := 0, 0
-		for n < len(records) && n < maxBatch && (n == 0 || size+len(records[n].Value) < maxBatchBytes) {
+		for n < len(records) && n < limit && (n == 0 || size+len(records[n].Value) < maxBatchBytes) {
 			size += len(records[n].Value)
 			n++
 		}
@@ -170,6 +217,16 @@
 		switch {
 		case ctx.Err() != nil:
 			return false
+		case errors.Is(err, recordlog.ErrRejected) && n > 1:
+			limit = n / 2
+			continue
+		case errors.Is(err, recordlog.ErrRejected) && records[0].Key != replacedKey && droppable(records[0]):
+			replacedKey = records[0].Key
+			replacement, replaced := d.giveUpJob(ctx, records[0], err.Error())
+			if records = records[1:]; replaced {
+				records = append([]recordlog.Record{replacement}, records...)
+			}
+			continue
 		case err != nil:
 			d.planner.mu.Lock()
 			d.endTerm(err.Error())
@@ -180,6 +237,7 @@
 			return false
 		}
 		fence.Sequence++
+		limit = min(maxBatch, 2*limit)
 		d.counters.Observe("planAppendMs", boottime.Now().Sub(begun))
 		d.planner.mu.Lock()
 		d.planner.fence, d.planner.lastAppendAt, d.planner.lastAppendTook = fence, begun, boottime.Now().Sub(begun)
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -235,7 +235,8 @@
 }
 
 // storedProgress is the part of the job's state that has to survive a change of
-// planner. If the job is over, it gives wall as the time of the job's end.
+// planner. If the job is over, it gives wall as the time of the job's end, and only the
+// tasks whose runs have yet to be stopped.
 func (j *Job) storedProgress(wall time.Time) stepfold.Progress {
 	p := stepfold.Progress{Phase: j.Phase, Begun: j.Begun, Tasks: map[steps.TaskID]stepfold.TaskProgress{}}
 	if j.Phase.Over() {
@@ -244,7 +245,7 @@
 	for _, occurrence := range j.Occurrences {
 		for _, s := range occurrence {
 			for _, t := range s.Tasks {
-				if t.Run == 0 {
+				if t.Run == 0 || j.Phase.Over() && (t.Done || !t.Active) {
 					continue
 				}
 				id := t.ID
@@ -253,6 +254,9 @@
 				if t.Active {
 					stored.Agent, stored.Worker = t.Agent, t.Worker
 				}
+				if j.Phase.Over() {
+					stored.Failures, stored.Checkpoint = 0, ""
+				}
 				if t.Done {
 					stored = stepfold.TaskProgress{Run: t.Run, Done: true}
 				}
