stepplan, codec: store done occurrences as ranges

The progress of a scheduled job had an entry for each task of each occurrence for the whole life of the job, so that it grew beyond the largest record of the store after some 1,700 occurrences of three tasks. Change: Progress.DoneOccurrences holds the occurrences whose tasks have all succeeded as ranges; Tasks holds only those of the others that have run. A successor restores the tasks of the ranges as done. Their run numbers are not kept: a done task has no further run. Records without ranges are read as before.

--- a/codec/odd_test.go
+++ b/codec/odd_test.go
@@ -47,6 +47,13 @@
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,1,1,-1,0,0,9223372036854775807]]}]}`: `steps\[0\].ranges\[0\]: cleared crashes: found 9223372036854775807, allowed: 0 to 2147483648`,
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[9223372036854775807,1,1,-1]]}]}`:       `steps\[0\].ranges\[0\]: found 1 tasks from 9223372036854775807 on, .*`,
 		`{"state":"running","steps":[{"occurrence":0,"step":0,"ranges":[[0,-9223372036854775808,1,-1]]}]}`:      `steps\[0\].ranges\[0\]: found -9223372036854775808 tasks from 0 on, .*`,
+		`{"state":"running","doneOccurrences":[[0]]}`:                                                           `doneOccurrences\[0\]: found 1 fields, allowed: 2`,
+		`{"state":"running","doneOccurrences":[[-1,2]]}`:                                                        `doneOccurrences\[0\]: found 2 from -1 on, .*`,
+		`{"state":"running","doneOccurrences":[[0,2],[1,1]]}`:                                                   `doneOccurrences\[1\]: found 1 from 1 on, allowed: at least 1, numbers from 2 to 99999`,
+		`{"state":"running","doneOccurrences":[[0,0]]}`:                                                         `doneOccurrences\[0\]: found 0 from 0 on, .*`,
+		`{"state":"running","doneOccurrences":[[9223372036854775807,1]]}`:                                       `doneOccurrences\[0\]: found 1 from 9223372036854775807 on, .*`,
+		`{"state":"running","doneOccurrences":[[0,9223372036854775807]]}`:                                       `doneOccurrences\[0\]: found 9223372036854775807 from 0 on, .*`,
+		`{"state":"running","doneOccurrences":[[0,1],[4,2]],"steps":[{"occurrence":5,"step":0,"ranges":[]}]}`:   `steps\[0\].occurrence: found 5, allowed: one that is not in doneOccurrences`,
 		`{"state":"exploded"}`: `state: found "exploded", allowed: queued, running, completed, failed, cancelled`,
 	} {
 		t.Run(value, func(t *testing.T) {
--- a/codec/progress.go
+++ b/codec/progress.go
@@ -43,6 +43,9 @@
 	if !p.EndedAt.IsZero() {
 		w.EndedAtMs = int(p.EndedAt.UnixMilli())
 	}
+	for _, r := range p.DoneOccurrences {
+		w.DoneOccurrences = append(w.DoneOccurrences, []int{r.First, r.Count})
+	}
 	ids := make([]steps.TaskID, 0, len(p.Tasks))
 	for id := range p.Tasks {
 		ids = append(ids, id)
@@ -160,7 +163,13 @@
 	if len(w.Workers) != len(w.Agents) {
 		return stepfold.Progress{}, fmt.Errorf("workers: found %d, allowed: as many as agents, %d", len(w.Workers), len(w.Agents))
 	}
+	if p.DoneOccurrences, err = decodeDone(w.DoneOccurrences); err != nil {
+		return stepfold.Progress{}, err
+	}
 	for i, s := range w.Steps {
+		if inRanges(p.DoneOccurrences, s.Occurrence) {
+			return stepfold.Progress{}, fmt.Errorf("steps[%d].occurrence: found %d, allowed: one that is not in doneOccurrences", i, s.Occurrence)
+		}
 		if err := cmp.Or(checkRange("occurrence", s.Occurrence, steps.MaxOccurrences-1), checkRange("step", s.Step, steps.MaxSteps-1)); err != nil {
 			return stepfold.Progress{}, fmt.Errorf("steps[%d].%w", i, err)
 		}
@@ -181,6 +190,37 @@
 	return p, nil
 }
 
+func decodeDone(ranges [][]int) ([]stepfold.OccurrenceRange, error) {
+	var done []stepfold.OccurrenceRange
+	next := 0
+	for i, r := range ranges {
+		if len(r) != 2 {
+			return nil, fmt.Errorf("doneOccurrences[%d]: found %d fields, allowed: 2", i, len(r))
+		}
+		if r[0] < next || r[1] < 1 || r[0] > steps.MaxOccurrences-r[1] {
+			return nil, fmt.Errorf("doneOccurrences[%d]: found %d from %d on, allowed: at least 1, numbers from %d to %d", i, r[1], r[0], next, steps.MaxOccurrences-1)
+		}
+		done = append(done, stepfold.OccurrenceRange{First: r[0], Count: r[1]})
+		next = r[0] + r[1]
+	}
+	return done, nil
+}
+
+// inRanges reports whether one of the ranges, which are in increasing order, has the
+// occurrence.
+func inRanges(ranges []stepfold.OccurrenceRange, occurrence int) bool {
+	_, found := slices.BinarySearchFunc(ranges, occurrence, func(r stepfold.OccurrenceRange, occurrence int) int {
+		switch {
+		case r.First > occurrence:
+			return 1
+		case r.First+r.Count <= occurrence:
+			return -1
+		}
+		return 0
+	})
+	return found
+}
+
 func decodeRange(w wire.StepsProgress, s wire.StepProgress, r []int, tasks map[steps.TaskID]stepfold.TaskProgress) error {
 	if len(r) <= rangePlace || len(r) > rangeFields {
 		return fmt.Errorf("found %d fields, allowed: %d to %d", len(r), rangePlace+1, rangeFields)
--- a/codec/steps_test.go
+++ b/codec/steps_test.go
@@ -27,7 +27,7 @@
 				{Count: 3, After: []int{0}, PreferredRack: "r1", MaxPerVM: 2, Speculative: true, LongRunning: true, Image: "i", TailLatencyMs: 5, BestEffortCPU: true, MaxUnavailable: 1},
 			},
 		}},
-		stepfold.Progressed{ID: "x", Progress: stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, EndedAt: at, Tasks: map[steps.TaskID]stepfold.TaskProgress{
+		stepfold.Progressed{ID: "x", Progress: stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, EndedAt: at, DoneOccurrences: []stepfold.OccurrenceRange{{First: 2, Count: 5}, {First: 9, Count: 1}}, Tasks: map[steps.TaskID]stepfold.TaskProgress{
 			{Occurrence: 0, Step: 0, Index: 1}: {Run: 9, Agent: "vm", Worker: "i/1", Failures: 1, Checkpoint: "c", Crashes: crashes.Record{Runs: [crashes.Limit]int{5, 7}, ClearedThrough: 4}},
 			{Occurrence: 1, Step: 2, Index: 0}: {Run: 1, Done: true},
 		}}},
@@ -133,6 +133,7 @@
 	f.Add("advanced/x", `{"state":"running"}`)
 	f.Add("advanced/x", `{"state":"running","agents":["a"],"workers":["i/1"],"checkpoints":["c"],"steps":[{"occurrence":0,"step":0,"ranges":[[0,3,1,0,1,1],[3,1,2,-2],[4,2,9,-1,0,0,3,5,7]]}]}`)
 	f.Add("advanced/x", `{"state":"queued","steps":[{"occurrence":1,"step":1,"tasks":[{"index":0,"run":2,"agent":"vm","worker":"i/1","failures":1,"checkpoint":"c"}]},{"occurrence":0,"step":0,"ranges":[[1,1,1,-2]]}]}`)
+	f.Add("advanced/x", `{"state":"running","doneOccurrences":[[0,2],[5,99995]],"steps":[{"occurrence":2,"step":0,"ranges":[[0,1,1,-1]]}]}`)
 	f.Add("agent/vm", `{"address":"10.1.0.20:7000","zone":"z"}`)
 	f.Add("planner", `{"entry":"e","boot":"b","address":"a","term":1,"beat":1}`)
 	f.Add("other", `{}`)
--- a/stepfold/stepfold.go
+++ b/stepfold/stepfold.go
@@ -56,14 +56,20 @@
 	Crashes crashes.Record
 }
 
+// OccurrenceRange is a number of consecutive occurrences, at least one.
+type OccurrenceRange struct{ First, Count int }
+
 // Progress is the stored progress of a job.
 type Progress struct {
 	Phase Phase
 	// Begun is true once a task of the job has been ordered to start.
 	Begun bool
-	// Tasks has no element for a task that has never been ordered to start. The
-	// job's ID is left empty in the keys.
+	// Tasks has no element for a task that has never been ordered to start, nor for those
+	// of DoneOccurrences. The job's ID is left empty in the keys.
 	Tasks map[steps.TaskID]TaskProgress
+	// DoneOccurrences holds, in increasing order and without overlap, the occurrences
+	// of a scheduled job whose tasks have all succeeded. It is empty once the job is over.
+	DoneOccurrences []OccurrenceRange
 	// EndedAt is the wall-clock time, taken on the planner, at which the job
 	// ended. It is zero before that.
 	EndedAt time.Time
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -56,6 +56,9 @@
 	if !j.scheduled() {
 		sc.startOccurrence(j, 0, now)
 	}
+	for _, r := range e.Progress.DoneOccurrences {
+		sc.restoreDone(j, r, now)
+	}
 	for id, p := range e.Progress.Tasks {
 		sc.restoreTask(j, id, p, earlierLeasesExpireBy, now)
 	}
@@ -241,8 +244,13 @@
 	p := stepfold.Progress{Phase: j.Phase, Begun: j.Begun, Tasks: map[steps.TaskID]stepfold.TaskProgress{}}
 	if j.Phase.Over() {
 		p.EndedAt = wall
+	} else {
+		p.DoneOccurrences = j.doneOccurrences()
 	}
 	for _, occurrence := range j.Occurrences {
+		if j.scheduled() && allDone(occurrence) {
+			continue
+		}
 		for _, s := range occurrence {
 			for _, t := range s.Tasks {
 				if t.Run == 0 || j.Phase.Over() && (t.Done || !t.Active) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1492,6 +1492,10 @@
 	// Checkpoints corresponds to the JSON schema field "checkpoints".
 	Checkpoints []string `json:"checkpoints,omitempty,omitzero"`
 
+	// The occurrences whose tasks have all succeeded: for each range, the first one
+	// and their number. They are not in steps.
+	DoneOccurrences [][]int `json:"doneOccurrences,omitempty,omitzero"`
+
 	// EndedAtMs corresponds to the JSON schema field "endedAtMs".
 	EndedAtMs int `json:"endedAtMs,omitempty,omitzero"`
 
