stepplan: a task avoids the VMs where it failed for 1.2 s at most

Cause: Task.FailedOn left VMs out as soon as the others could hold the task if they were empty. Where long-running tasks occupy these, it waited without end beside its own empty VM. The same held for the last attempt of a unit and VMs with failed jobs. Change: after avoidanceWait (1.2 s; the platform allows 3 s) a unit that fits on no other VM is also tried on those that were left out. VMs without evidence still come first.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -179,10 +179,12 @@
 	if p.mustLeaveHeadroom(u) || p.exceedsJobShare(u) {
 		return wait{}
 	}
-	for _, s := range p.separations(u) {
-		for _, set := range p.candidateSets(u) {
-			if vms := p.chooseVMs(u, set, s); vms != nil {
-				return startUnit{vms: vms, isolate: s == separationAll}
+	for _, allowed := range p.allowedInOrder(u) {
+		for _, s := range p.separations(u) {
+			for _, set := range p.localSets(u, allowed) {
+				if vms := p.chooseVMs(u, set, s); vms != nil {
+					return startUnit{vms: vms, isolate: s == separationAll}
+				}
 			}
 		}
 	}
@@ -252,7 +254,10 @@
 	return p.idleGPUs-len(u.tasks)*u.step.Spec.Needs.GPUs < p.totalGPUs*headroomPercent/100
 }
 
-// candidateSets lists the sets of VMs to try, in order. First come the VMs of the
+// candidateSets lists the sets of VMs on which the unit may start at once.
+func (p *pass) candidateSets(u unit) [][]*VM { return p.localSets(u, p.allowedVMs(u)) }
+
+// localSets lists the sets of the allowed VMs to try, in order. First come the VMs of the
 // racks that suit the step, and all allowed VMs follow if there is no such rack, or
 // once the unit has waited for maxLocalityWait. The step's PreferredRack suits it if it
 // has any allowed VMs.
@@ -260,8 +265,7 @@
 // that can hold it suit a gang, and only the rack of chooseRack suits a single
 // task. No other VMs are tried for such a task, unless a guarantee covers it and it
 // has waited for maxLocalityWait.
-func (p *pass) candidateSets(u unit) [][]*VM {
-	allowed := p.allowedVMs(u)
+func (p *pass) localSets(u unit, allowed []*VM) [][]*VM {
 	var sets [][]*VM
 	spec := u.step.Spec
 	preferred := vmsInRack(allowed, spec.PreferredRack)
@@ -316,7 +320,7 @@
 }
 
 // maxLocalityWait is how long a unit waits for VMs on a rack that suits its step
-// before candidateSets also lists the other allowed VMs. A unit covered by a
+// before localSets also lists the other allowed VMs. A unit covered by a
 // guarantee stops waiting early enough to start elsewhere within
 // Timing.MaxReclaimTime, even if runs have to be stopped first. A unit without a
 // guarantee waits for half of the run time that another rack would add according to
@@ -346,7 +350,25 @@
 	return (u.job.Queue.Service == "" || vm.Service == u.job.Queue.Service) && (spec.Label == "" || slices.Contains(vm.Labels, spec.Label))
 }
 
-// allowedVMs lists the usable VMs that the unit may run on. If the unit is a single
+// avoidanceWait is how long a unit waits for other VMs before it may start on those
+// that allowedVMs leaves out. A task may wait 3 s for its start while there is capacity.
+const avoidanceWait = 1200 * time.Millisecond
+
+// allowedInOrder lists the sets of usable VMs that the unit may run on, in the order in
+// which they are tried.
+func (p *pass) allowedInOrder(u unit) [][]*VM {
+	preferred := p.allowedVMs(u)
+	if p.now.Sub(u.waitingSince) < avoidanceWait {
+		return [][]*VM{preferred}
+	}
+	all := p.allowingVMs(u)
+	if len(all) == len(preferred) {
+		return [][]*VM{preferred}
+	}
+	return [][]*VM{preferred, all}
+}
+
+// allowedVMs lists the usable VMs that the unit may run on at once. If the unit is a single
 // task, it leaves out the VMs in Task.FailedOn. For the last attempt of a unit, it
 // also leaves out all VMs on which a job failed since the VM's last success. It
 // leaves none of them out if the unit would not fit on the other VMs even when
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -198,3 +198,43 @@
 	sc.Plan(sc.PreemptFrom)
 	c.Check(sc.TakeStops(), qt.HasLen, 1)
 }
+
+// TestFailedTaskStartsBesideLongRunning guards against a failed task that waits beside its empty VM for good.
+func TestFailedTaskStartsBesideLongRunning(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		lose func(ct *crashTest, o StartOrder)
+	}{
+		{"failure", func(ct *crashTest, o StartOrder) { ct.fail(o) }},
+		{"crash", func(ct *crashTest, o StartOrder) { ct.crash(o.Agent, time.Second) }},
+		{"refusal", func(ct *crashTest, o StartOrder) {
+			ct.running[o.Agent] = nil
+			ct.scheduler.StartRefused(o, "unhealthy", ct.now)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ct := newCrashTest(t, 4)
+			ct.add("serving", steps.Step{Count: 3, Needs: steps.Resources{GPUs: 5}, LongRunning: true})
+			ct.pass()
+			ct.add("a", steps.Step{Count: 1, Needs: steps.Resources{GPUs: 4}})
+			order := ct.pass()
+			ct.c.Assert(order, qt.HasLen, 1)
+			test.lose(ct, order[0])
+			ct.report(100 * time.Millisecond)
+			ct.c.Check(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+		})
+	}
+}
+
+// TestFailedTaskAvoidsItsVM guards against starting a task again where it failed while another VM has room.
+func TestFailedTaskAvoidsItsVM(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	ct.add("a", oneGPU)
+	order := ct.pass()
+	ct.c.Assert(order, qt.HasLen, 1)
+	ct.fail(order[0])
+	ct.report(2 * avoidanceWait)
+	again := ct.pass()
+	ct.c.Assert(again, qt.HasLen, 1)
+	ct.c.Check(again[0].Agent, qt.Not(qt.Equals), order[0].Agent)
+}
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,12 +27,13 @@
 	sessions map[string]int
 	running  map[string][]RunningTask
 	former   map[string][]FormerWorker
+	ended    map[string][]worker.Ended
 	starts   []StartOrder
 }
 
 func newCrashTest(t *testing.T, vms int) *crashTest {
 	ct := &crashTest{
-		c: qt.New(t), now: bootTime, restarts: map[string]int{}, sessions: map[string]int{}, running: map[string][]RunningTask{}, former: map[string][]FormerWorker{},
+		c: qt.New(t), now: bootTime, restarts: map[string]int{}, sessions: map[string]int{}, running: map[string][]RunningTask{}, former: map[string][]FormerWorker{}, ended: map[string][]worker.Ended{},
 	}
 	ct.scheduler = newCluster(0, ct.now)
 	for i := range vms {
@@ -61,7 +63,7 @@
 		}
 		ct.scheduler.HandleReport(Report{
 			Agent: vm, Session: ct.sessions[vm], Version: 1, WorkerPresent: true, Worker: ct.worker(vm), Rack: fmt.Sprintf("r%d", i/2),
-			Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}, Running: ct.running[vm], Former: ct.former[vm],
+			Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}, Running: ct.running[vm], Former: ct.former[vm], Ended: ct.ended[vm],
 			Unhealthy: lost[vm], Unreachable: lost[vm],
 		}, ct.now)
 		if !lost[vm] {
@@ -97,10 +99,29 @@
 	if observed {
 		ct.former[vm] = append(ct.former[vm], f)
 	}
-	ct.running[vm] = nil
+	ct.running[vm], ct.ended[vm] = nil, nil
 	ct.restarts[vm]++
 }
 
+// fail ends the run of an order as failed.
+func (ct *crashTest) fail(o StartOrder) {
+	ct.running[o.Agent] = slices.DeleteFunc(ct.running[o.Agent], func(r RunningTask) bool { return r.Task == o.Task.String() })
+	ct.ended[o.Agent] = append(ct.ended[o.Agent], worker.Ended{
+		EndNumber: int64(len(ct.ended[o.Agent]) + 1), Run: worker.Run{Task: o.Task.String(), Number: o.Run}, Reason: worker.EndFailed,
+	})
+}
+
+// startsWithin lets time pass until the first task of the job runs, and reports whether it
+// does within the limit.
+func (ct *crashTest) startsWithin(job string, limit time.Duration) bool {
+	for end := ct.now.Add(limit); ; ct.report(100 * time.Millisecond) {
+		ct.pass()
+		if ct.task(job).Active || !ct.now.Before(end) {
+			return ct.task(job).Active
+		}
+	}
+}
+
 func (ct *crashTest) crash(vm string, age time.Duration) {
 	ct.end(vm, worker.IncarnationCrashed, age, true)
 }
