stepplan: a VM is isolated for 2 s at most

Cause: a task with more than one crash kept the VM that it runs on alone from all other work until its run outlived the lost ones, which a long-running task lost after an hour does only after an hour and a half. Change: isolated VMs are usable, but a unit is tried on them only after avoidanceWait and maxIsolation (2 s after the suspect's start), and only if it fits nowhere else. Their free accelerators count for the headroom and the share of a job.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -33,6 +33,8 @@
 	membersToStop map[*Step]int
 	// heldBack says that a VM is kept from other work until it is empty.
 	heldBack bool
+	// isolatedSince maps the agents of the isolated VMs to when their isolation began.
+	isolatedSince map[string]time.Time
 }
 
 // Plan starts the waiting gangs and single tasks that fit. It stops other runs
@@ -40,16 +42,13 @@
 func (sc *Scheduler) Plan(now time.Time) {
 	p := pass{
 		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), rackFreeGPUs: map[string]int{},
-		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{},
+		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{}, isolatedSince: sc.isolatedVMs(),
 	}
-	isolated := sc.isolatedVMs()
 	for _, vm := range sc.VMs {
 		if vm.Attached && vm.Reported && vm.Worker != "" && !slices.Contains(vm.FormerWorkers, vm.Worker) && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
 			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
-			if !isolated[vm.Agent] {
-				p.add(vm)
-			}
+			p.add(vm)
 		}
 	}
 	slices.SortFunc(p.usable, func(x, y *VM) int { return cmp.Compare(x.Agent, y.Agent) })
@@ -124,7 +123,7 @@
 
 type (
 	// startUnit starts the unit's tasks on vms, one for each task. With isolate, the VMs
-	// of tasks with more than one crash are kept from other units.
+	// of tasks with more than one crash are kept from other units for a time.
 	startUnit struct {
 		vms     []*VM
 		isolate bool
@@ -368,10 +367,10 @@
 	return [][]*VM{preferred, all}
 }
 
-// allowedVMs lists the usable VMs that the unit may run on at once. If the unit is a single
-// task, it leaves out the VMs in Task.FailedOn. For the last attempt of a unit, it
+// allowedVMs lists the usable VMs that the unit may run on at once. It leaves out isolated
+// VMs and, if the unit is a single task, the VMs in Task.FailedOn. For the last attempt of a unit, it
 // also leaves out all VMs on which a job failed since the VM's last success. It
-// leaves none of them out if the unit would not fit on the other VMs even when
+// leaves out only isolated VMs if the unit would not fit on the other VMs even when
 // these are empty.
 func (p *pass) allowedVMs(u unit) []*VM {
 	failures := 0
@@ -382,7 +381,7 @@
 	var allowed, preferred []*VM
 	capacity := 0
 	for _, vm := range p.usable {
-		if !p.allows(u, vm) {
+		if _, isolated := p.isolatedSince[vm.Agent]; isolated || !p.allows(u, vm) {
 			continue
 		}
 		allowed = append(allowed, vm)
@@ -400,11 +399,12 @@
 }
 
 // allowingVMs lists the usable VMs that have the service and the label that the unit's
-// tasks require.
+// tasks require, except those that have been isolated for less than maxIsolation.
 func (p *pass) allowingVMs(u unit) []*VM {
 	var allowed []*VM
 	for _, vm := range p.usable {
-		if p.allows(u, vm) {
+		since, isolated := p.isolatedSince[vm.Agent]
+		if p.allows(u, vm) && !(isolated && p.now.Sub(since) < maxIsolation) {
 			allowed = append(allowed, vm)
 		}
 	}
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -14,7 +14,7 @@
 // crashes): either it has crashed the worker, or it only ran beside the cause. Where there
 // is room, suspects of the same crash do not start beside each other, so that the next
 // crash tells them apart, nor where they have lost a run. None of them waits for that,
-// because most crashes have other causes. A task with more than one crash runs alone on a
+// because most crashes have other causes. A task with more than one crash begins alone on a
 // VM, where a further crash hits nothing else and shows the cause. A task stays a suspect
 // until a run outlives the lost ones.
 
@@ -23,6 +23,10 @@
 // capacity.
 const isolationWait = 1200 * time.Millisecond
 
+// maxIsolation is how long a VM is kept from all other work for a task with more than one
+// crash. Then other units may start there if they fit nowhere else.
+const maxIsolation = 2 * time.Second
+
 // maxLosses is the number of workers that may crash under a task, or be gone until their
 // leases have expired, before its job fails. Most workers that cannot be reached are cut off,
 // so that it takes more of them than of crashes. The platform allows less than three starts
@@ -106,17 +110,18 @@
 	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", at.Sub(t.StartedAt).Milliseconds())})
 }
 
-// isolatedVMs lists the VMs that run a task with more than one crash and nothing but its
-// gang, so that nothing else is to be placed there.
-func (sc *Scheduler) isolatedVMs() map[string]bool {
-	isolated := map[string]bool{}
+// isolatedVMs maps the agents of the VMs that run a task with more than one crash and
+// nothing but its gang, so that other work is to be placed elsewhere, to the time from which
+// they have done so.
+func (sc *Scheduler) isolatedVMs() map[string]time.Time {
+	isolated := map[string]time.Time{}
 	for id, t := range sc.severalCrashes {
 		j := sc.Jobs[id.Job]
 		switch {
 		case j == nil || j.Phase.Over() || t.Done || t.Crashes.Count() < 2:
 			delete(sc.severalCrashes, id)
 		case t.Active && sc.runsOnlyUnitOf(sc.VMs[t.Agent], t):
-			isolated[t.Agent] = true
+			isolated[t.Agent] = later(isolated[t.Agent], t.StartedAt)
 		}
 	}
 	return isolated
@@ -204,12 +209,11 @@
 	return u.maxCrashes() > 1 && p.now.Sub(u.waitingSince) < isolationWait
 }
 
-// isolate keeps the VMs of the unit's tasks with more than one crash from other units for
-// the rest of the pass.
+// isolate begins the isolation of the VMs of the unit's tasks with more than one crash.
 func (p *pass) isolate(u unit, vms []*VM) {
 	for i, t := range u.tasks {
 		if t.Crashes.Count() > 1 {
-			p.claim(vms[i], vms[i].free)
+			p.isolatedSince[vms[i].Agent] = p.now
 		}
 	}
 }
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -332,3 +332,26 @@
 	}
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
 }
+
+// TestIsolationEnds guards against a long-running suspect that keeps its VM from other work for good.
+func TestIsolationEnds(t *testing.T) {
+	for _, vms := range []int{1, 2} {
+		t.Run(fmt.Sprintf("vms=%d", vms), func(t *testing.T) {
+			ct := newCrashTest(t, vms)
+			lasting := oneGPU
+			lasting.LongRunning = true
+			ct.add("lasting", lasting)
+			for range 2 {
+				ct.c.Assert(ct.startsWithin("lasting", 3*time.Second), qt.IsTrue)
+				ct.crash(ct.task("lasting").Agent, time.Hour)
+				ct.report(3 * time.Second)
+			}
+			ct.c.Assert(ct.startsWithin("lasting", 3*time.Second), qt.IsTrue)
+			ct.c.Assert(ct.task("lasting").Crashes.Count(), qt.Equals, 2)
+			ct.add("a", oneGPU)
+			ct.c.Check(ct.startsWithin("a", time.Second), qt.Equals, vms > 1)
+			ct.c.Check(ct.startsWithin("a", 2*time.Second), qt.IsTrue)
+			ct.c.Check(ct.task("a").Agent == ct.task("lasting").Agent, qt.Equals, vms == 1)
+		})
+	}
+}
