stepplan: a long-running task may exceed the share of its job

Cause: a job may hold half of the accelerators of the usable VMs. After a VM is lost this is half of the rest, and long-running tasks that were lost with it are never started again, as those that hold the share do not end. Change: the limit no longer holds for a long-running task that has waited for maxLongRunningWait (2 s) while there are accelerators for two of it.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -223,6 +223,11 @@
 	headroomSlackPercent = 40
 )
 
+// maxLongRunningWait is how long a long-running task waits for the share of its job or for
+// the rack of its step while there is room. The runs that it waits for do not end, and the
+// platform allows it 3 s.
+const maxLongRunningWait = 2 * time.Second
+
 // maxJobSharePercent is the maximum percentage of the accelerators of all usable
 // VMs that one job occupies. It limits tasks that start one by one, which are
 // those outside gangs, and are not covered by a guarantee.
@@ -230,12 +235,16 @@
 
 // exceedsJobShare reports whether the job would exceed maxJobSharePercent with
 // the unit. The limit keeps one job of many long tasks from delaying all others.
-// It does not apply to a job that occupies no accelerators yet.
+// It does not apply to a job that occupies no accelerators yet, nor to a long-running task
+// that has waited for maxLongRunningWait while there is room for two of it.
 func (p *pass) exceedsJobShare(u unit) bool {
 	if u.guaranteed || u.step.Spec.Gang {
 		return false
 	}
 	needed := u.step.Spec.Needs.GPUs
+	if u.step.Spec.LongRunning && p.now.Sub(u.waitingSince) >= maxLongRunningWait && p.idleGPUs >= 2*needed {
+		return false
+	}
 	held := u.job.heldGPUs
 	return held > 0 && held+needed > p.totalGPUs*maxJobSharePercent/100
 }
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -238,3 +238,18 @@
 	ct.c.Assert(again, qt.HasLen, 1)
 	ct.c.Check(again[0].Agent, qt.Not(qt.Equals), order[0].Agent)
 }
+
+// TestLongRunningJobMayExceedShare guards against long-running tasks that never start again after a VM is lost.
+func TestLongRunningJobMayExceedShare(t *testing.T) {
+	ct := newCrashTest(t, 6)
+	ct.add("a", steps.Step{Count: 8, Needs: steps.Resources{GPUs: 3}, LongRunning: true})
+	ct.c.Assert(ct.pass(), qt.HasLen, 8)
+	ct.lose(ct.task("a").Agent)
+	active := func() int { return ct.scheduler.Jobs["a"].Occurrences[0][0].ActiveCount }
+	ct.c.Assert(active(), qt.Equals, 6)
+	for range 30 {
+		ct.report(100 * time.Millisecond)
+		ct.pass()
+	}
+	ct.c.Check(active(), qt.Equals, 8)
+}
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -111,6 +111,13 @@
 	})
 }
 
+// lose takes a VM away for good, after its runs have ended.
+func (ct *crashTest) lose(vm string) {
+	ct.end(vm, worker.IncarnationLeft, time.Second, true)
+	ct.report(100 * time.Millisecond)
+	ct.scheduler.AgentDetached(vm, ct.sessions[vm])
+}
+
 // startsWithin lets time pass until the first task of the job runs, and reports whether it
 // does within the limit.
 func (ct *crashTest) startsWithin(job string, limit time.Duration) bool {
