stepplan: a long-running task waits for a rack for 2 s at most

Cause: a single task of a same-rack step was only tried on the rack of the step's other runs, and one with a preferred rack for half of the run time that another rack adds. Where long-running tasks fill that rack, the task waits without end, or for very long, beside empty racks. Change: maxLocalityWait is maxLongRunningWait for long-running tasks of same-rack steps and at most that for others. After it they are tried on all racks.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -271,8 +271,8 @@
 // has any allowed VMs.
 // For a SameRack step without a PreferredRack that can hold the unit, all racks
 // that can hold it suit a gang, and only the rack of chooseRack suits a single
-// task. No other VMs are tried for such a task, unless a guarantee covers it and it
-// has waited for maxLocalityWait.
+// task. No other VMs are tried for such a task, unless it has waited for maxLocalityWait and
+// a guarantee covers it or it is long-running.
 func (p *pass) localSets(u unit, allowed []*VM) [][]*VM {
 	var sets [][]*VM
 	spec := u.step.Spec
@@ -282,7 +282,7 @@
 		sets = append(sets, preferred)
 	case spec.SameRack && !spec.Gang:
 		rackVMs := vmsInRack(allowed, p.chooseRack(u, allowed))
-		if !u.guaranteed || p.now.Sub(u.waitingSince) < p.maxLocalityWait(u) {
+		if !u.guaranteed && !spec.LongRunning || p.now.Sub(u.waitingSince) < p.maxLocalityWait(u) {
 			return [][]*VM{rackVMs}
 		}
 		sets = append(sets, rackVMs)
@@ -332,13 +332,21 @@
 // guarantee stops waiting early enough to start elsewhere within
 // Timing.MaxReclaimTime, even if runs have to be stopped first. A unit without a
 // guarantee waits for half of the run time that another rack would add according to
-// the caller's estimate. However, a single task of a SameRack step without a
-// guarantee waits without limit if no PreferredRack is set that can hold it.
+// the caller's estimate, and a long-running one at most for maxLongRunningWait. However,
+// another single task of a SameRack step without a guarantee waits without limit if no
+// PreferredRack is set that can hold it.
 func (p *pass) maxLocalityWait(u unit) time.Duration {
 	if u.guaranteed {
 		return p.latestReclaim()
 	}
-	return time.Duration(float64(u.step.Spec.Estimate) * (p.scheduler.Timing.FarFactor - 1) / 2)
+	if u.step.Spec.LongRunning && u.step.Spec.SameRack {
+		return maxLongRunningWait
+	}
+	wait := time.Duration(float64(u.step.Spec.Estimate) * (p.scheduler.Timing.FarFactor - 1) / 2)
+	if u.step.Spec.LongRunning {
+		return min(wait, maxLongRunningWait)
+	}
+	return wait
 }
 
 // latestReclaim is how long a unit covered by a guarantee can wait before runs have to
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -253,3 +253,28 @@
 	}
 	ct.c.Check(active(), qt.Equals, 8)
 }
+
+// TestLongRunningTaskLeavesFullRack guards against a long-running task that waits for its step's rack beside empty ones.
+func TestLongRunningTaskLeavesFullRack(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		step steps.Step
+	}{
+		{"sameRack", steps.Step{SameRack: true}},
+		{"preferredRack", steps.Step{PreferredRack: "r0"}},
+		{"both", steps.Step{SameRack: true, PreferredRack: "r0"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ct := newCrashTest(t, 6)
+			step := test.step
+			step.Count, step.Needs, step.LongRunning = 2, steps.Resources{GPUs: 6}, true
+			ct.add("a", step)
+			ct.scheduler.Jobs["a"].Spec.Steps[0].Estimate = time.Hour
+			ct.c.Assert(ct.pass(), qt.HasLen, 2)
+			ct.c.Assert(ct.scheduler.runsPerRack("a"), qt.HasLen, 1)
+			ct.lose(ct.task("a").Agent)
+			ct.c.Check(ct.startsWithin("a", time.Second), qt.IsFalse)
+			ct.c.Check(ct.startsWithin("a", 2*time.Second), qt.IsTrue)
+		})
+	}
+}
