stepplan: a long-running task leaves the headroom free for 2 s at most

Cause: a unit that is not urgent leaves 15 % of the accelerators free until 40 % of its estimate before its latest start. A long-running task with an estimate of an hour waits for over an hour beside room for two of it; the platform's rule LOST asks for its start however full the service is. Change: the headroom and the share of the job hold no longer for a long-running unit that is overdue (isOverdue).

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -223,8 +223,8 @@
 	headroomSlackPercent = 40
 )
 
-// maxLongRunningWait is how long a long-running task waits for the share of its job or for
-// the rack of its step while there is room. The runs that it waits for do not end, and the
+// maxLongRunningWait is how long a long-running task waits for the share of its job, the
+// headroom or the rack of its step while there is room. The runs that it waits for do not end, and the
 // platform allows it 3 s.
 const maxLongRunningWait = 2 * time.Second
 
@@ -235,25 +235,28 @@
 
 // exceedsJobShare reports whether the job would exceed maxJobSharePercent with
 // the unit. The limit keeps one job of many long tasks from delaying all others.
-// It does not apply to a job that occupies no accelerators yet, nor to a long-running task
-// that has waited for maxLongRunningWait while there is room for two of it.
+// It does not apply to a job that occupies no accelerators yet, nor to an overdue unit.
 func (p *pass) exceedsJobShare(u unit) bool {
-	if u.guaranteed || u.step.Spec.Gang {
+	if u.guaranteed || u.step.Spec.Gang || p.isOverdue(u) {
 		return false
 	}
 	needed := u.step.Spec.Needs.GPUs
-	if u.step.Spec.LongRunning && p.now.Sub(u.waitingSince) >= maxLongRunningWait && p.idleGPUs >= 2*needed {
-		return false
-	}
 	held := u.job.heldGPUs
 	return held > 0 && held+needed > p.totalGPUs*maxJobSharePercent/100
 }
 
+// isOverdue reports whether the unit is long-running and has waited for maxLongRunningWait
+// while there are accelerators for two of it.
+func (p *pass) isOverdue(u unit) bool {
+	return u.step.Spec.LongRunning && p.now.Sub(u.waitingSince) >= maxLongRunningWait && p.idleGPUs >= 2*len(u.tasks)*u.step.Spec.Needs.GPUs
+}
+
 // mustLeaveHeadroom reports whether, with the unit running, fewer accelerators than
-// the headroom for urgent units would be free although the unit has time to wait.
+// the headroom for urgent units would be free although the unit has time to wait and is not
+// overdue.
 // A unit that needs no accelerators also has to wait while fewer are free.
 func (p *pass) mustLeaveHeadroom(u unit) bool {
-	if u.job.Queue.Priority == 0 || u.objectiveMissed {
+	if u.job.Queue.Priority == 0 || u.objectiveMissed || p.isOverdue(u) {
 		return false
 	}
 	if u.latestStart.Sub(p.now) < u.step.Spec.Estimate*headroomSlackPercent/100 {
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -278,3 +278,19 @@
 		})
 	}
 }
+
+// TestLongRunningTaskUsesHeadroom guards against a long-running task that waits for its latest start beside room for it.
+func TestLongRunningTaskUsesHeadroom(t *testing.T) {
+	ct := newCrashTest(t, 4)
+	for i := range 4 {
+		ct.scheduler.AddJob(newJob(fmt.Sprintf("serving%d", i), "urgent", ct.now, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 7}, LongRunning: true}), ct.now)
+	}
+	ct.c.Assert(ct.pass(), qt.HasLen, 4)
+	for _, job := range []string{"lasting", "batch"} {
+		ct.add(job, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}, LongRunning: job == "lasting"})
+		ct.scheduler.Jobs[job].Spec.Steps[0].Estimate = time.Hour
+	}
+	ct.c.Check(ct.startsWithin("lasting", time.Second), qt.IsFalse)
+	ct.c.Check(ct.startsWithin("lasting", 2*time.Second), qt.IsTrue)
+	ct.c.Check(ct.task("batch").Active, qt.IsFalse)
+}
