stepplan, quarantine: a quarantine does not keep work from running that may not wait

Cause: no task started on a quarantined VM before QuarantinedUntil, which is 4 s after the third failure and up to 30 s after a further one. Where it is the only VM with room, or all are in quarantine, a task waits longer than the 3 s of the rule LOST. Change: a unit that has waited for 1.2 s and fits nowhere else may start on a quarantined VM, from 2 s after the newest failure there (VM.FailedAt), if there are accelerators for two of it and it is long-running or less than half of all accelerators are in use. On busier sites quarantines are as before, and other units do not count on these accelerators.

--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -41,6 +41,8 @@
 	// quarantine. The quarantine does not end at this time, but with the next success
 	// on the VM.
 	QuarantinedUntil time.Time
+	// FailedAt is when the newest failure on the VM was recorded.
+	FailedAt time.Time
 	// ProbeJob is the job that probes the VM; empty if none does.
 	ProbeJob string
 	// FailedProbes counts the failed probes since the VM was quarantined. Any
@@ -100,6 +102,7 @@
 		s.FailedVMsByJob[job] = append(s.FailedVMsByJob[job], vm)
 	}
 	vmState := s.VMs[vm]
+	vmState.FailedAt = now
 	if !slices.Contains(vmState.FailedJobs, job) {
 		vmState.FailedJobs = append(vmState.FailedJobs, job)
 	}
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -18,7 +18,8 @@
 type pass struct {
 	scheduler *Scheduler
 	now       time.Time
-	// usable holds the VMs on which tasks may start, sorted by agent name.
+	// usable holds the VMs on which tasks may start, some of them only if a unit fits on no
+	// other, sorted by agent name.
 	usable []*VM
 	// orgsWithinGuarantee holds the organisations whose jobs of priority 0 need no
 	// more accelerators than their guarantee.
@@ -33,6 +34,10 @@
 	membersToStop map[*Step]int
 	// heldBack says that a VM is kept from other work until it is empty.
 	heldBack bool
+	// quarantined holds the agents of the usable VMs in quarantine. Their accelerators count
+	// in quarantinedGPUs and quarantinedIdleGPUs in place of totalGPUs and idleGPUs.
+	quarantined                          map[string]bool
+	quarantinedGPUs, quarantinedIdleGPUs int
 	// isolatedSince maps the agents of the isolated VMs to when their isolation began.
 	isolatedSince map[string]time.Time
 }
@@ -42,12 +47,13 @@
 func (sc *Scheduler) Plan(now time.Time) {
 	p := pass{
 		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), rackFreeGPUs: map[string]int{},
-		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{}, isolatedSince: sc.isolatedVMs(),
+		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{}, isolatedSince: sc.isolatedVMs(), quarantined: map[string]bool{},
 	}
 	for _, vm := range sc.VMs {
 		if vm.Attached && vm.Reported && vm.Worker != "" && !slices.Contains(vm.FormerWorkers, vm.Worker) && !vm.Draining && !vm.Leaving && !sc.Evacuated[vm.Zone] && vm.UnknownRuns == 0 &&
 			now.Sub(vm.ReportedAt) < maxReportAge && now.Before(vm.LeaseUntil) &&
-			!now.Before(vm.UnhealthyUntil) && !sc.Quarantine.QuarantinedUntil(vm.Agent).After(now) {
+			!now.Before(vm.UnhealthyUntil) {
+			p.quarantined[vm.Agent] = sc.Quarantine.QuarantinedUntil(vm.Agent).After(now)
 			p.add(vm)
 		}
 	}
@@ -66,8 +72,12 @@
 func (p *pass) add(vm *VM) {
 	vm.free = vm.Capacity.Minus(vm.used)
 	p.usable = append(p.usable, vm)
-	p.totalGPUs += vm.Capacity.GPUs
-	p.idleGPUs += max(0, vm.free.GPUs)
+	if p.quarantined[vm.Agent] {
+		p.quarantinedGPUs += vm.Capacity.GPUs
+	} else {
+		p.totalGPUs += vm.Capacity.GPUs
+	}
+	p.addIdle(vm, max(0, vm.free.GPUs))
 	p.rackFreeGPUs[vm.Rack] += vm.free.GPUs
 }
 
@@ -75,10 +85,19 @@
 func (p *pass) claim(vm *VM, needs steps.Resources) {
 	before := max(0, vm.free.GPUs)
 	vm.free = vm.free.Minus(needs)
-	p.idleGPUs += max(0, vm.free.GPUs) - before
+	p.addIdle(vm, max(0, vm.free.GPUs)-before)
 	p.rackFreeGPUs[vm.Rack] -= needs.GPUs
 }
 
+// addIdle counts n more accelerators of the VM as free.
+func (p *pass) addIdle(vm *VM, n int) {
+	if p.quarantined[vm.Agent] {
+		p.quarantinedIdleGPUs += n
+	} else {
+		p.idleGPUs += n
+	}
+}
+
 // orgsWithinGuarantee finds the organisations whose unfinished jobs of priority
 // 0 together need no more accelerators than the organisation is guaranteed. The
 // need of a job is that of its largest step.
@@ -248,7 +267,23 @@
 // isOverdue reports whether the unit is long-running and has waited for maxLongRunningWait
 // while there are accelerators for two of it.
 func (p *pass) isOverdue(u unit) bool {
-	return u.step.Spec.LongRunning && p.now.Sub(u.waitingSince) >= maxLongRunningWait && p.idleGPUs >= 2*len(u.tasks)*u.step.Spec.Needs.GPUs
+	return u.step.Spec.LongRunning && p.now.Sub(u.waitingSince) >= maxLongRunningWait && p.hasIdleForTwo(u)
+}
+
+// hasIdleForTwo reports whether there are free accelerators for two of the unit, with those
+// in quarantine.
+func (p *pass) hasIdleForTwo(u unit) bool {
+	return p.idleGPUs+p.quarantinedIdleGPUs >= 2*len(u.tasks)*u.step.Spec.Needs.GPUs
+}
+
+// mayUseQuarantined reports whether the unit may start on VMs in quarantine if it fits nowhere
+// else. It is then one that the platform does not allow to wait: there are accelerators for
+// two of it, and it is long-running or less than half of the accelerators are in use.
+func (p *pass) mayUseQuarantined(u unit) bool {
+	if p.now.Sub(u.waitingSince) < avoidanceWait || !p.hasIdleForTwo(u) {
+		return false
+	}
+	return u.step.Spec.LongRunning || 2*(p.idleGPUs+p.quarantinedIdleGPUs) > p.totalGPUs+p.quarantinedGPUs
 }
 
 // mustLeaveHeadroom reports whether, with the unit running, fewer accelerators than
@@ -262,7 +297,11 @@
 	if u.latestStart.Sub(p.now) < u.step.Spec.Estimate*headroomSlackPercent/100 {
 		return false
 	}
-	return p.idleGPUs-len(u.tasks)*u.step.Spec.Needs.GPUs < p.totalGPUs*headroomPercent/100
+	idle, total := p.idleGPUs, p.totalGPUs
+	if p.mayUseQuarantined(u) {
+		idle, total = idle+p.quarantinedIdleGPUs, total+p.quarantinedGPUs
+	}
+	return idle-len(u.tasks)*u.step.Spec.Needs.GPUs < total*headroomPercent/100
 }
 
 // candidateSets lists the sets of VMs on which the unit may start at once.
@@ -373,6 +412,9 @@
 // that allowedVMs leaves out. A task may wait 3 s for its start while there is capacity.
 const avoidanceWait = 1200 * time.Millisecond
 
+// minQuarantine is how long no unit starts on a quarantined VM after a failure there.
+const minQuarantine = 2 * time.Second
+
 // allowedInOrder lists the sets of usable VMs that the unit may run on, in the order in
 // which they are tried.
 func (p *pass) allowedInOrder(u unit) [][]*VM {
@@ -380,18 +422,33 @@
 	if p.now.Sub(u.waitingSince) < avoidanceWait {
 		return [][]*VM{preferred}
 	}
+	sets := [][]*VM{preferred}
 	all := p.allowingVMs(u)
-	if len(all) == len(preferred) {
-		return [][]*VM{preferred}
+	if len(all) > len(preferred) {
+		sets = append(sets, all)
+	}
+	if p.mayUseQuarantined(u) {
+		sets = append(sets, p.quarantinedVMs(u))
 	}
-	return [][]*VM{preferred, all}
+	return sets
+}
+
+// quarantinedVMs lists the VMs in quarantine that the unit may start on if it fits nowhere
+// else: those on which nothing has failed for minQuarantine.
+func (p *pass) quarantinedVMs(u unit) []*VM {
+	var allowed []*VM
+	for _, vm := range p.usable {
+		if p.quarantined[vm.Agent] && p.allows(u, vm) && p.now.Sub(p.scheduler.Quarantine.VMs[vm.Agent].FailedAt) >= minQuarantine {
+			allowed = append(allowed, vm)
+		}
+	}
+	return allowed
 }
 
 // allowedVMs lists the usable VMs that the unit may run on at once. It leaves out isolated
-// VMs and, if the unit is a single task, the VMs in Task.FailedOn. For the last attempt of a unit, it
-// also leaves out all VMs on which a job failed since the VM's last success. It
-// leaves out only isolated VMs if the unit would not fit on the other VMs even when
-// these are empty.
+// and quarantined VMs and, unless the unit would not fit on the others even when these are
+// empty, for a single task the VMs in Task.FailedOn and for the last attempt of a unit all
+// VMs on which a job failed since the VM's last success.
 func (p *pass) allowedVMs(u unit) []*VM {
 	failures := 0
 	for _, t := range u.tasks {
@@ -401,7 +458,7 @@
 	var allowed, preferred []*VM
 	capacity := 0
 	for _, vm := range p.usable {
-		if _, isolated := p.isolatedSince[vm.Agent]; isolated || !p.allows(u, vm) {
+		if _, isolated := p.isolatedSince[vm.Agent]; isolated || p.quarantined[vm.Agent] || !p.allows(u, vm) {
 			continue
 		}
 		allowed = append(allowed, vm)
@@ -419,12 +476,13 @@
 }
 
 // allowingVMs lists the usable VMs that have the service and the label that the unit's
-// tasks require, except those that have been isolated for less than maxIsolation.
+// tasks require, except those that are quarantined or have been isolated for less than
+// maxIsolation.
 func (p *pass) allowingVMs(u unit) []*VM {
 	var allowed []*VM
 	for _, vm := range p.usable {
 		since, isolated := p.isolatedSince[vm.Agent]
-		if p.allows(u, vm) && !(isolated && p.now.Sub(since) < maxIsolation) {
+		if p.allows(u, vm) && !p.quarantined[vm.Agent] && !(isolated && p.now.Sub(since) < maxIsolation) {
 			allowed = append(allowed, vm)
 		}
 	}
--- a/stepplan/place_test.go
+++ b/stepplan/place_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/quarantine"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
 	"celerypoint.example/celerypoint/worker"
@@ -294,3 +295,39 @@
 	ct.c.Check(ct.startsWithin("lasting", 2*time.Second), qt.IsTrue)
 	ct.c.Check(ct.task("batch").Active, qt.IsFalse)
 }
+
+// TestQuarantineYieldsToRoom guards against tasks that wait for the end of a quarantine beside room for them.
+func TestQuarantineYieldsToRoom(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		vms         int
+		longRunning bool
+		busyGPUs    int
+		atOnce      bool
+		onFaulty    bool
+	}{
+		{"onlyVM", 1, false, 0, false, true},
+		{"otherVMHasRoom", 2, false, 0, true, false},
+		{"halfInUse", 2, false, 8, false, false},
+		{"longRunningHalfInUse", 2, true, 8, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ct := newCrashTest(t, test.vms)
+			if test.busyGPUs > 0 {
+				ct.add("busy", steps.Step{Count: 1, Needs: steps.Resources{GPUs: test.busyGPUs}, LongRunning: true})
+				ct.c.Assert(ct.startsWithin("busy", 3*time.Second), qt.IsTrue)
+			}
+			faulty := "vm0"
+			if test.busyGPUs > 0 && ct.task("busy").Agent == faulty {
+				faulty = "vm1"
+			}
+			for i := range quarantine.VMFailureLimit {
+				ct.scheduler.Quarantine.RecordFailure(faulty, fmt.Sprint(i), ct.now)
+			}
+			ct.add("a", steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}, LongRunning: test.longRunning})
+			ct.c.Check(ct.startsWithin("a", time.Second), qt.Equals, test.atOnce)
+			ct.c.Check(ct.startsWithin("a", 2*time.Second), qt.Equals, test.atOnce || test.onFaulty)
+			ct.c.Check(ct.task("a").Active && ct.task("a").Agent == faulty, qt.Equals, test.onFaulty)
+		})
+	}
+}
