stepplan, codec: keep the policy of the queue with each job

Change: a job stores with its acceptance the service, priority, attempts and latency objective of its queue (steps.Job.QueuePolicy, queuePolicy in StepsAccepted). A queue of the configuration goes first. A job without either, accepted by an earlier version, waits: none of its tasks starts, no failure ends it, and the planner logs queueUnknown. Failures that were counted meanwhile, here or by an earlier planner, are compared with MaxAttempts in the first pass in which the queue is known. With that, a job whose MaxAttempts was lowered to the failures that it already has is failed by the next planner, no longer by its next failure. A program of before refuses the new records (unknown field).

--- a/codec/odd_test.go
+++ b/codec/odd_test.go
@@ -112,3 +112,19 @@
 		c.Check(err, qt.ErrorMatches, `record ".*": `+test.want)
 	}
 }
+
+// TestOddQueuePolicy guards against a stored queue policy that makes a planner give up
+// jobs at once or computes with times that overflow.
+func TestOddQueuePolicy(t *testing.T) {
+	for policy, want := range map[string]string{
+		`{"service":"s","priority":-1,"maxAttempts":1,"latencyFactor":1,"latencyAllowanceMs":0}`:                 `priority: found -1, allowed: at least 0`,
+		`{"service":"s","priority":0,"maxAttempts":0,"latencyFactor":1,"latencyAllowanceMs":0}`:                  `maxAttempts: found 0, allowed: at least 1`,
+		`{"service":"s","priority":0,"maxAttempts":1,"latencyFactor":1e300,"latencyAllowanceMs":0}`:              `latencyFactor: found 1e\+300, allowed: 0 to 1000000`,
+		`{"service":"s","priority":0,"maxAttempts":1,"latencyFactor":1,"latencyAllowanceMs":-1}`:                 `latencyAllowanceMs: found -1, allowed: 0 to 31536000000`,
+		`{"service":"s","priority":0,"maxAttempts":1,"latencyFactor":1,"latencyAllowanceMs":999999999999999999}`: `latencyAllowanceMs: found 999999999999999999, allowed: 0 to 31536000000`,
+	} {
+		value := `{"queue":"q","org":"o","payload":"p","steps":[{"count":1}],"acceptedAtMs":1,"queuePolicy":` + policy + `}`
+		_, err := DecodeStepRecord(recordlog.Record{Key: "accepted/5c0e7a21d94b36f8", Value: []byte(value)})
+		qt.Check(t, err, qt.ErrorMatches, `record "accepted/5c0e7a21d94b36f8": queuePolicy.`+want)
+	}
+}
--- a/codec/steps.go
+++ b/codec/steps.go
@@ -65,7 +65,10 @@
 			return nil, err
 		}
 		j := decodeAccepted(id, w)
-		return stepfold.Accepted{Job: j}, j.Check()
+		if err := j.Check(); err != nil {
+			return nil, err
+		}
+		return stepfold.Accepted{Job: j}, checkQueuePolicy(w.QueuePolicy)
 	case stepfold.Progressed:
 		var w wire.StepsProgress
 		if err := wire.Decode(value, &w); err != nil {
@@ -108,6 +111,11 @@
 	if !j.StartAt.IsZero() {
 		w.StartAtMs = int(j.StartAt.UnixMilli())
 	}
+	if q := j.QueuePolicy; q != nil {
+		w.QueuePolicy = &wire.QueuePolicy{
+			Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, LatencyFactor: q.LatencyFactor, LatencyAllowanceMs: int(q.LatencyAllowance.Milliseconds()),
+		}
+	}
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, wire.StepSpec{
 			Count: s.Count, Cpu: s.Needs.CPU, MemMB: s.Needs.MemMB, Gpus: s.Needs.GPUs, EstimateMs: int(s.Estimate.Milliseconds()),
@@ -127,6 +135,11 @@
 	if w.StartAtMs != 0 {
 		j.StartAt = time.UnixMilli(int64(w.StartAtMs))
 	}
+	if q := w.QueuePolicy; q != nil {
+		j.QueuePolicy = &steps.QueuePolicy{
+			Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, LatencyFactor: q.LatencyFactor, LatencyAllowance: time.Duration(q.LatencyAllowanceMs) * time.Millisecond,
+		}
+	}
 	for _, s := range w.Steps {
 		j.Steps = append(j.Steps, steps.Step{
 			Count: s.Count, Needs: steps.Resources{CPU: s.Cpu, MemMB: s.MemMB, GPUs: s.Gpus},
@@ -137,3 +150,25 @@
 	}
 	return j
 }
+
+// Bounds of a stored queue policy, so that the times computed from it do not overflow.
+const (
+	maxLatencyFactor    = 1_000_000
+	maxLatencyAllowance = 365 * 24 * time.Hour
+)
+
+func checkQueuePolicy(q *wire.QueuePolicy) error {
+	switch {
+	case q == nil:
+		return nil
+	case q.Priority < 0:
+		return fmt.Errorf("queuePolicy.priority: found %d, allowed: at least 0", q.Priority)
+	case q.MaxAttempts < 1:
+		return fmt.Errorf("queuePolicy.maxAttempts: found %d, allowed: at least 1", q.MaxAttempts)
+	case q.LatencyFactor < 0 || q.LatencyFactor > maxLatencyFactor:
+		return fmt.Errorf("queuePolicy.latencyFactor: found %g, allowed: 0 to %d", q.LatencyFactor, maxLatencyFactor)
+	case q.LatencyAllowanceMs < 0 || int64(q.LatencyAllowanceMs) > maxLatencyAllowance.Milliseconds():
+		return fmt.Errorf("queuePolicy.latencyAllowanceMs: found %d, allowed: 0 to %d", q.LatencyAllowanceMs, maxLatencyAllowance.Milliseconds())
+	}
+	return nil
+}
--- a/codec/steps_test.go
+++ b/codec/steps_test.go
@@ -21,7 +21,7 @@
 	at := time.UnixMilli(1_785_000_000_123)
 	for _, record := range []stepfold.Record{
 		stepfold.Accepted{Job: steps.Job{
-			ID: "5c0e7a21d94b36f8", Queue: "q", Org: "o", Payload: "p", StartAt: at, Interval: 3 * time.Second, OccurrenceCount: 4, AcceptedAt: at,
+			ID: "5c0e7a21d94b36f8", Queue: "q", QueuePolicy: &steps.QueuePolicy{Service: "s", Priority: 2, MaxAttempts: 3, LatencyFactor: 1.5, LatencyAllowance: time.Second}, Org: "o", Payload: "p", StartAt: at, Interval: 3 * time.Second, OccurrenceCount: 4, AcceptedAt: at,
 			Steps: []steps.Step{
 				{Count: 2, Needs: steps.Resources{CPU: 500, MemMB: 256, GPUs: 2}, Estimate: time.Second, Gang: true, SameRack: true, Checkpointing: true, Label: "a"},
 				{Count: 3, After: []int{0}, PreferredRack: "r1", MaxPerVM: 2, Speculative: true, LongRunning: true, Image: "i", TailLatencyMs: 5, BestEffortCPU: true, MaxUnavailable: 1},
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -16,7 +16,7 @@
 		sc.Queues[q.Name] = q
 	}
 	for _, j := range sc.Jobs {
-		j.Queue = sc.queue(j.Spec.Queue)
+		sc.resolveQueue(j)
 	}
 	sc.Orgs = map[string]access.Org{}
 	for _, o := range config.Orgs {
@@ -28,11 +28,54 @@
 // is less urgent.
 const lowestPriority = 1 << 20
 
-func (sc *Scheduler) queue(name string) access.Queue {
-	if q, found := sc.Queues[name]; found {
-		return q
+// resolveQueue sets the job's queue to that of the configuration or, if there is none,
+// to one with the policy that the job was accepted under.
+func (sc *Scheduler) resolveQueue(j *Job) {
+	name, policy := j.Spec.Queue, j.Spec.QueuePolicy
+	q, found := sc.Queues[name]
+	switch {
+	case found:
+		j.Queue, j.QueueKnown = q, true
+	case policy != nil:
+		j.Queue, j.QueueKnown = access.Queue{
+			Name: name, Service: policy.Service, Priority: policy.Priority, MaxAttempts: policy.MaxAttempts,
+			LatencyFactor: policy.LatencyFactor, LatencyAllowance: policy.LatencyAllowance,
+		}, true
+	default:
+		j.Queue, j.QueueKnown = access.Queue{Name: name, Priority: lowestPriority}, false
+		if !j.Phase.Over() {
+			sc.addEvent(Event{Kind: "queueUnknown", Job: j.Spec.ID, Reason: "queue=" + name})
+		}
+	}
+}
+
+// failJob ends the job as failed if the task has failed as often as the queue allows.
+// While the queue is not known, it leaves that to failUncheckedJobs.
+func (sc *Scheduler) failJob(j *Job, s *Step, t *Task, now time.Time) {
+	switch {
+	case !j.QueueKnown:
+		j.failuresUnchecked = true
+	case t.Failures >= j.Queue.MaxAttempts && !s.Spec.LongRunning && !j.Phase.Over():
+		sc.endJob(j, stepfold.PhaseFailed, now)
+	}
+}
+
+func (sc *Scheduler) failUncheckedJobs(now time.Time) {
+	for _, j := range sc.Jobs {
+		if !j.failuresUnchecked || !j.QueueKnown {
+			continue
+		}
+		j.failuresUnchecked = false
+		for _, occurrence := range j.Occurrences {
+			for _, s := range occurrence {
+				for _, t := range s.Tasks {
+					if !t.Done {
+						sc.failJob(j, s, t, now)
+					}
+				}
+			}
+		}
 	}
-	return access.Queue{Name: name, Priority: lowestPriority, MaxAttempts: 1}
 }
 
 // RestoreJob adds a job with its stored progress. The job's occurrences and active
@@ -45,9 +88,10 @@
 		return
 	}
 	j := &Job{
-		Spec: *e.Job, Queue: sc.queue(e.Job.Queue), Phase: e.Phase(), Begun: e.Progress.Begun,
+		Spec: *e.Job, Phase: e.Phase(), Begun: e.Progress.Begun,
 		Occurrences: map[int][]*Step{}, AddedAt: now, OccurrenceStarts: map[int]time.Time{},
 	}
+	sc.resolveQueue(j)
 	if !e.Progress.EndedAt.IsZero() {
 		// Wall clocks differ between VMs, so that the stored time may be in the future.
 		j.EndedAt = now.Add(-max(0, wall.Sub(e.Progress.EndedAt)))
@@ -89,6 +133,10 @@
 	if t.Crashes.Count() > 1 {
 		sc.severalCrashes[t.ID] = t
 	}
+	if t.Failures > 0 {
+		// The failure may have been counted while the queue was not known.
+		j.failuresUnchecked = true
+	}
 	switch {
 	case t.Done:
 		s[id.Step].DoneCount++
@@ -109,7 +157,8 @@
 	if sc.Jobs[spec.ID] != nil {
 		return
 	}
-	j := &Job{Spec: spec, Queue: sc.queue(spec.Queue), Phase: stepfold.PhaseQueued, Occurrences: map[int][]*Step{}, AddedAt: now, OccurrenceStarts: map[int]time.Time{}}
+	j := &Job{Spec: spec, Phase: stepfold.PhaseQueued, Occurrences: map[int][]*Step{}, AddedAt: now, OccurrenceStarts: map[int]time.Time{}}
+	sc.resolveQueue(j)
 	sc.Jobs[spec.ID] = j
 	if !j.scheduled() {
 		sc.startOccurrence(j, 0, now)
--- a/stepplan/order.go
+++ b/stepplan/order.go
@@ -37,7 +37,7 @@
 func (p *pass) waitingUnits() []unit {
 	var all []unit
 	for _, j := range p.scheduler.Jobs {
-		if j.Phase.Over() || j.SetAside {
+		if j.Phase.Over() || j.SetAside || !j.QueueKnown {
 			continue
 		}
 		var units []unit
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -45,6 +45,7 @@
 // Plan starts the waiting gangs and single tasks that fit. It stops other runs
 // where that makes room for a gang or task of a queue with priority 0.
 func (sc *Scheduler) Plan(now time.Time) {
+	sc.failUncheckedJobs(now)
 	p := pass{
 		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), rackFreeGPUs: map[string]int{},
 		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{}, isolatedSince: sc.isolatedVMs(), quarantined: map[string]bool{},
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"celerypoint.example/celerypoint/lease"
-	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
 	"celerypoint.example/celerypoint/worker"
 )
@@ -481,9 +480,7 @@
 			member.Failures = max(member.Failures, t.Failures)
 		}
 	}
-	if t.Failures >= j.Queue.MaxAttempts && !s.Spec.LongRunning && !j.Phase.Over() {
-		sc.endJob(j, stepfold.PhaseFailed, now)
-	}
+	sc.failJob(j, s, t, now)
 }
 
 // ExpireLeases marks the active runs as lost on every VM whose VM.LeaseUntil has
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -120,6 +120,10 @@
 type Job struct {
 	Spec  steps.Job
 	Queue access.Queue
+	// QueueKnown says that Queue is from the configuration or has the policy that the
+	// job was accepted under. While it is false, no task of the job starts, and no failure
+	// ends the job.
+	QueueKnown bool
 	// Phase is one of the final phases once no further task may start.
 	Phase stepfold.Phase
 	// Begun says that some task was ordered to start. It is never reset.
@@ -133,6 +137,9 @@
 	OccurrenceStarts map[int]time.Time
 	// NextOccurrence is the number of the first occurrence that has not begun.
 	NextOccurrence int
+	// failuresUnchecked says that some Task.Failures may have reached Queue.MaxAttempts
+	// without having ended the job.
+	failuresUnchecked bool
 	// heldGPUs counts the accelerators that the job's active runs occupy.
 	heldGPUs int
 	// EndedAt is when the job ended, zero before that.
@@ -353,7 +360,8 @@
 	Cancelled map[string]time.Time
 	VMs       map[string]*VM
 	// Queues and Orgs are from the newest configuration. A queue that the
-	// configuration no longer has is kept for the jobs in it.
+	// configuration no longer has is kept for the jobs in it. A Scheduler that never saw
+	// the queue uses steps.Job.QueuePolicy.
 	Queues     map[string]access.Queue
 	Orgs       map[string]access.Org
 	Quarantine *quarantine.State
--- a/steps/steps.go
+++ b/steps/steps.go
@@ -83,6 +83,16 @@
 	MaxUnavailable int
 }
 
+// QueuePolicy is the part of an access.Queue that planners use. See there for the
+// meaning of the fields.
+type QueuePolicy struct {
+	Service string
+	// Priority is not negative, and MaxAttempts is at least 1.
+	Priority, MaxAttempts int
+	LatencyFactor         float64
+	LatencyAllowance      time.Duration
+}
+
 // Job is a job as it was accepted from a caller. An occurrence is one execution of
 // all its steps.
 type Job struct {
@@ -90,6 +100,10 @@
 	ID string
 	// Queue is the Name of an access.Queue.
 	Queue string
+	// QueuePolicy is that of the queue when the job was accepted. It applies while the
+	// configuration has no such queue. It is nil for jobs that an earlier version of the
+	// program accepted.
+	QueuePolicy *QueuePolicy
 	// Org is the name of the organisation that the caller's key belongs to; empty
 	// on a public queue, which needs no key.
 	Org string
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -983,6 +983,24 @@
 	Term int `json:"term"`
 }
 
+// What planners use of the queue that a job was accepted in.
+type QueuePolicy struct {
+	// LatencyAllowanceMs corresponds to the JSON schema field "latencyAllowanceMs".
+	LatencyAllowanceMs int `json:"latencyAllowanceMs"`
+
+	// LatencyFactor corresponds to the JSON schema field "latencyFactor".
+	LatencyFactor float64 `json:"latencyFactor"`
+
+	// MaxAttempts corresponds to the JSON schema field "maxAttempts".
+	MaxAttempts int `json:"maxAttempts"`
+
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // Records of a stream.
 type ReadResponse struct {
 	// Next corresponds to the JSON schema field "next".
@@ -1465,6 +1483,9 @@
 	// Queue corresponds to the JSON schema field "queue".
 	Queue string `json:"queue"`
 
+	// QueuePolicy corresponds to the JSON schema field "queuePolicy".
+	QueuePolicy *QueuePolicy `json:"queuePolicy,omitempty,omitzero"`
+
 	// StartAtMs corresponds to the JSON schema field "startAtMs".
 	StartAtMs int `json:"startAtMs,omitempty,omitzero"`
 
