stepplan, stepentry: place nothing before a configuration is read

Cause: a planner that had read no configuration yet applied an empty one, and treated all queues as removed.

Change: it applies none. Until the first Scheduler.Configure no queue counts as known, also not by the stored policy, which the configuration may change: no task starts, no run is preempted, no failure ends a job. Ends, stops and leases go on.

--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/eventlog"
@@ -255,8 +254,6 @@
 	scheduler := stepplan.New(timing)
 	if d.config.known {
 		scheduler.Configure(d.config.current)
-	} else {
-		scheduler.Configure(access.Config{})
 	}
 	scheduler.Evacuated, scheduler.PreemptFrom = d.config.evacuatedZones(), now.Add(preemptDelay)
 	earlierLeasesEnd, wall := lease.EarlierTermsExpireBy(now, timing.LeaseDuration), time.Now()
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -10,8 +10,10 @@
 	"celerypoint.example/celerypoint/steps"
 )
 
-// Configure applies a version of the configuration.
+// Configure applies a version of the configuration. Before the first one, no task
+// starts.
 func (sc *Scheduler) Configure(config access.Config) {
+	sc.configured = true
 	for _, q := range config.Queues {
 		sc.Queues[q.Name] = q
 	}
@@ -28,22 +30,22 @@
 // is less urgent.
 const lowestPriority = 1 << 20
 
-// resolveQueue sets the job's queue to that of the configuration or, if there is none,
-// to one with the policy that the job was accepted under.
+// resolveQueue sets the job's queue to that of the configuration or, if it has none of
+// the name, to one with the policy that the job was accepted under.
 func (sc *Scheduler) resolveQueue(j *Job) {
 	name, policy := j.Spec.Queue, j.Spec.QueuePolicy
 	q, found := sc.Queues[name]
 	switch {
 	case found:
 		j.Queue, j.QueueKnown = q, true
-	case policy != nil:
+	case policy != nil && sc.configured:
 		j.Queue, j.QueueKnown = access.Queue{
 			Name: name, Service: policy.Service, Priority: policy.Priority, MaxAttempts: policy.MaxAttempts,
 			LatencyFactor: policy.LatencyFactor, LatencyAllowance: policy.LatencyAllowance,
 		}, true
 	default:
 		j.Queue, j.QueueKnown = access.Queue{Name: name, Priority: lowestPriority}, false
-		if !j.Phase.Over() {
+		if sc.configured && !j.Phase.Over() {
 			sc.addEvent(Event{Kind: "queueUnknown", Job: j.Spec.ID, Reason: "queue=" + name})
 		}
 	}
--- a/stepplan/jobs_test.go
+++ b/stepplan/jobs_test.go
@@ -128,3 +128,29 @@
 		c.Assert(sc.Jobs["j"].Phase, qt.Equals, test.phase)
 	}
 }
+
+// TestUnconfiguredSchedulerStartsNothing guards against tasks placed, and jobs given up, by
+// the stored policy of a queue before any configuration is known, which may change it.
+func TestUnconfiguredSchedulerStartsNothing(t *testing.T) {
+	c := qt.New(t)
+	sc := newServiceCluster()
+	job := newJob("j", "q", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}})
+	job.QueuePolicy = &steps.QueuePolicy{Service: "a", Priority: 1, MaxAttempts: 1}
+	ended := job
+	ended.ID = "ended"
+	running := stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, Tasks: map[steps.TaskID]stepfold.TaskProgress{{}: {Run: 1, Agent: "va", Worker: "va"}}}
+	sc.RestoreJob(stepfold.JobState{Job: &job, Progress: running}, bootTime, wallTime, bootTime)
+	sc.RestoreJob(stepfold.JobState{Job: &ended, Progress: running}, bootTime, wallTime, bootTime)
+	added := job
+	added.ID = "added"
+	sc.AddJob(added, bootTime)
+	sc.Cancel("ended", bootTime)
+	c.Assert(sc.TakeStops(), qt.HasLen, 1)
+	sc.failRun("j", 1, bootTime)
+	c.Assert(sc.plannedVMs(bootTime), qt.HasLen, 0)
+	c.Assert(sc.Jobs["j"].Phase, qt.Equals, stepfold.PhaseRunning)
+	c.Assert(sc.Jobs["ended"].Phase, qt.Equals, stepfold.PhaseCancelled)
+	c.Assert(sc.Jobs["added"].QueueKnown, qt.IsFalse)
+	sc.Configure(access.Config{Queues: []access.Queue{{Name: "q", Service: "b", Priority: 1, MaxAttempts: 2}}})
+	c.Assert(sc.plannedVMs(bootTime.Add(time.Second)), qt.DeepEquals, []string{"vb", "vb"})
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -371,6 +371,9 @@
 	// Evacuated holds the zones on whose VMs no task starts.
 	Evacuated map[string]bool
 
+	// configured says that Configure has been called. Until then no queue is known, and
+	// jobs have Job.QueueKnown unset.
+	configured bool
 	// severalCrashes holds the tasks with more than one crash. It can also hold tasks that
 	// no longer have, until the next pass.
 	severalCrashes map[steps.TaskID]*Task
