stepplan: ignore stored occurrences beyond the job's count

Cause: restoreTask began all occurrences up to the number in a stored record, whatever Job.OccurrenceCount says.

Change: such tasks are left out.

Result: TestOccurrenceBeyondCount failed before: 3, 4 and 100000 occurrences for 2, tasks of invented ones started, and with a stored end of one the job was "completed" without its own second occurrence.

--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -122,6 +122,9 @@
 	if id.Step >= len(j.Spec.Steps) || id.Index >= j.Spec.Steps[id.Step].Count {
 		return
 	}
+	if j.scheduled() && id.Occurrence >= j.Spec.OccurrenceCount {
+		return
+	}
 	for j.scheduled() && j.NextOccurrence <= id.Occurrence {
 		sc.startOccurrence(j, j.NextOccurrence, now)
 	}
--- a/stepplan/jobs_test.go
+++ b/stepplan/jobs_test.go
@@ -154,3 +154,25 @@
 	sc.Configure(access.Config{Queues: []access.Queue{{Name: "q", Service: "b", Priority: 1, MaxAttempts: 2}}})
 	c.Assert(sc.plannedVMs(bootTime.Add(time.Second)), qt.DeepEquals, []string{"vb", "vb"})
 }
+
+// TestOccurrenceBeyondCount guards against occurrences that a stored record invents: their
+// tasks would start, or complete the job in the place of others.
+func TestOccurrenceBeyondCount(t *testing.T) {
+	for _, occurrence := range []int{2, 3, 99_999} {
+		for _, done := range []bool{false, true} {
+			c := qt.New(t)
+			sc := newServiceCluster()
+			sc.Configure(access.Config{Queues: []access.Queue{{Name: "q", Priority: 1, MaxAttempts: 2}}})
+			job := newJob("j", "q", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}})
+			job.OccurrenceCount, job.StartAt, job.Interval = 2, wallTime, time.Second
+			progress := stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, Tasks: map[steps.TaskID]stepfold.TaskProgress{
+				{Occurrence: 0}: {Run: 1, Done: true}, {Occurrence: 1}: {Run: 1}, {Occurrence: occurrence}: {Run: 1, Done: done},
+			}}
+			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, bootTime, wallTime, bootTime)
+			sc.StartDueOccurrences(wallTime.Add(time.Hour), bootTime)
+			c.Check(sc.Jobs["j"].Phase, qt.Equals, stepfold.PhaseRunning)
+			c.Check(len(sc.Jobs["j"].Occurrences), qt.Equals, 2)
+			c.Check(sc.plannedVMs(bootTime), qt.HasLen, 1)
+		}
+	}
+}
