stepagent: the first call of a restarted agent has a token above those of the process before

Between the two, a start order of the agent's process before reached the new incarnation, which had seen no higher token. Change: the first call has the token that the worker's announcement gives: start time plus clock, at most the present.

--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -196,14 +196,15 @@
 	t.raiseTokenAbove(t.workerTime())
 }
 
-// workerTime is the start time of the worker plus the last reading of its clock, in ms. An
-// announced start time may be wrong, so that it counts only up to the present.
+// workerTime is the start time of the worker plus the last reading of its clock, in ms.
+// Before it is identified they are those of its announcement, which may be wrong, so that
+// they count only up to the present.
 func (t *workerTable) workerTime() int64 {
-	startedAt := t.current.StartedAtUnixMs
 	if !t.identified() && t.candidate != nil {
-		startedAt = min(t.candidate.announcement.StartedAtUnixMs, time.Now().UnixMilli())
+		a := t.candidate.announcement
+		return min(a.StartedAtUnixMs+max(a.Clock, t.clock).Milliseconds(), time.Now().UnixMilli())
 	}
-	return startedAt + t.clock.Milliseconds()
+	return t.current.StartedAtUnixMs + t.clock.Milliseconds()
 }
 
 // raiseTokenAbove raises the fencing token, at least to the lower bound. Bounds that are
@@ -226,7 +227,9 @@
 // caller holds the mutex.
 func (t *workerTable) nextCall() (number, token int64) {
 	t.lastCall++
-	t.token = max(t.token, 1)
+	if t.token == 0 {
+		t.raiseToken()
+	}
 	return t.lastCall, t.token
 }
 
--- a/stepagent/token_test.go
+++ b/stepagent/token_test.go
@@ -52,3 +52,12 @@
 	_, token := table.nextCall()
 	c.Check(token >= 6000, qt.IsTrue, qt.Commentf("token %d", token))
 }
+
+// TestFirstTokenIsAboveEarlierOnes guards against an order of the agent's process before that
+// the worker's next incarnation carries out after it has answered a call of the new process.
+func TestFirstTokenIsAboveEarlierOnes(t *testing.T) {
+	table := newWorkerTable(time.Minute)
+	table.applyAnnouncement(worker.Announcement{ID: "i", StartedAtUnixMs: 1000, Service: "s", Clock: 5 * time.Second})
+	_, token := table.nextCall()
+	qt.Check(t, token >= 6000, qt.IsTrue, qt.Commentf("token %d", token))
+}
