stepplan: failures are ignored only where the platform does not allow to wait

Change: VMs with failures are tried for the same units as those in quarantine: with accelerators for two of it, and long-running or less than half of all accelerators in use. Result: go test ./stepplan, and -run TestTasksStartWhereThereIsRoom -rapid.checks=4000, pass.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -277,10 +277,10 @@
 	return p.idleGPUs+p.quarantinedIdleGPUs >= 2*len(u.tasks)*u.step.Spec.Needs.GPUs
 }
 
-// mayUseQuarantined reports whether the unit may start on VMs in quarantine if it fits nowhere
-// else. It is then one that the platform does not allow to wait: there are accelerators for
+// mayIgnoreFailures reports whether the unit may start on VMs where it or others have failed
+// if it fits nowhere else. It is then one that the platform does not allow to wait: there are accelerators for
 // two of it, and it is long-running or less than half of the accelerators are in use.
-func (p *pass) mayUseQuarantined(u unit) bool {
+func (p *pass) mayIgnoreFailures(u unit) bool {
 	if p.now.Sub(u.waitingSince) < avoidanceWait || !p.hasIdleForTwo(u) {
 		return false
 	}
@@ -299,7 +299,7 @@
 		return false
 	}
 	idle, total := p.idleGPUs, p.totalGPUs
-	if p.mayUseQuarantined(u) {
+	if p.mayIgnoreFailures(u) {
 		idle, total = idle+p.quarantinedIdleGPUs, total+p.quarantinedGPUs
 	}
 	return idle-len(u.tasks)*u.step.Spec.Needs.GPUs < total*headroomPercent/100
@@ -410,7 +410,8 @@
 }
 
 // avoidanceWait is how long a unit waits for other VMs before it may start on those
-// that allowedVMs leaves out. A task may wait 3 s for its start while there is capacity.
+// that allowedVMs leaves out, with mayIgnoreFailures on those where something has failed. A
+// task may wait 3 s for its start while there is capacity.
 const avoidanceWait = 1200 * time.Millisecond
 
 // minQuarantine is how long no unit starts on a quarantined VM after a failure there.
@@ -425,10 +426,16 @@
 	}
 	sets := [][]*VM{preferred}
 	all := p.allowingVMs(u)
+	if !p.mayIgnoreFailures(u) {
+		all = slices.DeleteFunc(all, func(vm *VM) bool {
+			_, isolated := p.isolatedSince[vm.Agent]
+			return !isolated && !slices.Contains(preferred, vm)
+		})
+	}
 	if len(all) > len(preferred) {
 		sets = append(sets, all)
 	}
-	if p.mayUseQuarantined(u) {
+	if p.mayIgnoreFailures(u) {
 		sets = append(sets, p.quarantinedVMs(u))
 	}
 	return sets
