eventlog: the test of dropped lines waits for the writer

It fills the queue with one line more than it holds, since the writer takes one. If the writer had not run yet, the last of these lines was dropped and a place became free for the first line that the test counts. Change: the test waits until the writer has taken its line, and then fills the queue exactly.

--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -31,8 +31,13 @@
 	c := qt.New(t)
 	out := &gatedWriter{gate: make(chan struct{})}
 	l := New(out, "p", metrics.NewRegistry())
-	// Lines of other kinds fill the queue, each kind within its own rate.
-	for i := range maxQueuedLines + 1 {
+	// The writer takes one line. Lines of other kinds fill the queue, each kind within its
+	// own rate.
+	l.Add("first", nil)
+	for len(l.queue) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range maxQueuedLines {
 		l.Add(string(rune('A'+i/100)), nil)
 	}
 	for range 3 {
