rpc: no bytes are read after a frame that breaks off the connection

After a frame that is too long, or beyond the bound of queued frames, the stream kept the bytes that it had split already, and read them again with the next ones: the requests before it were handled twice. Whether nbio delivers bytes after CloseWithError was not shown. Change: the stream drops its bytes and ignores what follows.

--- a/rpc/limits_test.go
+++ b/rpc/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"strings"
@@ -41,3 +42,13 @@
 		return errors.As(err, &refused) && strings.Contains(refused.Message, "unknown method") && strings.HasSuffix(refused.Message, "...")
 	})
 }
+
+// TestBytesAfterOversizedFrameAreIgnored guards against requests that are handled twice,
+// because bytes arrive after a frame that has broken off the connection.
+func TestBytesAfterOversizedFrameAreIgnored(t *testing.T) {
+	text := `{"jsonrpc":"2.0","method":"report","params":{}}`
+	data := append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+	data = binary.BigEndian.AppendUint32(data, MaxFrameBytes+1)
+	methods, _ := receive(t, append(data, 0), len(data))
+	qt.Check(t, methods, qt.DeepEquals, []string{"report"})
+}
--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -36,6 +36,9 @@
 	// partial holds the received bytes of an incomplete frame. Only the goroutine
 	// of nbio's poller uses it.
 	partial []byte
+	// broken is set when the bytes cannot be split into frames any more, or too many frames
+	// are queued. All further bytes are ignored. It is used as partial is.
+	broken bool
 	// onClose is called once, when the connection closes.
 	onClose func()
 
@@ -60,12 +63,15 @@
 // poller reuses the slice.
 func (s *stream) feed(data []byte) {
 	s.receivedAt.Store(boottime.Now().UnixNano())
+	if s.broken {
+		return
+	}
 	s.partial = append(s.partial, data...)
 	consumed := 0
 	for len(s.partial)-consumed >= headerBytes {
 		size := int(binary.BigEndian.Uint32(s.partial[consumed:]))
 		if size > MaxFrameBytes {
-			_ = s.conn.CloseWithError(fmt.Errorf("rpc: frame of %d bytes, allowed: at most %d", size, MaxFrameBytes))
+			s.breakOff(fmt.Errorf("rpc: frame of %d bytes, allowed: at most %d", size, MaxFrameBytes))
 			return
 		}
 		if len(s.partial)-consumed < headerBytes+size {
@@ -75,7 +81,7 @@
 		copy(frame, s.partial[consumed+headerBytes:])
 		consumed += headerBytes + size
 		if !s.enqueue(frame) {
-			_ = s.conn.CloseWithError(fmt.Errorf("rpc: more than %d bytes of received frames are queued", maxQueuedBytes))
+			s.breakOff(fmt.Errorf("rpc: more than %d bytes of received frames are queued", maxQueuedBytes))
 			return
 		}
 	}
@@ -85,6 +91,12 @@
 	}
 }
 
+// breakOff closes the connection because of what it has received.
+func (s *stream) breakOff(cause error) {
+	s.broken, s.partial = true, nil
+	_ = s.conn.CloseWithError(cause)
+}
+
 func (s *stream) enqueue(frame []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
