entryd: a test waits for the connection between its entries

Without a connection to the entry that accepted a job, an entry may not deny it, which is what TestJobOfSilentEntry asks for. The test began before the two entries had connected. Change: the test waits for the connection. Its checks are the same.

--- a/entryd/unknown_test.go
+++ b/entryd/unknown_test.go
@@ -43,6 +43,13 @@
 		}
 		return term > 0
 	})
+	s.waitFor("a connection to the entry that has accepted the job", func() bool {
+		peers := &s.entries[1].peers
+		peers.mu.Lock()
+		defer peers.mu.Unlock()
+		p := peers.byID["e1"]
+		return p != nil && p.conn != nil
+	})
 	for _, test := range []struct {
 		id       string
 		caughtUp bool
