faultproxy: links are not closed before nbio polls their connections, and Close is bounded

By reading, a link was closed between nbio's open callback and the registration of its connection. Change: a lock keeps accepting and closing apart; Close waits 5 s at most.

--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -37,6 +37,8 @@
 	workers     = 4
 	queueDepth  = 1 << 14
 	dialTimeout = time.Second
+	// stopTimeout bounds the wait for the end of all connections in Close.
+	stopTimeout = 5 * time.Second
 	// acceptRetryPause is the wait after a failed accept.
 	acceptRetryPause = 20 * time.Millisecond
 )
@@ -122,6 +124,9 @@
 	accepting       sync.WaitGroup
 
 	faultsMu sync.Mutex
+	// acceptMu keeps links from being closed before nbio polls their connections. It is taken
+	// after faultsMu and before mu.
+	acceptMu sync.Mutex
 	// listener is nil while connections are refused, and after Close.
 	listener net.Listener
 
@@ -230,9 +235,11 @@
 				_ = conn.Close()
 				continue
 			}
+			p.acceptMu.Lock()
 			if _, err := p.engine.AddConn(c); err != nil {
 				_ = c.Close()
 			}
+			p.acceptMu.Unlock()
 		}
 	})
 }
@@ -270,7 +277,16 @@
 	_ = p.setListening(false)
 	p.accepting.Wait()
 	p.closeLinks(func(*link) bool { return true })
-	p.engine.Stop()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		p.engine.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+		// nbio waits for ever for a connection that it has lost track of.
+	}
 	p.pool.Close()
 }
 
@@ -321,6 +337,8 @@
 }
 
 func (p *Proxy) closeLinks(which func(*link) bool) {
+	p.acceptMu.Lock()
+	defer p.acceptMu.Unlock()
 	var conns []*nbio.Conn
 	p.mu.Lock()
 	for l := range p.links {
