recordlog, stepentry: show overdue and incomplete reads, and peers ahead

Cause: the logs cannot tell the hypotheses of the CONFIG incident apart: a read without an answer is seen only when it is given up, an answer that lacks records below its end is not seen at all, and a pong that names a higher version is dropped without a line. Change: readOverdue, readIncomplete and configurationBehindPeer are counted and logged; configurationInForce has the age of the version before it; configurationAgeAtRequestMs is observed for every request. No decision changes. Result: go test of recordlog, stepentry and eventlog passes.

--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -21,6 +21,9 @@
 	// between half of it and all of it, so that processes do not retry at the
 	// same time.
 	retryPause = 250 * time.Millisecond
+	// overdueDelay is how long after the end of its wait a read without an answer counts as
+	// overdue. A slow store answers within 200 ms.
+	overdueDelay = 250 * time.Millisecond
 )
 
 // Handler is the set of functions that Follow calls.
@@ -43,6 +46,12 @@
 	// one fails, and OnReadRecovered when the first read after that succeeds.
 	OnReadFailing   func(error)
 	OnReadRecovered func()
+	// OnOverdue is called, unless it is nil, when a read has had no answer for overdueDelay
+	// after the end of its wait. It is called from another goroutine.
+	OnOverdue func(wait time.Duration)
+	// OnIncomplete is called, unless it is nil, after an answer that lacks records: it leads
+	// up to the offset next, and the store names the higher end.
+	OnIncomplete func(next, end int64)
 	// Pace returns how Follow paces the next read. DefaultPace is used if it is nil.
 	Pace func() Pace
 }
@@ -122,7 +131,13 @@
 	begun := boottime.Now()
 	bounded, cancel := context.WithTimeout(ctx, pace.Wait+readMargin)
 	defer cancel()
+	overdue := time.AfterFunc(pace.Wait+overdueDelay, func() {
+		if r.handler.OnOverdue != nil {
+			r.handler.OnOverdue(pace.Wait)
+		}
+	})
 	page, err := r.log.Read(bounded, r.topic, r.nextOffset, pace.Wait)
+	overdue.Stop()
 	var expired ExpiredError
 	if errors.As(err, &expired) {
 		// Records expire, but the newest record of each key never does.
@@ -134,6 +149,8 @@
 	r.nextOffset = page.Next
 	if len(page.Records) > 0 {
 		r.handler.OnRecords(page.Records)
+	} else {
+		r.reportIncomplete(page.Next, page.End)
 	}
 	// A page without records is never limited by its size. The store can hide new
 	// records for a while although its end includes them.
@@ -147,6 +164,12 @@
 	return nil
 }
 
+func (r *logReader) reportIncomplete(next, end int64) {
+	if next < end && r.handler.OnIncomplete != nil {
+		r.handler.OnIncomplete(next, end)
+	}
+}
+
 // loadNewest reads all pages of the newest records. Several pages are not a
 // consistent snapshot, because records may be appended between them. Reading
 // therefore continues from the topic's end as of the first page, and only then is
@@ -155,6 +178,8 @@
 	load := Load{Keys: map[string]bool{}, End: -1}
 	begun := boottime.Now()
 	pages, after := 0, ""
+	// through is one above the highest offset of the load.
+	through := int64(0)
 	for {
 		bounded, cancel := context.WithTimeout(ctx, readMargin)
 		page, err := r.log.Newest(bounded, r.topic, after)
@@ -178,6 +203,7 @@
 		}
 		for _, record := range page.Records {
 			load.Keys[record.Key] = true
+			through = max(through, record.Offset+1)
 		}
 		r.handler.OnNewest(page.Records)
 		pages++
@@ -186,6 +212,7 @@
 		}
 		after = last
 	}
+	r.reportIncomplete(max(through, r.nextOffset), load.End)
 	r.nextOffset = load.End
 	r.handler.OnLoaded(load)
 	if r.behind = pages > 1; !r.behind {
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -25,6 +25,8 @@
 			d.config.currentAsOf = later(d.config.currentAsOf, begun)
 			d.config.mu.Unlock()
 		},
+		OnOverdue:       func(wait time.Duration) { d.readOverdue(d.cfg.ConfigTopic, wait) },
+		OnIncomplete:    func(next, end int64) { d.readIncomplete(d.cfg.ConfigTopic, next, end) },
 		Pace:            d.configPace,
 		OnReadFailing:   func(err error) { d.log.Add("configurationLost", eventlog.Fields{"cause": err.Error()}) },
 		OnReadRecovered: func() { d.log.Add("configurationRegained", nil) },
@@ -55,7 +57,12 @@
 		return
 	}
 	d.config.current, d.config.known = config, true
-	d.log.Add("configurationInForce", eventlog.Fields{"version": config.Version, "offset": offset, "queues": len(config.Queues), "orgs": len(config.Orgs)})
+	fields := eventlog.Fields{"version": config.Version, "offset": offset, "queues": len(config.Queues), "orgs": len(config.Orgs)}
+	if !d.config.currentAsOf.IsZero() {
+		// The age of the version before, which bounds how late this one is.
+		fields["ageMs"] = boottime.Now().Sub(d.config.currentAsOf).Milliseconds()
+	}
+	d.log.Add("configurationInForce", fields)
 	d.planner.mu.Lock()
 	defer d.planner.mu.Unlock()
 	if d.planner.scheduler != nil {
@@ -136,10 +143,22 @@
 			d.log.Add("storeLost", eventlog.Fields{"cause": err.Error()})
 		},
 		OnReadRecovered: func() { d.log.Add("storeRegained", nil) },
+		OnOverdue:       func(wait time.Duration) { d.readOverdue(d.cfg.Topic, wait) },
+		OnIncomplete:    func(next, end int64) { d.readIncomplete(d.cfg.Topic, next, end) },
 		Pace:            d.recordsPace,
 	})
 }
 
+func (d *Daemon) readOverdue(topic string, wait time.Duration) {
+	d.counters.Count("readOverdue." + topic)
+	d.log.Add("readOverdue", eventlog.Fields{"topic": topic, "waitMs": wait.Milliseconds()})
+}
+
+func (d *Daemon) readIncomplete(topic string, next, end int64) {
+	d.counters.Count("readIncomplete." + topic)
+	d.log.Add("readIncomplete", eventlog.Fields{"topic": topic, "next": next, "end": end})
+}
+
 const (
 	// confirmedConfigWait is how long a read of the configuration waits for a new
 	// version while the planner's pongs confirm the present one. confirmationAge is
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -79,7 +79,14 @@
 func (d *Daemon) confirmConfig(pong wire.PlannerPong, sent time.Time) {
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
-	if pong.ConfigVersion == 0 || !d.config.known || int64(pong.ConfigVersion) > d.config.current.Version {
+	if pong.ConfigVersion == 0 || !d.config.known {
+		return
+	}
+	if version := int64(pong.ConfigVersion); version > d.config.current.Version {
+		d.counters.Count("configurationBehindPeer")
+		d.log.Add("configurationBehindPeer", eventlog.Fields{
+			"version": d.config.current.Version, "peerVersion": version, "ageMs": boottime.Now().Sub(d.config.currentAsOf).Milliseconds(),
+		})
 		return
 	}
 	asOf := sent.Add(-time.Duration(pong.ConfigAgeMs) * time.Millisecond)
--- a/stepentry/plannerlink_test.go
+++ b/stepentry/plannerlink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/codec"
 	"celerypoint.example/celerypoint/counters"
+	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/platform"
 	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/rpc"
@@ -61,7 +63,11 @@
 		{"no configuration", false, wire.PlannerPong{ConfigVersion: 7, ConfigAgeMs: 500}, read},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := &Daemon{config: configTable{known: test.known, current: access.Config{Version: 7}, currentAsOf: read}}
+			d := &Daemon{
+				counters: counters.New(), log: eventlog.New(io.Discard, "e", nil),
+				config: configTable{known: test.known, current: access.Config{Version: 7}, currentAsOf: read},
+			}
+			defer d.log.Close()
 			d.confirmConfig(test.pong, sent)
 			qt.Assert(t, d.config.currentAsOf, qt.Equals, test.want)
 		})
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -35,6 +35,7 @@
 		return access.Admission{Denial: access.DeniedStaleConfig}
 	}
 	age := boottime.Now().Sub(currentAsOf)
+	d.counters.Observe("configurationAgeAtRequestMs", age)
 	a := access.Decide(config, access.Request{Host: host, Path: path, Key: key, ConfigFresh: age < grace})
 	if a.Denial != "" {
 		d.counters.Count("requestDenied." + string(a.Denial))
