faultproxy: silence the open connections for good

BlockDiscard also holds for new connections and closes those that have lost bytes when it ends. Change: Proxy.Silence.

--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -1,7 +1,7 @@
 // Package faultproxy is a TCP proxy that injects faults between two processes
 // under test. It can refuse and cut connections, hold back or discard the bytes of one
-// direction while the connection stays open, delay bytes with seeded jitter, and
-// split them into small pieces. It is a test tool and not part of the product.
+// direction while the connection stays open, silence the open connections for good,
+// delay bytes with seeded jitter, and split them into small pieces. It is a test tool and not part of the product.
 //
 // Socket callbacks only queue bytes. A pool of workers writes them, and timers
 // resume the delivery of delayed bytes. One mutex guards all state of a Proxy; it
@@ -142,6 +142,8 @@
 // server for it.
 type link struct {
 	up, down *flow
+	// silenced says that the link was open at a call of Proxy.Silence.
+	silenced bool
 	// firstBytes holds up to maxFirstBytes of the first bytes from the client.
 	firstBytes []byte
 }
@@ -330,12 +332,26 @@
 	p.mu.Unlock()
 	p.closeLinks(func(l *link) bool {
 		disturbed := p.faultsApply(l)
+		if l.silenced {
+			return f.Refuse || disturbed && f.Cut
+		}
 		return f.Refuse || disturbed && f.Cut || l.up.hasGap && !(disturbed && f.Up.Block == BlockDiscard) ||
 			l.down.hasGap && !(disturbed && f.Down.Block == BlockDiscard)
 	})
 	return nil
 }
 
+// Silence makes the connections that are open now transfer no more bytes in either
+// direction, for good and without closing them. New connections work. A client can only
+// notice by a time-out or a keep-alive of its own.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.silenced = true
+	}
+}
+
 func (p *Proxy) closeLinks(which func(*link) bool) {
 	p.acceptMu.Lock()
 	defer p.acceptMu.Unlock()
@@ -465,6 +481,8 @@
 // directionFaults returns the faults of the flow. The caller holds the mutex.
 func (p *Proxy) directionFaults(fl *flow) DirectionFaults {
 	switch {
+	case fl.link.silenced:
+		return DirectionFaults{Block: BlockDiscard}
 	case !p.faultsApply(fl.link):
 		return DirectionFaults{}
 	case fl.isUp:
@@ -512,7 +530,8 @@
 			return
 		case len(fl.queue) == 0:
 			fl.busy = false
-			done := fl.sourceClosed && fl.unsentBytes == 0
+			// The client of a silenced link does not learn that the server has closed it.
+			done := fl.sourceClosed && fl.unsentBytes == 0 && (fl.isUp || !fl.link.silenced)
 			p.mu.Unlock()
 			if done {
 				_ = fl.to.Close()
