--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -58,6 +58,8 @@
 	entries []*entryProcess
 	agents  []*agentProcess
 	log     io.Writer
+	// entryOptions change the configuration of each entry.
+	entryOptions []entryOption
 
 	mu sync.Mutex
 	// taskResources maps a job's ID to the resources that one of its tasks uses.
@@ -106,12 +108,12 @@
 // newSite starts entries and agents, and waits until one entry is ready and is
 // the planner to which all agents are attached. If the environment variable
 // SITEPROOF_LOG names a file, their log lines are appended to it.
-func newSite(t *testing.T, entries, agents int) *site {
+func newSite(t *testing.T, entries, agents int, options ...entryOption) *site {
 	t.Parallel()
 	c := qt.New(t)
 	store, err := standinstore.New("127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	s := &site{c: c, store: store, taskResources: map[string]steps.Resources{}, log: io.Discard, closed: make(chan struct{})}
+	s := &site{c: c, store: store, taskResources: map[string]steps.Resources{}, log: io.Discard, closed: make(chan struct{}), entryOptions: options}
 	if path := os.Getenv("SITEPROOF_LOG"); path != "" {
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		c.Assert(err, qt.IsNil)
@@ -147,16 +149,23 @@
 	s.store.Put("keyed.op", "config", body)
 }
 
+// entryOption changes the configuration of an entry.
+type entryOption func(*stepentry.Config)
+
 func (s *site) startEntry(listen string) *entryProcess {
 	s.entryCount++
 	proxy, err := faultproxy.New("127.0.0.1:0", s.store.Address(), uint64(s.entryCount))
 	s.c.Assert(err, qt.IsNil)
-	d, err := stepentry.New(stepentry.Config{
+	cfg := stepentry.Config{
 		Name: fmt.Sprintf("entry-%d", s.entryCount), Zone: "a", Listen: listen, Topic: topic, ConfigTopic: platform.TopicConfiguration,
 		Log: platform.NewStore(proxy.Address()), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing:   stepplan.Timing{LeaseDuration: maxLease * 9 / 10, KeepStatus: time.Minute, MaxStopTime: 200 * time.Millisecond, MaxReclaimTime: 2700 * time.Millisecond, FarFactor: 3},
 		KeyGrace: 2 * time.Second, ShutdownDelay: 2 * time.Second,
-	}, stepentry.WithOutput(s.log))
+	}
+	for _, o := range s.entryOptions {
+		o(&cfg)
+	}
+	d, err := stepentry.New(cfg, stepentry.WithOutput(s.log))
 	s.c.Assert(err, qt.IsNil)
 	h, err := httpserver.New("127.0.0.1:0", 64, platform.ClientHandler(d))
 	s.c.Assert(err, qt.IsNil)
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -554,3 +554,19 @@
 	s.awaitState(s.entries[1], "urgent", jobID(1), "completed")
 	s.checkRuns()
 }
+
+// TestHiddenAcceptanceIsNotDenied guards against an entry that answers 410 Gone for an
+// accepted job because the store's reads do not return the acceptance yet.
+func TestHiddenAcceptanceIsNotDenied(t *testing.T) {
+	s := newSite(t, 2, 1)
+	planner := s.planner()
+	other := s.entries[1-slices.Index(s.entries, planner)]
+	s.store.SetFaults(standinstore.Faults{HideNewRecords: true})
+	for n := range 10 {
+		s.submit(planner, "normal", jobID(n+1), s.jobBody(jobID(n+1), "run 5000", 1, 1, false))
+		status, _ := s.request(other, http.MethodGet, "/normal/"+jobID(n+1), key, nil)
+		s.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("job %d", n+1))
+	}
+	status, _ := s.request(other, http.MethodGet, "/normal/"+jobID(999), key, nil)
+	s.c.Check(status, qt.Equals, http.StatusGone)
+}
