recordlog: send an overdue read again on a new connection

Callers saw a route that was not served, or a dropped one that was, longer than config_apply_ms after the operator's acknowledgement. Cause: an open connection can stop transferring data without an error. A read that waited on it was given up 0.9 s after its wait of up to 1.5 s, and the next read took another connection of the same pool, which was often silent as well, so that two or three time-outs followed each other. Change: 0.25 s after the end of its wait, Follow closes the idle connections and sends the read once more without a wait; the first reply counts. AppendWithRetry closes the idle connections before it sends an append a second time, whose attempts had the same fault.

--- a/recordlog/append.go
+++ b/recordlog/append.go
@@ -14,7 +14,7 @@
 	// attemptTimeout bounds one attempt.
 	attemptTimeout = 2 * time.Second
 	// hedgeDelay is the wait for a reply before a second attempt is sent on
-	// another connection. The wait doubles with each further attempt.
+	// a new connection. The wait doubles with each further attempt.
 	hedgeDelay = 300 * time.Millisecond
 	// initialBackoff is the wait before the next attempt when an attempt has
 	// failed, for example was refused, and none is in flight. The wait doubles
@@ -87,6 +87,9 @@
 			return 0, c.contextError(ctx.Err())
 		case <-hedge.C:
 			if c.inFlight < maxInFlight && c.rejected == nil {
+				if c.inFlight > 0 {
+					c.log.CloseIdleConnections()
+				}
 				c.startAttempt(ctx)
 			}
 			hedgeInterval *= 2
--- a/recordlog/recordlog.go
+++ b/recordlog/recordlog.go
@@ -4,8 +4,9 @@
 // Log is the interface to the store. AppendWithRetry appends records, optionally
 // under a producer's fencing token, until the outcome is certain. Follow loads
 // the newest record of each key of a topic, then reads new records as they are
-// appended, and reports when each successful read began. The package keeps no
-// state between calls and takes no lock.
+// appended, and reports when each successful read began. A connection to the store can
+// stop transferring data without an error, so that both send a request without a reply
+// again on another connection. The package keeps no state between calls and takes no lock.
 package recordlog
 
 import (
@@ -108,4 +109,7 @@
 	// than after, in the order of the keys. If after is empty, the page begins
 	// with the first key. The error is ErrUnavailable.
 	Newest(ctx context.Context, topic, after string) (NewestPage, error)
+	// CloseIdleConnections closes the connections that no call uses, so that the next call
+	// does not use one that has stopped transferring data.
+	CloseIdleConnections()
 }
--- a/recordlog/recordlog_test.go
+++ b/recordlog/recordlog_test.go
@@ -43,6 +43,8 @@
 	return NewestPage{}, ErrUnavailable
 }
 
+func (s *scriptedLog) CloseIdleConnections() {}
+
 // Guards against reporting a refusal although an attempt may still take effect,
 // and against giving up although another attempt would give a certain outcome.
 func TestAppendWithRetry(t *testing.T) {
--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -13,16 +13,15 @@
 
 // Timing of the reads of Follow.
 const (
-	// readMargin is the time that a read may take in addition to its wait. The
-	// bound is needed because a connection can stop delivering data without an
-	// error.
+	// readMargin is the time that a read may take in addition to its wait.
 	readMargin = 900 * time.Millisecond
 	// retryPause is the longest wait after a failed read. The wait is random
 	// between half of it and all of it, so that processes do not retry at the
 	// same time.
 	retryPause = 250 * time.Millisecond
-	// overdueDelay is how long after the end of its wait a read without an answer counts as
-	// overdue. A slow store answers within 200 ms.
+	// overdueDelay is how long after the end of its wait a read without a reply counts as
+	// overdue. A slow store replies within 200 ms. The read is then sent again, because a
+	// connection can stop transferring data without an error.
 	overdueDelay = 250 * time.Millisecond
 )
 
@@ -46,10 +45,10 @@
 	// one fails, and OnReadRecovered when the first read after that succeeds.
 	OnReadFailing   func(error)
 	OnReadRecovered func()
-	// OnOverdue is called, unless it is nil, when a read has had no answer for overdueDelay
-	// after the end of its wait. It is called from another goroutine.
+	// OnOverdue is called, unless it is nil, when a read has had no reply for overdueDelay
+	// after the end of its wait.
 	OnOverdue func(wait time.Duration)
-	// OnIncomplete is called, unless it is nil, after an answer that lacks records: it leads
+	// OnIncomplete is called, unless it is nil, after a reply that lacks records: it leads
 	// up to the offset next, and the store names the higher end.
 	OnIncomplete func(next, end int64)
 	// Pace returns how Follow paces the next read. DefaultPace is used if it is nil.
@@ -128,16 +127,7 @@
 	if r.behind {
 		pace.Wait = 0
 	}
-	begun := boottime.Now()
-	bounded, cancel := context.WithTimeout(ctx, pace.Wait+readMargin)
-	defer cancel()
-	overdue := time.AfterFunc(pace.Wait+overdueDelay, func() {
-		if r.handler.OnOverdue != nil {
-			r.handler.OnOverdue(pace.Wait)
-		}
-	})
-	page, err := r.log.Read(bounded, r.topic, r.nextOffset, pace.Wait)
-	overdue.Stop()
+	page, begun, err := r.read(ctx, pace.Wait)
 	var expired ExpiredError
 	if errors.As(err, &expired) {
 		// Records expire, but the newest record of each key never does.
@@ -164,6 +154,51 @@
 	return nil
 }
 
+// readResult is the outcome of one request of a read.
+type readResult struct {
+	page Page
+	// begun is when the request was sent, on CLOCK_BOOTTIME.
+	begun time.Time
+	err   error
+}
+
+// read requests the page at nextOffset. If the reply is overdue, it sends a second request,
+// without a wait, on a new connection. The first reply counts, and begun is when its request
+// was sent.
+func (r *logReader) read(ctx context.Context, wait time.Duration) (page Page, begun time.Time, err error) {
+	bounded, cancel := context.WithTimeout(ctx, wait+readMargin)
+	defer cancel()
+	results := make(chan readResult, 2)
+	from := r.nextOffset
+	request := func(wait time.Duration) {
+		begun := boottime.Now()
+		go func() {
+			page, err := r.log.Read(bounded, r.topic, from, wait)
+			results <- readResult{page, begun, err}
+		}()
+	}
+	request(wait)
+	overdue := time.NewTimer(wait + overdueDelay)
+	defer overdue.Stop()
+	for pending := 1; ; {
+		select {
+		case <-overdue.C:
+			if r.handler.OnOverdue != nil {
+				r.handler.OnOverdue(wait)
+			}
+			r.log.CloseIdleConnections()
+			request(0)
+			pending++
+		case result := <-results:
+			pending--
+			var expired ExpiredError
+			if result.err == nil || pending == 0 || errors.As(result.err, &expired) {
+				return result.page, result.begun, result.err
+			}
+		}
+	}
+}
+
 func (r *logReader) reportIncomplete(next, end int64) {
 	if next < end && r.handler.OnIncomplete != nil {
 		r.handler.OnIncomplete(next, end)
@@ -185,6 +220,7 @@
 		page, err := r.log.Newest(bounded, r.topic, after)
 		cancel()
 		if err != nil {
+			r.log.CloseIdleConnections()
 			return err
 		}
 		if load.End < 0 {
