--- a/recordlog/incomplete_test.go
+++ b/recordlog/incomplete_test.go
@@ -171,3 +171,38 @@
 	f := follow(log, 0, boottime.Now(), 8*time.Second)
 	c.Check(f.upToDate.IsZero(), qt.IsFalse)
 }
+
+// wrongEndLog names a wrong end once.
+type wrongEndLog struct {
+	delayedLog
+	named bool
+}
+
+func (l *wrongEndLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error) {
+	page, err := l.delayedLog.Read(ctx, topic, from, wait)
+	if !l.named {
+		l.named, page.End = true, 1<<40
+	}
+	return page, err
+}
+
+// TestWrongEndIsForgotten guards against a reader that never counts as up to date again
+// because one reply named an end that the topic does not have.
+func TestWrongEndIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	log := &wrongEndLog{}
+	log.add("a", time.Now().Add(-time.Minute))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	upToDate := 0
+	Follow(ctx, log, "t", Handler{
+		OnRecords: func([]StoredRecord) {}, OnNewest: func([]StoredRecord) {}, OnLoaded: func(Load) {},
+		OnUpToDate: func(time.Time) {
+			if upToDate++; upToDate > 1 {
+				cancel()
+			}
+		},
+		OnReadFailing: func(error) {}, OnReadRecovered: func() {},
+	})
+	c.Check(upToDate, qt.Equals, 2)
+}
