stepentry: decide by no version that may have been replaced for too long

Callers of an entry that could not read a new version were answered by the one before: a dropped route was served, an added one denied. Cause: requests were decided by a version of any age below 80 % of the time for which a revoked key may be honoured (4 s of 5 s), and those of public queues by one of any age, while a change has to be in force after 2 s. The bound held only while every read returned in time. Change: a request is decided only while the configuration is known to be current as of less than 95 % of configApplyMs ago (a new setting, from the platform's bounds); otherwise it is refused for now. A read waits for a new version for at most half of that age. access TestDecide asked that public queues need no fresh configuration, which lets a dropped public queue be served without end; it now asks for the opposite.

--- a/access/access.go
+++ b/access/access.go
@@ -83,15 +83,15 @@
 	DeniedUnknownQueue Denial = "unknownQueue"
 	DeniedUnknownKey   Denial = "unknownKey"
 	// DeniedStaleConfig means that Request.ConfigFresh is not set and a newer
-	// configuration may admit the request.
+	// configuration may decide otherwise.
 	DeniedStaleConfig Denial = "staleConfiguration"
 )
 
 // Request holds the properties of a request that Decide uses.
 type Request struct {
 	Host, Path, Key string
-	// ConfigFresh says that the configuration is known to be recent enough to accept
-	// or reject keys and to reject requests that match no queue.
+	// ConfigFresh says that the configuration is known to be recent enough to decide
+	// by it.
 	ConfigFresh bool
 }
 
@@ -138,9 +138,9 @@
 	return "", false
 }
 
-// Decide decides whether a request is admitted. Unless Request.ConfigFresh is set,
-// it admits only requests to a public queue and denies all others with
-// DeniedStaleConfig, because the newest configuration may admit them.
+// Decide decides whether a request is admitted. Unless Request.ConfigFresh is set, it
+// denies all requests with DeniedStaleConfig, because the newest configuration may decide
+// otherwise: it may have added or removed the key or the queue.
 func Decide(c Config, r Request) Admission {
 	q, found := c.Match(r.Host, r.Path)
 	switch {
@@ -150,13 +150,13 @@
 		return Admission{Denial: DeniedUnknownQueue}
 	}
 	a := Admission{Queue: q, PathSuffix: strings.TrimPrefix(r.Path, q.Prefix)}
-	if q.Public {
-		return a
-	}
 	if !r.ConfigFresh {
 		a.Denial = DeniedStaleConfig
 		return a
 	}
+	if q.Public {
+		return a
+	}
 	if a.Org, found = c.OrgForKey(r.Key); !found {
 		a.Denial = DeniedUnknownKey
 	}
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -7,8 +7,8 @@
 )
 
 // Guards against matching a request to the wrong queue, admitting it with an unknown
-// key or denying it with a known one, and denying its queue or key as unknown while
-// the configuration may be outdated.
+// key or denying it with a known one, and admitting it, or denying its queue or key as
+// unknown, while the configuration may be outdated.
 func TestDecide(t *testing.T) {
 	config := Config{
 		Version: 3,
@@ -29,7 +29,7 @@
 		{"an unknown key", Request{Host: "a.example", Path: "/1", Key: "k3", ConfigFresh: true}, Admission{Denial: DeniedUnknownKey, Queue: config.Queues[0], PathSuffix: "1"}},
 		{"an unknown host", Request{Host: "c.example", Path: "/1", Key: "k1", ConfigFresh: true}, Admission{Denial: DeniedUnknownQueue}},
 		{"a public queue needs no key", Request{Host: "b.example", Path: "/open/1", ConfigFresh: true}, Admission{Queue: config.Queues[2], PathSuffix: "1"}},
-		{"a public queue needs no fresh configuration", Request{Host: "b.example", Path: "/open/1"}, Admission{Queue: config.Queues[2], PathSuffix: "1"}},
+		{"a public queue with an old configuration", Request{Host: "b.example", Path: "/open/1"}, Admission{Denial: DeniedStaleConfig, Queue: config.Queues[2], PathSuffix: "1"}},
 		{"a known key with an old configuration", Request{Host: "a.example", Path: "/1", Key: "k1"}, Admission{Denial: DeniedStaleConfig, Queue: config.Queues[0], PathSuffix: "1"}},
 		{"an unknown queue with an old configuration", Request{Host: "c.example", Path: "/1", Key: "k1"}, Admission{Denial: DeniedStaleConfig}},
 	} {
--- a/cli/site.go
+++ b/cli/site.go
@@ -52,6 +52,10 @@
 	// both cases the remainder is a margin for timers that fire late.
 	leasePercent    = 92
 	keyGracePercent = 80
+	// configAgePercent is the percentage of the setting configApplyMs for which an entry
+	// decides by a version that is not known to be the newest. The remainder is a margin for
+	// clocks that run at different rates.
+	configAgePercent = 95
 	// stopMargin is the time that is left before SIGKILL when the time limit of a
 	// graceful stop is reached. An entry's ShutdownDelay ends one more stopMargin
 	// earlier.
@@ -118,7 +122,7 @@
 			LeaseDuration: s.MaxLease * leasePercent / 100, KeepStatus: s.KeepStatus, MaxStopTime: s.MaxStopTime, MaxReclaimTime: s.MaxReclaimTime, FarFactor: s.FarFactor,
 		},
 		Policy:   stepplan.Policy{Paces: s.Paces == settings.PacesConsidered, Neighbours: s.Neighbours == settings.NeighboursSeparated},
-		CPUShare: s.CPUShare, KeyGrace: s.KeyGrace * keyGracePercent / 100, ShutdownDelay: s.TerminationGrace - 2*stopMargin,
+		CPUShare: s.CPUShare, KeyGrace: s.KeyGrace * keyGracePercent / 100, MaxConfigAge: s.ConfigApply * configAgePercent / 100, ShutdownDelay: s.TerminationGrace - 2*stopMargin,
 	}
 }
 
--- a/recordlog/reader.go
+++ b/recordlog/reader.go
@@ -94,9 +94,9 @@
 	err   error
 }
 
-// read requests the page at nextOffset. If the reply is overdue, it sends a second request,
-// without a wait, on a new connection. The first reply counts, and begun is when its request
-// was sent.
+// read requests the page at nextOffset. If the reply is overdue, or Handler.Wake asks for a
+// reply at once, it sends a second request, without a wait, on a new connection. The first
+// reply counts, and begun is when its request was sent.
 func (r *logReader) read(ctx context.Context, wait time.Duration) (page Page, begun time.Time, err error) {
 	bounded, cancel := context.WithTimeout(ctx, wait+readMargin)
 	defer cancel()
@@ -112,15 +112,23 @@
 	request(wait)
 	overdue := time.NewTimer(wait + overdueDelay)
 	defer overdue.Stop()
-	for pending := 1; ; {
+	pending, wake := 1, r.handler.Wake
+	again := func() {
+		wake = nil
+		overdue.Stop()
+		r.log.CloseIdleConnections()
+		request(0)
+		pending++
+	}
+	for {
 		select {
+		case <-wake:
+			again()
 		case <-overdue.C:
 			if r.handler.OnOverdue != nil {
 				r.handler.OnOverdue(wait)
 			}
-			r.log.CloseIdleConnections()
-			request(0)
-			pending++
+			again()
 		case result := <-results:
 			pending--
 			var expired ExpiredError
--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -55,6 +55,9 @@
 	// OnIncomplete is called, unless it is nil, after a reply that lacks records: it leads
 	// up to the offset next, and the store names the higher end.
 	OnIncomplete func(next, end int64)
+	// Wake makes Follow read at once, on a new connection, instead of waiting longer for new
+	// records. It may be nil.
+	Wake <-chan struct{}
 	// Pace returns how Follow paces the next read. DefaultPace is used if it is nil.
 	Pace func() Pace
 }
--- a/settings/site.go
+++ b/settings/site.go
@@ -26,6 +26,9 @@
 	// KeyGrace is the longest time for which an API key may be accepted after
 	// its removal from the configuration.
 	KeyGrace time.Duration
+	// ConfigApply is the longest time until a version of the configuration that the
+	// operator has stored is in force.
+	ConfigApply time.Duration
 	// FarFactor is the factor by which the run time of a task increases on a VM
 	// outside the task's preferred rack.
 	FarFactor float64
@@ -147,6 +150,8 @@
 		durationMs(func(e *SiteEntry) *time.Duration { return &e.MaxReclaimTime })},
 	{Key{Section: "entry", Name: "keyGraceMs", Allowed: durationMsAllowed, Help: "longest time for which an API key may be accepted after its removal, in ms"},
 		durationMs(func(e *SiteEntry) *time.Duration { return &e.KeyGrace })},
+	{Key{Section: "entry", Name: "configApplyMs", Default: "2000", Allowed: durationMsAllowed, Help: "longest time until a stored version of the configuration is in force, in ms"},
+		durationMs(func(e *SiteEntry) *time.Duration { return &e.ConfigApply })},
 	{Key{Section: "entry", Name: "farFactor", Allowed: "1 to 1000", Help: "factor by which the run time of a task increases outside its preferred rack"},
 		func(e *SiteEntry, value string) bool {
 			f, err := strconv.ParseFloat(value, 64)
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -44,6 +44,7 @@
 	c.Assert(s.Address(), qt.Equals, "10.1.0.19:7000")
 	c.Assert(s.MetricsAddress(), qt.Equals, "10.1.0.19:7001")
 	c.Assert(s.TerminationGrace, qt.Equals, 6*time.Second)
+	c.Assert(s.ConfigApply, qt.Equals, 2*time.Second)
 	c.Assert([]string{string(s.Paces), string(s.Neighbours)}, qt.DeepEquals, []string{"ignored", "ignored"})
 	for _, test := range []struct{ from, to, want string }{
 		{"ports = 7000,7015", "ports = 7000", `.*: \[node\] ports: found "7000", allowed: FIRST,LAST with at least two ports`},
--- a/sitedemo/sitedemo.go
+++ b/sitedemo/sitedemo.go
@@ -162,7 +162,7 @@
 		Name: fmt.Sprintf("entry-%d", i), Zone: "a", Listen: loopback, Topic: topic, ConfigTopic: platform.TopicConfiguration,
 		Log: platform.NewStore(d.store.Address()), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing:   stepplan.Timing{LeaseDuration: maxLease * 9 / 10, KeepStatus: time.Minute, MaxStopTime: stopTime, MaxReclaimTime: maxReclaimTime, FarFactor: 3},
-		KeyGrace: 4 * time.Second, ShutdownDelay: 2 * time.Second,
+		KeyGrace: 4 * time.Second, MaxConfigAge: 1900 * time.Millisecond, ShutdownDelay: 2 * time.Second,
 	})
 	if err != nil {
 		return err
--- a/siteproof/harness_test.go
+++ b/siteproof/harness_test.go
@@ -160,7 +160,7 @@
 		Name: fmt.Sprintf("entry-%d", s.entryCount), Zone: "a", Listen: listen, Topic: topic, ConfigTopic: platform.TopicConfiguration,
 		Log: platform.NewStore(proxy.Address()), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing:   stepplan.Timing{LeaseDuration: maxLease * 9 / 10, KeepStatus: time.Minute, MaxStopTime: 200 * time.Millisecond, MaxReclaimTime: 2700 * time.Millisecond, FarFactor: 3},
-		KeyGrace: 2 * time.Second, ShutdownDelay: 2 * time.Second,
+		KeyGrace: 2 * time.Second, MaxConfigAge: configApply * 95 / 100, ShutdownDelay: 2 * time.Second,
 	}
 	for _, o := range s.entryOptions {
 		o(&cfg)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -25,15 +25,16 @@
 )
 
 // The bounds and sizes of the system under test, as in the platform's settings.
-// maxLease, stopDuration and keyGraceMs are also written to the settings of the
+// maxLease, stopDuration, keyGraceMs and configApplyMs are also written to the settings of the
 // entries.
 const (
-	maxLease     = 6 * time.Second
-	stopDuration = 300 * time.Millisecond
-	keyGraceMs   = 5000
-	queueHost    = "soak.example"
-	entryCount   = 3
-	agentCount   = 5
+	maxLease      = 6 * time.Second
+	stopDuration  = 300 * time.Millisecond
+	keyGraceMs    = 5000
+	configApplyMs = 2000
+	queueHost     = "soak.example"
+	entryCount    = 3
+	agentCount    = 5
 	// entryMemoryMB and agentMemoryMB are the memory of the VM of an entry and of
 	// an agent, in MiB.
 	entryMemoryMB, agentMemoryMB = 284, 152
@@ -274,8 +275,8 @@
 	name := fmt.Sprintf("entry-%d", i)
 	e := &entryNode{clientProxy: s.newProxy(t, loopbackAddress(ports[2])), peerProxy: s.newProxy(t, loopbackAddress(ports[0])), storeProxy: s.newProxy(t, s.store.Address())}
 	e.process = s.newProcess(t, "entry", name, entryMemoryMB, nodeSettings(name, ports, e.peerProxy.Address(), e.storeProxy.Address(), entryMemoryMB)+
-		fmt.Sprintf("[entry]\nclientAddress = %s\nreadinessAddress = %s\nkeepStatusSeconds = 120\nleaseMs = %d\nstopRunMs = %d\nreclaimMs = 2700\nkeyGraceMs = %d\nfarFactor = 3\n[planning]\npaces = considered\nneighbours = separated\n",
-			loopbackAddress(ports[2]), loopbackAddress(ports[3]), maxLease.Milliseconds(), stopDuration.Milliseconds(), keyGraceMs))
+		fmt.Sprintf("[entry]\nclientAddress = %s\nreadinessAddress = %s\nkeepStatusSeconds = 120\nleaseMs = %d\nstopRunMs = %d\nreclaimMs = 2700\nkeyGraceMs = %d\nconfigApplyMs = %d\nfarFactor = 3\n[planning]\npaces = considered\nneighbours = separated\n",
+			loopbackAddress(ports[2]), loopbackAddress(ports[3]), maxLease.Milliseconds(), stopDuration.Milliseconds(), keyGraceMs, configApplyMs))
 	s.entries = append(s.entries, e)
 }
 
--- /dev/null
+++ b/stepentry/configage_test.go
@@ -0,0 +1,48 @@
+package stepentry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/platform"
+	"celerypoint.example/celerypoint/standinstore"
+)
+
+const publicQueue = `{"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/q/","public":true}]}`
+
+// TestOldConfigurationIsConfirmed guards against requests that are refused although a read of
+// the store would show that the configuration is current, and against requests that wait for
+// a store which is known not to answer.
+func TestOldConfigurationIsConfirmed(t *testing.T) {
+	c := qt.New(t)
+	store, err := standinstore.New("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer store.Close()
+	store.Put("keyed.op", "config", []byte(publicQueue))
+	d, err := New(Config{
+		Name: "e", Listen: "127.0.0.1:0", Topic: "t", ConfigTopic: platform.TopicConfiguration, Log: platform.NewStore(store.Address()),
+		DecodeOperator: platform.DecodeOperatorRecord, KeyGrace: time.Minute, MaxConfigAge: 100 * time.Millisecond,
+	})
+	c.Assert(err, qt.IsNil)
+	defer d.Kill()
+	for deadline := time.Now().Add(10 * time.Second); d.Admit("h", "/q/", "").Denial != ""; time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+	for begun := time.Now(); time.Since(begun) < 2*time.Second; time.Sleep(40 * time.Millisecond) {
+		c.Assert(d.Admit("h", "/q/", "").Denial, qt.Equals, access.Denial(""))
+	}
+	c.Check(metrics.GetOrRegisterCounter("configurationConfirm", d.Metrics()).Count() > 0, qt.IsTrue)
+
+	store.SetFaults(standinstore.Faults{Down: true})
+	for deadline := time.Now().Add(10 * time.Second); !d.configState().readFailing; time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+	time.Sleep(150 * time.Millisecond)
+	begun := time.Now()
+	c.Check(d.Admit("h", "/q/", "").Denial, qt.Equals, access.DeniedStaleConfig)
+	c.Check(time.Since(begun) < confirmTimeout/2, qt.IsTrue, qt.Commentf("refused after %v", time.Since(begun)))
+}
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -70,6 +70,11 @@
 	// KeyGrace is the longest time for which an API key is accepted after the
 	// operator removed it.
 	KeyGrace time.Duration
+	// MaxConfigAge is the longest time for which requests are decided by a version of the
+	// configuration that is not known to be the newest. Later they are refused for now. It
+	// bounds how long a replaced version has effect, whatever keeps this entry from reading
+	// the newer one. 0 means 2 s.
+	MaxConfigAge time.Duration
 	// ShutdownDelay is how long Stop keeps the entry running after it has resigned
 	// as planner, so that the load balancer, which finds the entry not ready, can
 	// take it out of rotation. Values below closeConnsTime count as
@@ -135,12 +140,13 @@
 		cfg: c, bootID: strconv.FormatUint(rand.Uint64(), 36), counters: counters.New(),
 		chooseTerm: randomTerm,
 		records:    recordTable{state: stepfold.New(), applied: make(chan struct{}, 1)},
-		config:     configTable{keyGrace: c.KeyGrace, evacuations: map[string]evacuation{}},
+		config:     configTable{evacuations: map[string]evacuation{}, wake: make(chan struct{}, 1)},
 		planner: plannerTable{
 			timing: c.Timing, policy: c.Policy, links: map[string]*agentLink{}, watchers: map[*rpc.Conn]struct{}{},
 			dialed: make(chan struct{}, 1), passRequested: make(chan struct{}, 1),
 		},
 	}
+	d.config.setMaxAge(c)
 	for _, o := range options {
 		o(d)
 	}
@@ -188,11 +194,11 @@
 	d.counters.Gauge("agentsInTouch", func() int64 { return int64(d.AttachedAgents()) })
 }
 
-// Reload applies KeyGrace and Timing of new settings at once. All other settings
+// Reload applies KeyGrace, MaxConfigAge and Timing of new settings at once. All other settings
 // take effect only after a restart. cause is what led to the reload, for the log.
 func (d *Daemon) Reload(next Config, cause string) {
 	d.config.mu.Lock()
-	d.config.keyGrace = next.KeyGrace
+	d.config.setMaxAge(next)
 	d.config.mu.Unlock()
 	d.planner.mu.Lock()
 	d.planner.timing, d.planner.policy = next.Timing, next.Policy
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -17,23 +17,31 @@
 // and the newest evacuation record of each zone.
 func (d *Daemon) followConfig(ctx context.Context) {
 	recordlog.Follow(ctx, d.cfg.Log, d.cfg.ConfigTopic, recordlog.Handler{
-		OnRecords: d.applyConfig,
-		OnNewest:  d.applyConfig,
-		OnLoaded:  d.dropDeletedEvacuations,
-		OnUpToDate: func(begun time.Time) {
-			d.config.mu.Lock()
-			d.config.readAt = begun
-			d.config.currentAsOf = later(d.config.currentAsOf, begun)
-			d.config.mu.Unlock()
+		OnRecords:    d.applyConfig,
+		OnNewest:     d.applyConfig,
+		OnLoaded:     d.dropDeletedEvacuations,
+		OnUpToDate:   d.configUpToDate,
+		Wake:         d.config.wake,
+		OnOverdue:    func(wait time.Duration) { d.readOverdue(d.cfg.ConfigTopic, wait) },
+		OnIncomplete: func(next, end int64) { d.readIncomplete(d.cfg.ConfigTopic, next, end) },
+		Pace:         d.configPace,
+		OnReadFailing: func(err error) {
+			d.setConfigReadFailing(true)
+			d.log.Add("configurationLost", eventlog.Fields{"cause": err.Error()})
+		},
+		OnReadRecovered: func() {
+			d.setConfigReadFailing(false)
+			d.log.Add("configurationRegained", nil)
 		},
-		OnOverdue:       func(wait time.Duration) { d.readOverdue(d.cfg.ConfigTopic, wait) },
-		OnIncomplete:    func(next, end int64) { d.readIncomplete(d.cfg.ConfigTopic, next, end) },
-		Pace:            d.configPace,
-		OnReadFailing:   func(err error) { d.log.Add("configurationLost", eventlog.Fields{"cause": err.Error()}) },
-		OnReadRecovered: func() { d.log.Add("configurationRegained", nil) },
 	})
 }
 
+func (d *Daemon) setConfigReadFailing(failing bool) {
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	d.config.readFailing = failing
+}
+
 func (d *Daemon) applyConfig(records []recordlog.StoredRecord) {
 	for _, r := range records {
 		record, err := d.cfg.DecodeOperator(r.Record)
@@ -162,8 +170,10 @@
 
 const (
 	// confirmedConfigWait is how long a read of the configuration waits for a new
-	// version while the planner's pongs confirm the present one. confirmationAge is
-	// the age up to which they do. A new version ends the read at once.
+	// version while the planner's pongs confirm the present one, and at most half of
+	// Config.MaxConfigAge: a connection that has stopped transferring data is noticed after
+	// the wait. confirmationAge is the age up to which pongs confirm. A new version ends the
+	// read at once.
 	confirmedConfigWait = 1500 * time.Millisecond
 	// plannerConfigWait is how long a read of the planner waits, whose pongs confirm the
 	// configuration to all other entries. The begin of its newest completed read is at most
@@ -186,7 +196,7 @@
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
 	if boottime.Now().Sub(d.config.confirmedByPeerAt) < confirmationAge {
-		pace.Wait = confirmedConfigWait
+		pace.Wait = min(confirmedConfigWait, d.config.maxAge/2)
 	}
 	return pace
 }
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -73,27 +73,6 @@
 	return healthUnknown
 }
 
-// confirmConfig takes over from a peer's pong as of when its configuration is known to
-// be current, if this entry has that version or a newer one. The peer's read began
-// ConfigAgeMs before the pong was written, which was after the ping was sent.
-func (d *Daemon) confirmConfig(pong wire.PlannerPong, sent time.Time) {
-	d.config.mu.Lock()
-	defer d.config.mu.Unlock()
-	if pong.ConfigVersion == 0 || !d.config.known {
-		return
-	}
-	if version := int64(pong.ConfigVersion); version > d.config.current.Version {
-		d.counters.Count("configurationBehindPeer")
-		d.log.Add("configurationBehindPeer", eventlog.Fields{
-			"version": d.config.current.Version, "peerVersion": version, "ageMs": boottime.Now().Sub(d.config.currentAsOf).Milliseconds(),
-		})
-		return
-	}
-	asOf := sent.Add(-time.Duration(pong.ConfigAgeMs) * time.Millisecond)
-	d.config.currentAsOf = later(d.config.currentAsOf, asOf)
-	d.config.confirmedByPeerAt = sent
-}
-
 // pingPlanner sends a ping over the connection to the planner. A connection on
 // which a ping fails is closed, because a connection can stop delivering
 // messages for good while new connections work.
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -28,18 +28,15 @@
 // Admit determines the queue and the organisation of a client's request, or why
 // the request is denied.
 func (d *Daemon) Admit(host, path, key string) access.Admission {
-	d.config.mu.Lock()
-	config, known, currentAsOf, grace := d.config.current, d.config.known, d.config.currentAsOf, d.config.keyGrace
-	d.config.mu.Unlock()
-	if !known {
+	s := d.freshConfig()
+	if !s.known {
 		return access.Admission{Denial: access.DeniedStaleConfig}
 	}
-	age := boottime.Now().Sub(currentAsOf)
-	d.counters.Observe("configurationAgeAtRequestMs", age)
-	a := access.Decide(config, access.Request{Host: host, Path: path, Key: key, ConfigFresh: age < grace})
+	d.counters.Observe("configurationAgeAtRequestMs", s.age)
+	a := access.Decide(s.config, access.Request{Host: host, Path: path, Key: key, ConfigFresh: s.fresh})
 	if a.Denial != "" {
 		d.counters.Count("requestDenied." + string(a.Denial))
-		d.log.Add("requestDenied", eventlog.Fields{"path": path, "reason": a.Denial, "version": config.Version, "ageMs": age.Milliseconds()})
+		d.log.Add("requestDenied", eventlog.Fields{"path": path, "reason": a.Denial, "version": s.config.Version, "ageMs": s.age.Milliseconds()})
 	}
 	return a
 }
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -27,10 +27,17 @@
 	// currentAsOf is the newest time, on CLOCK_BOOTTIME, as of which current is known
 	// to be the newest version: readAt, or a later time that a peer has confirmed.
 	currentAsOf time.Time
+	// advanced is closed when currentAsOf advances. It is nil while nobody waits for that.
+	advanced chan struct{}
+	// readFailing says that the newest read of the configuration topic failed.
+	readFailing bool
+	// wake makes followConfig read at once.
+	wake chan struct{}
 	// confirmedByPeerAt is when the newest ping was sent that confirmed current.
 	confirmedByPeerAt time.Time
-	// keyGrace is how long after currentAsOf API keys are still accepted.
-	keyGrace time.Duration
+	// Requests are decided by current until the lower of keyGrace and maxAge after
+	// currentAsOf, see Config.KeyGrace and Config.MaxConfigAge.
+	keyGrace, maxAge time.Duration
 }
 
 // evacuation is what the record at the offset says of a zone.
