stepentry: a peer's higher version shows that an entry is behind

Cause: a pong of the planner that named a higher version was dropped: the entry had proof that it was behind and waited for its read. A read that lacks the newest version, and names an end that lacks it too, counted as up to date. Change: after such a pong the entry reads at once, and no read that began later counts as up to date before the peer's version is in force, so that its requests are refused when the age runs out. Result: TestReadBehindPeerIsNotUpToDate; go test ./stepentry passes.

--- a/stepentry/configage.go
+++ b/stepentry/configage.go
@@ -95,17 +95,24 @@
 }
 
 // configUpToDate records that a read that began at the given time has returned everything
-// that the store had.
+// that the store had. It does not count if a peer had named a higher version before the
+// read began.
 func (d *Daemon) configUpToDate(begun time.Time) {
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
+	if d.config.peerVersion > d.config.current.Version && begun.After(d.config.peerVersionAt) {
+		d.counters.Count("configurationReadOutdated")
+		d.log.Add("configurationReadOutdated", eventlog.Fields{"version": d.config.current.Version, "peerVersion": d.config.peerVersion})
+		return
+	}
 	d.config.readAt = begun
 	d.config.advance(begun)
 }
 
 // confirmConfig takes over from a peer's pong as of when its configuration is known to
 // be current, if this entry has that version or a newer one. The peer's read began
-// ConfigAgeMs before the pong was written, which was after the ping was sent.
+// ConfigAgeMs before the pong was written, which was after the ping was sent. A pong with a
+// higher version shows that this entry is behind, which then reads at once.
 func (d *Daemon) confirmConfig(pong wire.PlannerPong, sent time.Time) {
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
@@ -118,6 +125,10 @@
 		d.log.Add("configurationBehindPeer", eventlog.Fields{
 			"version": d.config.current.Version, "peerVersion": version, "ageMs": boottime.Now().Sub(d.config.currentAsOf).Milliseconds(),
 		})
+		if version > d.config.peerVersion {
+			d.config.peerVersion, d.config.peerVersionAt = version, boottime.Now()
+		}
+		d.wakeConfigRead()
 		return
 	}
 	d.config.advance(sent.Add(-time.Duration(pong.ConfigAgeMs) * time.Millisecond))
--- a/stepentry/configage_test.go
+++ b/stepentry/configage_test.go
@@ -1,6 +1,7 @@
 package stepentry
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -8,8 +9,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/counters"
+	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/platform"
 	"celerypoint.example/celerypoint/standinstore"
+	"celerypoint.example/celerypoint/wire"
 )
 
 const publicQueue = `{"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/q/","public":true}]}`
@@ -46,3 +51,27 @@
 	c.Check(d.Admit("h", "/q/", "").Denial, qt.Equals, access.DeniedStaleConfig)
 	c.Check(time.Since(begun) < confirmTimeout/2, qt.IsTrue, qt.Commentf("refused after %v", time.Since(begun)))
 }
+
+// TestReadBehindPeerIsNotUpToDate guards against an entry that counts as current by its reads
+// although a peer has shown that these lack the newest version, and against one that waits
+// for its next read then.
+func TestReadBehindPeerIsNotUpToDate(t *testing.T) {
+	c := qt.New(t)
+	before := boottime.Now()
+	d := &Daemon{
+		counters: counters.New(), log: eventlog.New(io.Discard, "e", nil),
+		config: configTable{known: true, current: access.Config{Version: 7}, currentAsOf: before.Add(-time.Second), wake: make(chan struct{}, 1)},
+	}
+	defer d.log.Close()
+	d.confirmConfig(wire.PlannerPong{ConfigVersion: 8}, boottime.Now())
+	c.Assert(d.config.wake, qt.HasLen, 1)
+	d.configUpToDate(boottime.Now())
+	c.Check(d.config.currentAsOf, qt.Equals, before.Add(-time.Second))
+	// A read that began before the pong arrived may be right.
+	d.configUpToDate(before)
+	c.Check(d.config.currentAsOf, qt.Equals, before)
+	d.applyConfigVersion(access.Config{Version: 8}, 5)
+	now := boottime.Now()
+	d.configUpToDate(now)
+	c.Check(d.config.currentAsOf, qt.Equals, now)
+}
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -33,6 +33,10 @@
 	readFailing bool
 	// wake makes followConfig read at once.
 	wake chan struct{}
+	// peerVersion is the highest version that a peer has named while current was older, and
+	// peerVersionAt when it first did.
+	peerVersion   int64
+	peerVersionAt time.Time
 	// confirmedByPeerAt is when the newest ping was sent that confirmed current.
 	confirmedByPeerAt time.Time
 	// Requests are decided by current until the lower of keyGrace and maxAge after
