hedge: the second request of an overdue read gets a package of its own

Cause: the client of the own interface's log has the same fault as recordlog and needs the same logic. Change: package hedge; recordlog uses it. No behaviour changes.

--- a/recordlog/reader.go
+++ b/recordlog/reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/hedge"
 	"celerypoint.example/celerypoint/pause"
 )
 
@@ -43,7 +44,7 @@
 	if r.behind {
 		pace.Wait = 0
 	}
-	page, begun, err := r.read(ctx, pace.Wait)
+	reply, err := r.read(ctx, pace.Wait)
 	var expired ExpiredError
 	if r.expired = errors.As(err, &expired); r.expired {
 		// Records expire, but the newest record of each key never does.
@@ -52,6 +53,7 @@
 	if err != nil {
 		return err
 	}
+	page := reply.page
 	r.nextOffset, r.end = page.Next, max(r.end, page.End)
 	if len(page.Records) > 0 {
 		r.handler.OnRecords(page.Records)
@@ -59,7 +61,7 @@
 	r.behind = r.nextOffset < r.end
 	switch {
 	case !r.behind:
-		r.upToDate(begun)
+		r.upToDate(reply.begun)
 		if len(page.Records) > 0 {
 			pause.For(ctx, pace.Pause)
 		}
@@ -86,57 +88,38 @@
 	r.incompletePause = min(2*r.incompletePause, maxIncompletePause)
 }
 
-// readResult is the outcome of one request of a read.
-type readResult struct {
-	page Page
-	// begun is when the request was sent, on CLOCK_BOOTTIME.
+// readReply is the reply to a request of read. begun is when the request was sent, on
+// CLOCK_BOOTTIME.
+type readReply struct {
+	page  Page
 	begun time.Time
-	err   error
 }
 
 // read requests the page at nextOffset. If the reply is overdue, or Handler.Wake asks for a
-// reply at once, it sends a second request, without a wait, on a new connection. The first
-// reply counts, and begun is when its request was sent.
-func (r *logReader) read(ctx context.Context, wait time.Duration) (page Page, begun time.Time, err error) {
+// reply at once, it sends a second request, without a wait, on a new connection.
+func (r *logReader) read(ctx context.Context, wait time.Duration) (readReply, error) {
 	bounded, cancel := context.WithTimeout(ctx, wait+readMargin)
 	defer cancel()
-	results := make(chan readResult, 2)
 	from := r.nextOffset
-	request := func(wait time.Duration) {
-		begun := boottime.Now()
-		go func() {
-			page, err := r.log.Read(bounded, r.topic, from, wait)
-			results <- readResult{page, begun, err}
-		}()
-	}
-	request(wait)
-	overdue := time.NewTimer(wait + overdueDelay)
-	defer overdue.Stop()
-	pending, wake := 1, r.handler.Wake
-	again := func() {
-		wake = nil
-		overdue.Stop()
-		r.log.CloseIdleConnections()
-		request(0)
-		pending++
-	}
-	for {
-		select {
-		case <-wake:
-			again()
-		case <-overdue.C:
+	return hedge.Request[readReply]{
+		Overdue: wait + overdueDelay, Now: r.handler.Wake,
+		IsReply: func(err error) bool { return errors.As(err, &ExpiredError{}) },
+		OnOverdue: func() {
 			if r.handler.OnOverdue != nil {
 				r.handler.OnOverdue(wait)
 			}
-			again()
-		case result := <-results:
-			pending--
-			var expired ExpiredError
-			if result.err == nil || pending == 0 || errors.As(result.err, &expired) {
-				return result.page, result.begun, result.err
+		},
+		Send: func(ctx context.Context, again bool) (readReply, error) {
+			requestWait := wait
+			if again {
+				requestWait = 0
+				r.log.CloseIdleConnections()
 			}
-		}
-	}
+			begun := boottime.Now()
+			page, err := r.log.Read(ctx, r.topic, from, requestWait)
+			return readReply{page, begun}, err
+		},
+	}.Do(bounded)
 }
 
 // loadNewest reads all pages of the newest records. Several pages are not a
