stepentry: get a newer configuration from the planner

Cause: an entry had one source of the configuration, its own reads. The planner's pongs could confirm a version, not bring one. Change: after a pong that names a higher version, the entry asks the planner for the operator's record of it, applies it and takes over the pong's confirmation.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,9 +23,10 @@
 
 	// The methods for jobs that consist of steps; see packages steps and
 	// stepentry.
-	MethodReport      = "report"
-	MethodPingPlanner = "pingPlanner"
-	MethodStoreRecord = "storeRecord"
+	MethodReport        = "report"
+	MethodPingPlanner   = "pingPlanner"
+	MethodStoreRecord   = "storeRecord"
+	MethodConfiguration = "configuration"
 	// MethodRecordStored and MethodPlannerStuck are notifications, which have no
 	// reply.
 	MethodRecordStored = "recordStored"
@@ -102,6 +103,12 @@
 	return call[wire.StoreRecordResult](ctx, c, MethodStoreRecord, p)
 }
 
+// Configuration reads the operator's record of the configuration that the entry has, if its
+// version is above that of the caller.
+func (c Client) Configuration(ctx context.Context, p wire.ConfigurationParams) (wire.ConfigurationResult, error) {
+	return call[wire.ConfigurationResult](ctx, c, MethodConfiguration, p)
+}
+
 // PlannerStuck notifies the entry that the caller is the planner of the term and that
 // the store does not take its records. It does not wait for a reply.
 func (c Client) PlannerStuck(p wire.PlannerPing) error { return c.Conn.Notify(MethodPlannerStuck, p) }
--- a/siteproof/configuration_test.go
+++ b/siteproof/configuration_test.go
@@ -4,13 +4,16 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"celerypoint.example/celerypoint/faultproxy"
 	"celerypoint.example/celerypoint/stepentry"
+	"celerypoint.example/celerypoint/steps"
 )
 
 // configApply is the time after which a stored version of the configuration must be in
@@ -112,3 +115,29 @@
 	s.c.Assert(cut.storeProxy.SetFaults(silent), qt.IsNil)
 	s.checkDecisions(3, s.replaceRoute(3), 6*time.Second)
 }
+
+// TestConfigurationFromPlanner guards against an entry that refuses requests, or decides them
+// by an older version, because the store serves the planner and not this entry.
+func TestConfigurationFromPlanner(t *testing.T) {
+	for name, faults := range map[string]faultproxy.Faults{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, 1, withPlatformKeyGrace)
+			s.replaceRoute(2)
+			planner := s.planner()
+			other := s.entries[1-slices.Index(s.entries, planner)]
+			s.eventually("version 2 is in force", func() bool { return s.requestRoute(other, 2) == http.StatusOK })
+			s.c.Assert(other.storeProxy.SetFaults(faults), qt.IsNil)
+			for version := 3; version <= 6; version++ {
+				stored := s.replaceRoute(version)
+				time.Sleep(configApply - time.Since(stored))
+				for range 20 {
+					// The entry may refuse to count pending jobs, because it cannot read records.
+					_, reply := s.request(other, http.MethodGet, "/"+routeOf(version)+"/", key, nil)
+					s.c.Check(reply["error"] == nil || reply["error"] == string(steps.OutcomeRefused), qt.IsTrue, qt.Commentf("version %d: %v", version, reply))
+					s.c.Check(s.requestRoute(other, version-1), qt.Equals, http.StatusNotFound)
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+}
--- a/stepentry/configage.go
+++ b/stepentry/configage.go
@@ -2,11 +2,16 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
+	"celerypoint.example/celerypoint/recordlog"
+	"celerypoint.example/celerypoint/rpc"
+	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -112,13 +117,14 @@
 // confirmConfig takes over from a peer's pong as of when its configuration is known to
 // be current, if this entry has that version or a newer one. The peer's read began
 // ConfigAgeMs before the pong was written, which was after the ping was sent. A pong with a
-// higher version shows that this entry is behind, which then reads at once.
-func (d *Daemon) confirmConfig(pong wire.PlannerPong, sent time.Time) {
+// higher version shows that this entry is behind, which then reads at once; confirmConfig
+// reports false.
+func (d *Daemon) confirmConfig(pong wire.PlannerPong, sent time.Time) bool {
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
 	version := int64(pong.ConfigVersion)
 	if version == 0 || !d.config.known {
-		return
+		return true
 	}
 	if version > d.config.current.Version {
 		d.counters.Count("configurationBehindPeer")
@@ -129,10 +135,49 @@
 			d.config.peerVersion, d.config.peerVersionAt = version, boottime.Now()
 		}
 		d.wakeConfigRead()
-		return
+		return false
 	}
 	d.config.advance(sent.Add(-time.Duration(pong.ConfigAgeMs) * time.Millisecond))
 	d.config.confirmedByPeerAt = sent
+	return true
+}
+
+// fetchConfig gets the configuration of the planner, whose pong has shown a higher version.
+// The store may serve the planner and not this entry.
+func (d *Daemon) fetchConfig(ctx context.Context, p stepfold.Planner, pong wire.PlannerPong, sent time.Time) {
+	bounded, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	conn, err := d.plannerConn(bounded, p.Address)
+	var result wire.ConfigurationResult
+	if err == nil {
+		result, err = entry.Client{Conn: conn}.Configuration(bounded, wire.ConfigurationParams{Above: int(d.configState().config.Version)})
+	}
+	if err != nil {
+		d.counters.Count("configurationFetchFailed")
+		d.log.Add("configurationFetchFailed", eventlog.Fields{"peer": p.Address, "cause": err.Error()})
+		return
+	}
+	for _, r := range result.Records {
+		d.applyConfig([]recordlog.StoredRecord{{Offset: int64(r.Offset), Record: recordlog.Record{Key: r.Key, Value: []byte(r.Value)}}})
+	}
+	d.confirmConfig(pong, sent)
+}
+
+// handleConfiguration answers fetchConfig of another entry.
+func (d *Daemon) handleConfiguration(r *rpc.Request) {
+	var params wire.ConfigurationParams
+	if err := r.Decode(&params); err != nil {
+		r.Fail(err)
+		return
+	}
+	result := wire.ConfigurationResult{Records: []wire.RecordStored{}}
+	d.config.mu.Lock()
+	if d.config.known && d.config.current.Version > int64(params.Above) {
+		record := d.config.record
+		result.Records = append(result.Records, wire.RecordStored{Offset: int(record.Offset), Key: record.Key, Value: string(record.Value)})
+	}
+	d.config.mu.Unlock()
+	r.Reply(result)
 }
 
 // setMaxAge sets the age up to which requests are decided by the configuration. The caller
--- a/stepentry/configage_test.go
+++ b/stepentry/configage_test.go
@@ -13,6 +13,7 @@
 	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/platform"
+	"celerypoint.example/celerypoint/recordlog"
 	"celerypoint.example/celerypoint/standinstore"
 	"celerypoint.example/celerypoint/wire"
 )
@@ -63,14 +64,14 @@
 		config: configTable{known: true, current: access.Config{Version: 7}, currentAsOf: before.Add(-time.Second), wake: make(chan struct{}, 1)},
 	}
 	defer d.log.Close()
-	d.confirmConfig(wire.PlannerPong{ConfigVersion: 8}, boottime.Now())
+	c.Assert(d.confirmConfig(wire.PlannerPong{ConfigVersion: 8}, boottime.Now()), qt.IsFalse)
 	c.Assert(d.config.wake, qt.HasLen, 1)
 	d.configUpToDate(boottime.Now())
 	c.Check(d.config.currentAsOf, qt.Equals, before.Add(-time.Second))
 	// A read that began before the pong arrived may be right.
 	d.configUpToDate(before)
 	c.Check(d.config.currentAsOf, qt.Equals, before)
-	d.applyConfigVersion(access.Config{Version: 8}, 5)
+	d.applyConfigVersion(access.Config{Version: 8}, recordlog.StoredRecord{Offset: 5})
 	now := boottime.Now()
 	d.configUpToDate(now)
 	c.Check(d.config.currentAsOf, qt.Equals, now)
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -12,7 +12,8 @@
 // Reads of the store may be slow or return nothing for a second. Entries
 // therefore also send stored records to each other: an entry notifies the
 // planner of jobs that it accepted or cancelled, and the planner notifies the
-// entries that ping it of jobs that have ended.
+// entries that ping it of jobs that have ended. An entry whose configuration is older than
+// the planner's gets it from the planner.
 //
 // The package owns four tables, each with its own mutex. The lock order is
 // config, records, planner, plannerLink. No mutex is held while a goroutine
@@ -245,6 +246,8 @@
 		err = d.pool.Submit(func() { d.handleReport(r) })
 	case entry.MethodPingPlanner:
 		err = d.pool.Submit(func() { d.handlePing(r) })
+	case entry.MethodConfiguration:
+		err = d.pool.Submit(func() { d.handleConfiguration(r) })
 	case entry.MethodRecordStored:
 		err = d.pool.Submit(func() { d.handleRecordStored(r) })
 	case entry.MethodStoreRecord:
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -85,10 +85,10 @@
 		fresh := readable && d.fresh()
 		sinceHeartbeat := now.Sub(later(d.records.heartbeatAt, d.records.readableSince))
 		d.records.mu.Unlock()
-		// An entry that cannot read keeps its connection to the planner, which confirms the
-		// configuration and stores records for it.
+		// An entry that cannot read keeps its connection to the planner, which confirms or
+		// sends the configuration and stores records for it.
 		interval := pingInterval
-		if !readable {
+		if !readable || d.configState().readFailing {
 			interval = pingInterval / 2
 		}
 		if p.Term > 0 && (now.Sub(pinged) >= interval || fresh && sinceHeartbeat > heartbeatTimeout || d.plannerLinkClosed()) {
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -52,21 +52,21 @@
 		}
 		switch record := record.(type) {
 		case access.Config:
-			d.applyConfigVersion(record, r.Offset)
+			d.applyConfigVersion(record, r)
 		case access.Evacuation:
 			d.applyEvacuation(record, r.Offset)
 		}
 	}
 }
 
-func (d *Daemon) applyConfigVersion(config access.Config, offset int64) {
+func (d *Daemon) applyConfigVersion(config access.Config, r recordlog.StoredRecord) {
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
 	if d.config.known && config.Version <= d.config.current.Version {
 		return
 	}
-	d.config.current, d.config.known = config, true
-	fields := eventlog.Fields{"version": config.Version, "offset": offset, "queues": len(config.Queues), "orgs": len(config.Orgs)}
+	d.config.current, d.config.record, d.config.known = config, r, true
+	fields := eventlog.Fields{"version": config.Version, "offset": r.Offset, "queues": len(config.Queues), "orgs": len(config.Orgs)}
 	if !d.config.currentAsOf.IsZero() {
 		// The age of the version before, which bounds how late this one is.
 		fields["ageMs"] = boottime.Now().Sub(d.config.currentAsOf).Milliseconds()
--- a/stepentry/plannerlink.go
+++ b/stepentry/plannerlink.go
@@ -54,8 +54,8 @@
 		// A new connection shows whether the process has ended.
 		pong, err = d.pingPlanner(bounded, p)
 	}
-	if err == nil {
-		d.confirmConfig(pong, sent)
+	if err == nil && !d.confirmConfig(pong, sent) {
+		d.fetchConfig(ctx, p, pong, sent)
 	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/stepentry/tables.go
+++ b/stepentry/tables.go
@@ -16,6 +16,8 @@
 type configTable struct {
 	mu      sync.Mutex
 	current access.Config
+	// record is the operator's record of current.
+	record recordlog.StoredRecord
 	// known is false until the first configuration has been read.
 	known bool
 	// evacuations holds the newest evacuation record of each zone that has had one.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -308,6 +308,19 @@
 	Offset int `json:"offset"`
 }
 
+// Asks an entry for the operator's record of the configuration that it has.
+type ConfigurationParams struct {
+	// The version that the caller has.
+	Above int `json:"above"`
+}
+
+// The records of configurations with a higher version; empty if the entry has
+// none.
+type ConfigurationResult struct {
+	// Records corresponds to the JSON schema field "records".
+	Records []RecordStored `json:"records"`
+}
+
 // Asks whether an attempt still runs.
 type ConfirmParams struct {
 	// Attempt corresponds to the JSON schema field "attempt".
