platformlog: read again on a new connection when a tail is overdue

Change: Tail waits 3 s, reads once more on a new connection 0.5 s after that, and takes the first reply. A request without a response in time closes the idle connections.

--- a/platformlog/append.go
+++ b/platformlog/append.go
@@ -298,7 +298,7 @@
 		return 0, 0, fmt.Errorf("%w: %w", ErrNotAppended, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		if !connected.Load() {
 			return 0, 0, fmt.Errorf("%w: %w", ErrNotAppended, err)
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -17,6 +17,7 @@
 package platformlog
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -120,6 +121,16 @@
 	return c
 }
 
+// do sends a request. After one without a response in time, it closes the idle connections,
+// which may have stopped transferring data together with that of the request.
+func (c *Client) do(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+	return response, err
+}
+
 // Seed returns the seed of the random part of retry delays.
 func (c *Client) Seed() uint64 { return c.seed }
 
--- a/platformlog/read.go
+++ b/platformlog/read.go
@@ -13,16 +13,19 @@
 	"slices"
 	"time"
 
+	"celerypoint.example/celerypoint/hedge"
 	"celerypoint.example/celerypoint/wire"
 )
 
 const (
 	// maxReadRecords is the maximum number of records in a page that Tail and
 	// resolveOutcome read. tailWait is how long a read of Tail waits for new
-	// records. Together with the timeout of requests, tailWait limits how long a
-	// half-open connection remains undetected.
+	// records. A connection can stop transferring data without an error: overdueDelay after
+	// the wait, Tail reads once more on a new connection. A change of the configuration has
+	// to be in force after 5 s.
 	maxReadRecords = 1000
-	tailWait       = 10 * time.Second
+	tailWait       = 3 * time.Second
+	overdueDelay   = 500 * time.Millisecond
 	// maxResponseBytes is the maximum size of a response of the log service. A page
 	// ends after the record with which it reaches 4 MiB, and one record has at most
 	// MaxBatchBytes.
@@ -75,7 +78,7 @@
 	if err != nil {
 		return Page{}, fmt.Errorf("log stream %s: read: %w", stream, err)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		return Page{}, fmt.Errorf("log stream %s: read: %w", stream, err)
 	}
@@ -140,7 +143,7 @@
 	// called without delay when it has received every record.
 	wait := time.Duration(0)
 	for n := 0; ; {
-		p, err := c.Read(ctx, stream, from, maxReadRecords, wait)
+		p, err := c.readAgain(ctx, stream, from, wait)
 		var expired ExpiredError
 		if errors.As(err, &expired) {
 			p, err = c.readFromSnapshot(ctx, stream, expired.Oldest)
@@ -168,6 +171,22 @@
 	}
 }
 
+// readAgain reads a page and, if the reply is overdue, reads it once more on a new
+// connection, without a wait. The first reply counts.
+func (c *Client) readAgain(ctx context.Context, stream string, from int64, wait time.Duration) (Page, error) {
+	return hedge.Request[Page]{
+		Overdue: wait + overdueDelay,
+		IsReply: func(err error) bool { return errors.As(err, &ExpiredError{}) },
+		Send: func(ctx context.Context, again bool) (Page, error) {
+			if again {
+				c.http.CloseIdleConnections()
+				return c.Read(ctx, stream, from, maxReadRecords, 0)
+			}
+			return c.Read(ctx, stream, from, maxReadRecords, wait)
+		},
+	}.Do(ctx)
+}
+
 // readFromSnapshot reads all retained records. It returns the newest complete snapshot
 // for which all records that it does not include are retained, followed by these
 // records. They include the snapshot's own records, which have no further effect on
