soak: connections that go silent, and a judge of outdated versions

Cause: no soak fault makes open connections silent while new ones work, and no check asked which version of the configuration decided. Change: the family "silent" silences the open connections of one VM, of all entries to the store, or of everything, in series, with changes of the configuration at about the same time. Each version has a queue of its own, which is requested from every entry all the time: a request sent later than configApplyMs after a version was stored must not be decided by an older one, whatever faults there are.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -7,7 +7,8 @@
 // configurations change, API keys are revoked, and workers lose capacity. Some jobs
 // crash each worker that starts them. Workers stay away for a while after a crash, the
 // paths between them and their agents are disturbed, calls reach them seconds late, and
-// other writers send heartbeats for them. Faults follow each other and overlap.
+// other writers send heartbeats for them. Open connections go silent for good while new
+// ones work. Faults follow each other and overlap.
 //
 // The test checks the system's invariants from what clients and workers
 // observe. A seed determines the schedule of faults, but not the timing of the
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -18,7 +18,7 @@
 // fault is a fault that the test can inject. It is sealed: linkFault,
 // signalFault, stopFault, storeFault, workerFault, drainFault, crashFault,
 // compactFault, revokeFault, hangupFault, capacityFault, pathFault, foreignMessage,
-// absenceFault, lateFault.
+// absenceFault, lateFault, silentFault, changeFault.
 type fault interface{ fault() }
 
 type (
@@ -82,6 +82,8 @@
 	switch f := e.fault.(type) {
 	case linkFault:
 		return text + fmt.Sprintf("%s %+v", f.link, f.faults)
+	case silentFault:
+		return text + f.links
 	case signalFault:
 		return text + fmt.Sprintf("%s %s", f.process.name, f.signal)
 	case stopFault:
@@ -111,8 +113,10 @@
 			all = append(all, s.drawAbsences(length)...)
 		case "late":
 			all = append(all, s.drawLateCalls(length)...)
+		case "silent":
+			all = append(all, s.drawSilentFaults(length)...)
 		default:
-			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late", family)
+			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late, silent", family)
 		}
 	}
 	slices.SortStableFunc(all, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
@@ -248,6 +252,12 @@
 		s.store.Compact("keyed.op")
 	case revokeFault:
 		s.revoke()
+	case changeFault:
+		s.configure()
+	case silentFault:
+		for _, p := range f.proxies {
+			p.Silence()
+		}
 	case hangupFault:
 		for _, e := range s.entries {
 			e.signal(syscall.SIGHUP)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 	freshSeeds    = flag.Int("soak.seeds", 0, "number of random seeds in addition to those of testdata/seeds.txt and testdata/ci.txt")
 	maxParallel   = flag.Int("soak.parallel", 3, "number of seeds that run at once; each starts about 10 processes")
 	faultDuration = flag.Duration("soak.length", 20*time.Second, "how long faults are injected")
-	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence,late", "families of faults that are injected")
+	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence,late,silent", "families of faults that are injected")
 	keepDir       = flag.String("soak.keep", "", "directory in which the logs of all seeds are kept; without it, only logs of failed seeds are kept")
 )
 
@@ -68,8 +68,10 @@
 // TestSoak guards against violations of the system's invariants that faults
 // outside the programs can cause: two runs of a task at once, a start after a
 // success, a refused or cancelled job that runs, an accepted job that is lost, a
-// worker whose capacity is exceeded, a task that crashes one worker after another, a revoked API key that is still accepted, a
-// process that ends by itself, and a process that uses more memory than it may.
+// worker whose capacity is exceeded, a task that crashes one worker after another, a
+// revoked API key that is still accepted, a request that is decided by a configuration
+// which was replaced too long ago, a process that ends by itself, and a process that uses
+// more memory than it may.
 func TestSoak(t *testing.T) {
 	all := append(readSeeds(t, "testdata/seeds.txt"), readSeeds(t, "testdata/ci.txt")...)
 	for range *freshSeeds {
@@ -110,6 +112,10 @@
 	defer stopProbe()
 	var probes sync.WaitGroup
 	probes.Go(func() { prober.probeRevokedKeys(probing) })
+	for i, e := range s.entries {
+		versionProber := s.newClient(clientCount + 1 + i)
+		probes.Go(func() { versionProber.probeVersions(probing, e) })
+	}
 	s.injectFaults(s.drawSchedules(*faultDuration))
 	stop()
 	// A client may be in the middle of a submission.
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -106,9 +106,14 @@
 	violations    []string
 	taskResources map[string]steps.Resources
 	configVersion int
-	keyRevokedAt  map[string]time.Time
-	timeline      []string
-	startedAt     time.Time
+	// configStoredAt has the time at which each version from 1 on was stored. configVersion
+	// is one more than its length while a version is being stored.
+	configStoredAt []time.Time
+	// configuring is held while a version is stored. It is taken before mu.
+	configuring  sync.Mutex
+	keyRevokedAt map[string]time.Time
+	timeline     []string
+	startedAt    time.Time
 	// ended says that workers are not started again.
 	ended atomic.Bool
 }
@@ -155,8 +160,11 @@
 
 func apiKeyName(n int) string { return fmt.Sprintf("key-%d", n) }
 
-// configure stores a configuration with the API keys that are in force.
+// configure stores a configuration with the API keys that are in force and a queue of its
+// own version.
 func (s *system) configure() {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	s.mu.Lock()
 	s.configVersion++
 	version := s.configVersion
@@ -175,7 +183,7 @@
 		}
 	}
 	body, err := json.Marshal(map[string]any{
-		"version": version, "routes": []any{queue("urgent", 0), queue("normal", 1), queue("batch", 2)},
+		"version": version, "routes": []any{queue("urgent", 0), queue("normal", 1), queue("batch", 2), queue(routeOf(version), 2)},
 		"tenants": []any{map[string]any{"name": "crew", "api_keys": keys, "guaranteed": map[string]any{"gpus": 16}}},
 	})
 	if err != nil {
@@ -183,6 +191,9 @@
 		return
 	}
 	s.store.Put("keyed.op", "config", body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configStoredAt = append(s.configStoredAt, time.Now())
 }
 
 // newProxy starts a fault proxy in front of an address.
