faultproxy: no link is closed before both its connections are polled

Cause: dial published the connection to the server before it added it to the engine. A link that was closed in between closed a connection that nbio did not know yet; its end is never told, so that the link stayed counted as open, and Close could wait for it. acceptMu, added for the connection from the client, did not cover this one. Change: dial publishes and adds the connection under acceptMu.

--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -124,8 +124,9 @@
 	accepting       sync.WaitGroup
 
 	faultsMu sync.Mutex
-	// acceptMu keeps links from being closed before nbio polls their connections. It is taken
-	// after faultsMu and before mu.
+	// acceptMu keeps links from being closed before nbio polls their connections, to the
+	// client and to the server: nbio does not tell the end of one that was closed before. It
+	// is taken after faultsMu and before mu.
 	acceptMu sync.Mutex
 	// listener is nil while connections are refused, and after Close.
 	listener net.Listener
@@ -397,7 +398,7 @@
 // dial connects the link to the server. The flow to the server is busy until it is
 // connected. If that fails, dial closes the connection to the client.
 func (p *Proxy) dial(l *link) {
-	c, err := p.connect(l)
+	c, err := p.connect()
 	if err != nil {
 		p.mu.Lock()
 		p.markSourceClosed(l.down)
@@ -405,16 +406,22 @@
 		_ = l.up.from.Close()
 		return
 	}
+	c.SetSession(l.down)
+	p.acceptMu.Lock()
+	p.mu.Lock()
+	l.up.to, l.down.from = c, c
+	p.mu.Unlock()
 	if _, err := p.engine.AddConn(c); err != nil {
 		_ = c.Close()
 	}
+	p.acceptMu.Unlock()
 	p.mu.Lock()
 	l.up.busy = false
 	p.scheduleDelivery(l.up)
 	p.mu.Unlock()
 }
 
-func (p *Proxy) connect(l *link) (*nbio.Conn, error) {
+func (p *Proxy) connect() (*nbio.Conn, error) {
 	raw, err := net.DialTimeout("tcp", p.target, dialTimeout)
 	if err != nil {
 		return nil, err
@@ -424,10 +431,6 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	c.SetSession(l.down)
-	p.mu.Lock()
-	l.up.to, l.down.from = c, c
-	p.mu.Unlock()
 	return c, nil
 }
 
