--- a/recordlog/silent_test.go
+++ b/recordlog/silent_test.go
@@ -10,10 +10,7 @@
 )
 
 // silentPoolLog never replies to a call while connections from before are open.
-type silentPoolLog struct {
-	scriptedLog
-	renewed atomic.Bool
-}
+type silentPoolLog struct{ renewed atomic.Bool }
 
 func (l *silentPoolLog) CloseIdleConnections() { l.renewed.Store(true) }
 
--- a/stepentry/configage.go
+++ b/stepentry/configage.go
@@ -37,13 +37,13 @@
 	advanced <-chan struct{}
 }
 
-// state returns the present state. The caller holds the mutex.
-func (t *configTable) state() configState {
+// state returns the state at a time on CLOCK_BOOTTIME. The caller holds the mutex.
+func (t *configTable) state(now time.Time) configState {
 	if t.advanced == nil {
 		t.advanced = make(chan struct{})
 	}
 	s := configState{config: t.current, known: t.known, readFailing: t.readFailing, advanced: t.advanced}
-	s.age = boottime.Now().Sub(t.currentAsOf)
+	s.age = now.Sub(t.currentAsOf)
 	s.fresh = s.known && s.age < min(t.keyGrace, t.maxAge)
 	return s
 }
@@ -64,7 +64,7 @@
 func (d *Daemon) configState() configState {
 	d.config.mu.Lock()
 	defer d.config.mu.Unlock()
-	return d.config.state()
+	return d.config.state(boottime.Now())
 }
 
 // freshConfig returns the configuration by which a request is decided. If it is too old, it
