stepentry: read about an unknown job again on a new connection

Callers that asked for a job which the entry did not know were refused after 0.8 s when the connections to the store had gone silent. The same read stands before a claim. Cause: as in Follow; catchUp read once, on a connection of the pool. Change: recordlog.ReadNow sends an overdue read again on a new connection; catchUp uses it. Result: siteproof TestUnknownJobOverSilentConnections failed (503 after 0.80 s) and passes; go test of recordlog and stepentry passes.

--- a/recordlog/reader.go
+++ b/recordlog/reader.go
@@ -122,6 +122,21 @@
 	}.Do(bounded)
 }
 
+// ReadNow returns the records from the offset on without waiting for new ones. If the reply is
+// overdue, it sends a second request on a new connection. Errors are those of Log.Read.
+func ReadNow(ctx context.Context, log Log, topic string, from int64) (Page, error) {
+	return hedge.Request[Page]{
+		Overdue: overdueDelay,
+		IsReply: func(err error) bool { return errors.As(err, &ExpiredError{}) },
+		Send: func(ctx context.Context, again bool) (Page, error) {
+			if again {
+				log.CloseIdleConnections()
+			}
+			return log.Read(ctx, topic, from, 0)
+		},
+	}.Do(ctx)
+}
+
 // loadNewest reads all pages of the newest records. Several pages are not a
 // consistent snapshot, because records may be appended between them. Reading
 // therefore continues from the topic's end as of the first page, and only then is
--- a/recordlog/recordlog.go
+++ b/recordlog/recordlog.go
@@ -4,9 +4,10 @@
 // Log is the interface to the store. AppendWithRetry appends records, optionally
 // under a producer's fencing token, until the outcome is certain. Follow loads
 // the newest record of each key of a topic, then reads new records as they are
-// appended, and reports when each successful read began. A connection to the store can
-// stop transferring data without an error, so that both send a request without a reply
-// again on another connection. The package keeps no state between calls and takes no lock.
+// appended, and reports when each successful read began. ReadNow reads once. A connection to
+// the store can stop transferring data without an error, so that all three send a request
+// without a reply again on another connection. The package keeps no state between calls and
+// takes no lock.
 package recordlog
 
 import (
--- a/recordlog/silent_test.go
+++ b/recordlog/silent_test.go
@@ -50,6 +50,14 @@
 	c.Check(time.Since(begun) < 900*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(begun)))
 	c.Check(overdue, qt.Equals, 1)
 
+	reading, cancelRead := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancelRead()
+	begun = time.Now()
+	page, err := ReadNow(reading, &silentPoolLog{}, "t", 7)
+	c.Assert(err, qt.IsNil)
+	c.Check(page.Next, qt.Equals, int64(8))
+	c.Check(time.Since(begun) < 800*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(begun)))
+
 	appending, cancelAppend := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancelAppend()
 	begun = time.Now()
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -569,3 +569,20 @@
 	status, _ := s.request(other, http.MethodGet, "/normal/"+jobID(999), key, nil)
 	s.c.Check(status, qt.Equals, http.StatusGone)
 }
+
+// TestUnknownJobOverSilentConnections guards against a client that is refused, or waits for a
+// time-out, because the connections on which the entry reads about an unknown job have
+// stopped transferring data.
+func TestUnknownJobOverSilentConnections(t *testing.T) {
+	s := newSite(t, 2, 1)
+	for range 3 {
+		for _, e := range s.entries {
+			e.storeProxy.Silence()
+			begun := time.Now()
+			status, reply := s.request(e, http.MethodGet, "/normal/"+jobID(99), key, nil)
+			s.c.Check(status, qt.Equals, http.StatusGone, qt.Commentf("%v", reply))
+			s.c.Check(time.Since(begun) < 700*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(begun)))
+			time.Sleep(time.Second)
+		}
+	}
+}
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -234,7 +234,7 @@
 	from := d.records.state.LastApplied + 1
 	d.records.mu.Unlock()
 	for {
-		page, err := d.cfg.Log.Read(bounded, d.cfg.Topic, from, 0)
+		page, err := recordlog.ReadNow(bounded, d.cfg.Log, d.cfg.Topic, from)
 		if err != nil {
 			return err
 		}
