--- a/workerruntime/workerruntime.go
+++ b/workerruntime/workerruntime.go
@@ -142,6 +142,10 @@
 		return nil, fmt.Errorf("worker runtime: %w", err)
 	}
 	response, err := c.http.Do(request)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// Idle connections may have stopped transferring data together with this one.
+		c.http.CloseIdleConnections()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("worker runtime: %w", err)
 	}
