--- a/recordlog/tail.go
+++ b/recordlog/tail.go
@@ -24,8 +24,8 @@
 	// each one in a row.
 	maxIncompletePause = time.Second
 	// loadSettleTime is how long loads must lack the same records, which no read returns
-	// either, until these count as deletions that are no longer retained. Stores have been
-	// described whose replies are 3 s behind the end that they name.
+	// either, until these count as deletions that are no longer retained. It is above the 3 s
+	// by which replies of the platform's store may be behind.
 	loadSettleTime = 4 * time.Second
 )
 
