agentd: send an overdue poll for events again on a new connection

Own interface: callers got an answer half a minute late, or their lease ran out first. Change: a poll waits 3 s and is sent again on a new connection 0.5 s after that; the first reply counts. workerruntime's Close, which only closed idle connections, is called CloseIdleConnections. Result: TestEndOverSilentConnections failed (no end within 15 s) and passes, 3.5 s after; go test of agentd, workerruntime, standinruntime and entryd passes.

--- a/agentd/daemon.go
+++ b/agentd/daemon.go
@@ -229,7 +229,7 @@
 		d.goroutines.Wait()
 		d.pool.Close()
 		d.pausePool.Close()
-		d.runtime.Close()
+		d.runtime.CloseIdleConnections()
 	})
 }
 
--- a/agentd/tasks.go
+++ b/agentd/tasks.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"celerypoint.example/celerypoint/hedge"
 	"celerypoint.example/celerypoint/ledger"
 	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/wire"
@@ -19,8 +20,10 @@
 	// events from there on returns none, only the sequence number of the next one.
 	endOfEvents = math.MaxInt32
 	// pollTimeout is how long the runtime may hold a request for events until there
-	// is one.
-	pollTimeout = 25 * time.Second
+	// is one. pollOverdue is how long after that a request without a reply is sent again, on
+	// a new connection, because a connection can stop transferring data without an error.
+	pollTimeout = 3 * time.Second
+	pollOverdue = 500 * time.Millisecond
 )
 
 // pollEvents reads the runtime's events, from the position of the cursor on, until
@@ -28,7 +31,16 @@
 func (d *Daemon) pollEvents(c eventCursor) {
 	for d.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(d.ctx, pollTimeout+d.cfg.RuntimeTimeout)
-		events, err := d.runtime.Events(ctx, c.next, pollTimeout)
+		events, err := hedge.Request[wire.TaskEvents]{
+			Overdue: pollTimeout + pollOverdue,
+			Send: func(ctx context.Context, again bool) (wire.TaskEvents, error) {
+				if again {
+					d.runtime.CloseIdleConnections()
+					return d.runtime.Events(ctx, c.next, 0)
+				}
+				return d.runtime.Events(ctx, c.next, pollTimeout)
+			},
+		}.Do(ctx)
 		cancel()
 		if err != nil {
 			if d.ctx.Err() == nil {
--- a/standinruntime/standinruntime_test.go
+++ b/standinruntime/standinruntime_test.go
@@ -32,7 +32,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	defer r.Close()
 	c := workerruntime.New("http://" + r.Address())
-	defer c.Close()
+	defer c.CloseIdleConnections()
 	begin := func(id, payload string, accelerators int, lease time.Duration) error {
 		return c.Start(ctx, wire.TaskStart{
 			ID: id, Job: "j", Accelerators: accelerators, Payload: wire.Text([]byte(payload)),
--- a/workerruntime/silent_test.go
+++ b/workerruntime/silent_test.go
@@ -23,7 +23,7 @@
 	c.Assert(err, qt.IsNil)
 	defer proxy.Close()
 	client := New("http://" + proxy.Address())
-	defer client.Close()
+	defer client.CloseIdleConnections()
 	resume := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
--- a/workerruntime/workerruntime.go
+++ b/workerruntime/workerruntime.go
@@ -54,8 +54,8 @@
 	return &Client{baseURL: baseURL, http: &http.Client{Transport: transport}}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// CloseIdleConnections closes the connections that no request uses.
+func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
 
 // Start starts a task under a lease. Starting a task that runs already changes
 // nothing.
