stepplan: an ended job survives a planner whose wall clock is ahead

Cause: RestoreJob takes the age of an ended job from the wall clocks of two VMs; with the successor's clock ahead by the time for which states are kept, the job counted as old enough to be forgotten. Change: the age is reduced by ten minutes, the largest difference of clocks that is provided for. After a change of planner, ended jobs stay that much longer, some hundred of them at the design size.

--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -80,6 +80,10 @@
 	}
 }
 
+// maxClockError is the largest difference between the wall clocks of two planners that costs
+// no ended job: a job that has just ended looks that old to a planner whose clock is ahead.
+const maxClockError = 10 * time.Minute
+
 // RestoreJob adds a job with its stored progress. The job's occurrences and active
 // runs count as begun now. By earlierLeasesExpireBy, all leases that earlier
 // planners granted have expired. Until then, runs on the VM of an agent that does
@@ -95,8 +99,9 @@
 	}
 	sc.resolveQueue(j)
 	if !e.Progress.EndedAt.IsZero() {
-		// Wall clocks differ between VMs, so that the stored time may be in the future.
-		j.EndedAt = now.Add(-max(0, wall.Sub(e.Progress.EndedAt)))
+		// Wall clocks differ between VMs, so that the job may have ended later than it seems,
+		// and the stored time may be in the future.
+		j.EndedAt = now.Add(-max(0, wall.Sub(e.Progress.EndedAt)-maxClockError))
 	}
 	sc.Jobs[j.Spec.ID] = j
 	if !j.scheduled() {
--- a/stepplan/jobs_test.go
+++ b/stepplan/jobs_test.go
@@ -176,3 +176,28 @@
 		}
 	}
 }
+
+// TestEndedJobIsKeptDespiteClocks guards against a job that a new planner forgets right after
+// its end because the wall clock of its VM is ahead of that of the planner before, and
+// against one that is kept for good.
+func TestEndedJobIsKeptDespiteClocks(t *testing.T) {
+	for _, test := range []struct {
+		age, ahead time.Duration
+		kept       bool
+	}{
+		{0, 0, true},
+		{0, 2 * time.Minute, true},
+		{0, -2 * time.Minute, true},
+		{time.Minute, 5 * time.Minute, true},
+		{time.Hour, 0, false},
+	} {
+		c := qt.New(t)
+		sc := newServiceCluster()
+		sc.Timing.KeepStatus = 2 * time.Minute
+		job := newJob("j", "q", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}})
+		ended := stepfold.Progress{Phase: stepfold.PhaseCompleted, Begun: true, EndedAt: wallTime.Add(-test.age)}
+		sc.RestoreJob(stepfold.JobState{Job: &job, Progress: ended}, bootTime, wallTime.Add(test.ahead), bootTime)
+		sc.PruneJobs(bootTime)
+		c.Check(sc.Jobs["j"] != nil, qt.Equals, test.kept, qt.Commentf("%+v", test))
+	}
+}
