disruption, stepplan: urgent work keeps the limit of unavailable tasks

Cause: MaxUnavailable was decoded and not used. Change: package disruption decides from the limit and the tasks that are unavailable for any cause how many may be stopped; stepplan passes over runs that it keeps, and chooses anew for the other VMs once one is chosen. The rule disruptionBudget is documented in rules. Runs on a draining worker, and members of a gang that has lost one, are stopped as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,6 +14,7 @@
 	committedNotStarted,
 	deadlinePassed,
 	deadlineUnreachable,
+	disruptionBudget,
 	entryLeaving,
 	exceedsMatchingCapacity,
 	invalidRequest,
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -7,6 +7,7 @@
 
 	"celerypoint.example/celerypoint/admission"
 	"celerypoint.example/celerypoint/crashes"
+	"celerypoint.example/celerypoint/disruption"
 	"celerypoint.example/celerypoint/placement"
 	qt "github.com/frankban/quicktest"
 )
@@ -45,7 +46,7 @@
 		placement.RuleNoVMReachable, placement.RuleMatchingVMsUnavailable, placement.RuleBehindQueueHead,
 		placement.RuleReservedForGang, placement.RuleOwnShareOnly, placement.RuleTooFragmented, placement.RuleNoFreeCapacity,
 		"staleTerm", "reservationExpired", "attemptReleased", "staleConfiguration", "vmDraining", "noFreePlace", "reclaimDeadline", "committedNotStarted",
-		"cancelledBeforeStart", crashes.Rule, "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther",
+		"cancelledBeforeStart", crashes.Rule, "jobFailsEverywhere", "retryBudgetSpent", "claimHeldByOther", disruption.Rule,
 	}
 	for _, n := range names {
 		_, ok := Find(n)
--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -130,6 +130,12 @@
 				c.available, c.known = c.available.Plus(t.needs), false
 			}
 		}
+		if slices.ContainsFunc(best.victims, p.hasDisruptionBudget) {
+			// What may be stopped on the other VMs depends on what is stopped here.
+			for i := range choices {
+				choices[i].known = false
+			}
+		}
 		best.available, best.known = best.available.Minus(need), false
 		best.placed++
 		e.chosen = append(e.chosen, best.vm)
@@ -197,16 +203,21 @@
 	}
 	var victims []*Task
 	cost := 0.0
+	chosen := func(t *Task) bool { return stopped[t] || slices.Contains(victims, t) }
 	for _, c := range p.candidates(vm) {
 		if available.Holds(need) {
 			break
 		}
 		t := c.task
-		if stopped[t] || slices.Contains(victims, t) || !p.mayBePreempted(t, u) || p.endsWithoutStop(u, t) {
+		if chosen(t) || !p.mayBePreempted(t, u) || p.endsWithoutStop(u, t) {
+			continue
+		}
+		together := p.stoppedTogether(t)
+		if !p.mayDisrupt(together, chosen) {
 			continue
 		}
 		cost += c.cost
-		for _, member := range p.stoppedTogether(t) {
+		for _, member := range together {
 			victims = append(victims, member)
 			if member.Agent == vm.Agent {
 				available = available.Plus(member.needs)
--- a/steps/steps.go
+++ b/steps/steps.go
@@ -34,7 +34,7 @@
 }
 
 // Step is a number of identical tasks of a job. The planner does not consider
-// Speculative, Image, TailLatencyMs and MaxUnavailable in its decisions.
+// Speculative in its decisions.
 type Step struct {
 	// Count is the number of tasks, at least 1.
 	Count int
@@ -78,8 +78,8 @@
 	// BestEffortCPU says that the tasks use only CPU time that other tasks leave
 	// idle.
 	BestEffortCPU bool
-	// MaxUnavailable limits the number of tasks that the system may stop at the
-	// same time.
+	// MaxUnavailable limits how many tasks of a LongRunning step may be unavailable at
+	// the same time when the system stops one; 0 means no limit.
 	MaxUnavailable int
 }
 
