stepentry: an entry that the store does not serve asks the planner

Cause: only acceptances and cancellations were passed on. Change: State and Pending ask the planner's entry when this one cannot tell. That entry answers by its own records and reads, and asks nobody else; if it cannot tell, the caller is refused as before. Result: siteproof TestStateByPlanner failed (every request answered 503) and passes, with a store that is silent and one that refuses; the whole of siteproof, stepentry and wire passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,8 @@
 	MethodPingPlanner   = "pingPlanner"
 	MethodStoreRecord   = "storeRecord"
 	MethodConfiguration = "configuration"
+	MethodJobPhase      = "jobPhase"
+	MethodPendingJobs   = "pendingJobs"
 	// MethodRecordStored and MethodPlannerStuck are notifications, which have no
 	// reply.
 	MethodRecordStored = "recordStored"
@@ -109,6 +111,18 @@
 	return call[wire.ConfigurationResult](ctx, c, MethodConfiguration, p)
 }
 
+// JobPhase reads the phase of a job of steps, for a caller that the store does not serve. The
+// entry does not ask a third one.
+func (c Client) JobPhase(ctx context.Context, p wire.JobPhaseParams) (wire.JobPhaseResult, error) {
+	return call[wire.JobPhaseResult](ctx, c, MethodJobPhase, p)
+}
+
+// PendingJobs counts the pending jobs of a queue, for a caller that the store does not serve.
+// The entry does not ask a third one.
+func (c Client) PendingJobs(ctx context.Context, p wire.PendingJobsParams) (wire.PendingJobsResult, error) {
+	return call[wire.PendingJobsResult](ctx, c, MethodPendingJobs, p)
+}
+
 // PlannerStuck notifies the entry that the caller is the planner of the term and that
 // the store does not take its records. It does not wait for a reply.
 func (c Client) PlannerStuck(p wire.PlannerPing) error { return c.Conn.Notify(MethodPlannerStuck, p) }
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -586,3 +586,35 @@
 		}
 	}
 }
+
+// TestStateByPlanner guards against a client that is refused because the store does not serve
+// the entry that it has reached, although the planner's entry could tell.
+func TestStateByPlanner(t *testing.T) {
+	for name, faults := range map[string]faultproxy.Faults{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, 1)
+			planner := s.planner()
+			other := s.entries[1-slices.Index(s.entries, planner)]
+			// The other entry has pinged the planner.
+			time.Sleep(1200 * time.Millisecond)
+			s.c.Assert(other.storeProxy.SetFaults(faults), qt.IsNil)
+			// Longer than the records of an entry count as up to date.
+			time.Sleep(3 * time.Second)
+			for n := range 10 {
+				s.submit(planner, "batch", jobID(n+1), s.jobBody(jobID(n+1), "run 60000", 8, 1, false))
+				status, reply := s.request(other, http.MethodGet, "/batch/"+jobID(n+1), key, nil)
+				s.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%v", reply))
+				status, reply = s.request(other, http.MethodGet, "/batch/"+jobID(n+901), key, nil)
+				s.c.Check(status, qt.Equals, http.StatusGone, qt.Commentf("%v", reply))
+			}
+			status, reply := s.request(other, http.MethodGet, "/batch/", key, nil)
+			s.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%v", reply))
+			_, want := s.request(planner, http.MethodGet, "/batch/", key, nil)
+			s.c.Check(reply["pending"], qt.Equals, want["pending"])
+			status, _ = s.request(other, http.MethodDelete, "/batch/"+jobID(5), key, nil)
+			s.c.Check(status, qt.Equals, http.StatusOK)
+			s.awaitState(planner, "batch", jobID(5), "cancelled")
+			s.checkRuns()
+		})
+	}
+}
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -102,7 +102,7 @@
 	log      *eventlog.Log
 	counters counters.Counters
 	rpc      *rpc.Engine
-	// pool handles messages without waiting; storePool appends records for other
+	// pool handles messages without waiting; storePool appends and reads records for other
 	// entries.
 	pool, storePool *workpool.Pool
 	// chooseTerm returns the number of the term to claim, given the number of the
@@ -246,6 +246,10 @@
 		err = d.pool.Submit(func() { d.handleReport(r) })
 	case entry.MethodPingPlanner:
 		err = d.pool.Submit(func() { d.handlePing(r) })
+	case entry.MethodJobPhase:
+		err = d.storePool.Submit(func() { d.handleJobPhase(r) })
+	case entry.MethodPendingJobs:
+		err = d.pool.Submit(func() { d.handlePendingJobs(r) })
 	case entry.MethodConfiguration:
 		err = d.pool.Submit(func() { d.handleConfiguration(r) })
 	case entry.MethodRecordStored:
--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -130,10 +130,21 @@
 	return steps.OutcomeUnknown
 }
 
-// State returns a job's phase. Before it returns OutcomeJobNotFound, it reads all
-// records that were stored before the call, or, if the store's reads do not return them
-// all, looks up the acceptance of the job. If that fails, it returns OutcomeRefused.
+// State returns a job's phase. If the store does not serve this entry, it asks the planner's
+// entry, and returns OutcomeRefused if that cannot tell either.
 func (d *Daemon) State(ctx context.Context, id string) (stepfold.Phase, steps.Outcome) {
+	phase, outcome := d.ownState(ctx, id)
+	if outcome == steps.OutcomeRefused {
+		return d.stateByPlanner(ctx, id)
+	}
+	return phase, outcome
+}
+
+// ownState returns a job's phase by what this entry knows and reads. Before it returns
+// OutcomeJobNotFound, it reads all records that were stored before the call, or, if the
+// store's reads do not return them all, looks up the acceptance of the job. If that fails, it
+// returns OutcomeRefused.
+func (d *Daemon) ownState(ctx context.Context, id string) (stepfold.Phase, steps.Outcome) {
 	if phase, outcome := d.phase(id); outcome != steps.OutcomeJobNotFound {
 		return phase, outcome
 	}
@@ -164,8 +175,17 @@
 }
 
 // Pending returns the number of the queue's accepted jobs that have not ended
-// and of which no task has been ordered to start yet.
+// and of which no task has been ordered to start yet. If the records of this entry are out of
+// date, it asks the planner's entry, and returns OutcomeRefused if that cannot tell either.
 func (d *Daemon) Pending(queue string) (int, steps.Outcome) {
+	n, outcome := d.ownPending(queue)
+	if outcome == steps.OutcomeRefused {
+		return d.pendingByPlanner(queue)
+	}
+	return n, outcome
+}
+
+func (d *Daemon) ownPending(queue string) (int, steps.Outcome) {
 	d.records.mu.Lock()
 	defer d.records.mu.Unlock()
 	if !d.fresh() {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -587,6 +587,28 @@
 type JobPhase string
 
 const JobPhaseEnded JobPhase = "ended"
+
+// Asks an entry for the phase of a job of steps, because the store does not serve
+// the caller.
+type JobPhaseParams struct {
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+}
+
+// The phase of a job of steps.
+type JobPhaseResult struct {
+	// notKnown means that the peer cannot tell now.
+	Outcome JobPhaseResultOutcome `json:"outcome"`
+
+	// The phase, if the outcome is found.
+	Phase string `json:"phase,omitempty,omitzero"`
+}
+
+type JobPhaseResultOutcome string
+
+const JobPhaseResultOutcomeFound JobPhaseResultOutcome = "found"
+const JobPhaseResultOutcomeNotFound JobPhaseResultOutcome = "notFound"
+const JobPhaseResultOutcomeNotKnown JobPhaseResultOutcome = "notKnown"
 const JobPhaseRunning JobPhase = "running"
 const JobPhaseStarting JobPhase = "starting"
 const JobPhaseWaiting JobPhase = "waiting"
@@ -951,6 +973,22 @@
 	Job *JobView `json:"job,omitempty,omitzero"`
 }
 
+// Asks an entry for the number of pending jobs of a queue, because the store does
+// not serve the caller.
+type PendingJobsParams struct {
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue"`
+}
+
+// The number of pending jobs of a queue.
+type PendingJobsResult struct {
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count,omitempty,omitzero"`
+
+	// False means that the peer cannot tell now.
+	Known bool `json:"known"`
+}
+
 // The number of VMs that cannot run a task of the unit for a reason.
 type PlacementExclusion struct {
 	// Reason corresponds to the JSON schema field "reason".
