--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -1,7 +1,8 @@
 // Package faultproxy is a TCP proxy that injects faults between two processes
 // under test. It can refuse and cut connections, hold back or discard the bytes of one
 // direction while the connection stays open, silence the open connections for good,
-// delay bytes with seeded jitter, and split them into small pieces. It is a test tool and not part of the product.
+// delay bytes with seeded jitter, and split them into small pieces. It is a test tool
+// and not part of the product.
 //
 // Socket callbacks only queue bytes. A pool of workers writes them, and timers
 // resume the delivery of delayed bytes. One mutex guards all state of a Proxy; it
