--- a/agentd/silent_test.go
+++ b/agentd/silent_test.go
@@ -11,9 +11,7 @@
 	"celerypoint.example/celerypoint/wire"
 )
 
-// TestEndOverSilentConnections guards against the end of a task that the agent learns half a
-// minute late, because its connections to the runtime have stopped transferring data without
-// an error.
+// TestEndOverSilentConnections guards against the end of a task learnt half a minute late after connections go silent.
 func TestEndOverSilentConnections(t *testing.T) {
 	var proxy *faultproxy.Proxy
 	h := newHarness(t, func(h *harness) {
--- a/platformlog/silent_test.go
+++ b/platformlog/silent_test.go
@@ -13,9 +13,7 @@
 	"celerypoint.example/celerypoint/standinlog"
 )
 
-// TestTailOverSilentConnections guards against a change of the configuration that is read
-// more than 5 s after it was stored, because the open connections to the log have stopped
-// transferring data without an error.
+// TestTailOverSilentConnections guards against records read more than 5 s late after connections go silent.
 func TestTailOverSilentConnections(t *testing.T) {
 	c := qt.New(t)
 	l, err := standinlog.New("127.0.0.1:0")
--- a/recordlog/incomplete_test.go
+++ b/recordlog/incomplete_test.go
@@ -115,9 +115,7 @@
 	return f
 }
 
-// TestIncompleteAnswerIsNotUpToDate guards against a reader that counts as up to date, or
-// reads on behind records that it has never received, because an answer names a true end
-// and lacks records below it.
+// TestIncompleteAnswerIsNotUpToDate guards against a reader that is up to date without a record below a true end.
 func TestIncompleteAnswerIsNotUpToDate(t *testing.T) {
 	for _, test := range []struct {
 		name         string
@@ -160,8 +158,7 @@
 	}
 }
 
-// TestDeletedNewestRecordIsUpToDate guards against a reader that never counts as up to date
-// because the newest record of a topic is a deletion which is no longer retained.
+// TestDeletedNewestRecordIsUpToDate guards against a reader that waits for a deletion which is no longer retained.
 func TestDeletedNewestRecordIsUpToDate(t *testing.T) {
 	c := qt.New(t)
 	log := &delayedLog{}
@@ -186,8 +183,7 @@
 	return page, err
 }
 
-// TestWrongEndIsForgotten guards against a reader that never counts as up to date again
-// because one reply named an end that the topic does not have.
+// TestWrongEndIsForgotten guards against a reader that waits for good for an end which was named once.
 func TestWrongEndIsForgotten(t *testing.T) {
 	c := qt.New(t)
 	log := &wrongEndLog{}
--- a/recordlog/silent_test.go
+++ b/recordlog/silent_test.go
@@ -34,8 +34,7 @@
 	return Page{}, ErrUnavailable
 }
 
-// TestOverdueRequestsUseNewConnections guards against a read or an append that is sent again
-// on another connection of the pool, which may have stopped transferring data as well.
+// TestOverdueRequestsUseNewConnections guards against a second request over a connection that is silent as well.
 func TestOverdueRequestsUseNewConnections(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/siteproof/configuration_test.go
+++ b/siteproof/configuration_test.go
@@ -78,8 +78,7 @@
 	return inForce
 }
 
-// TestChangeInForceOverSilentConnections guards against a version that is in force too late
-// because the connections to the store stop transferring data without an error.
+// TestChangeInForceOverSilentConnections guards against a version in force too late after connections to the store go silent.
 func TestChangeInForceOverSilentConnections(t *testing.T) {
 	s := newSite(t, 3, 1, withPlatformKeyGrace)
 	s.replaceRoute(2)
@@ -105,8 +104,7 @@
 	}
 }
 
-// TestOutdatedVersionDecidesNothing guards against requests that are decided by a version
-// which was replaced long ago while the entry cannot read the store.
+// TestOutdatedVersionDecidesNothing guards against decisions by a replaced version while the store cannot be read.
 func TestOutdatedVersionDecidesNothing(t *testing.T) {
 	s := newSite(t, 2, 1, withPlatformKeyGrace)
 	s.replaceRoute(2)
@@ -116,8 +114,7 @@
 	s.checkDecisions(3, s.replaceRoute(3), 6*time.Second)
 }
 
-// TestConfigurationFromPlanner guards against an entry that refuses requests, or decides them
-// by an older version, because the store serves the planner and not this entry.
+// TestConfigurationFromPlanner guards against refusals and old versions at an entry that only the planner serves.
 func TestConfigurationFromPlanner(t *testing.T) {
 	for name, faults := range map[string]faultproxy.Faults{"silent": silent, "refused": refusing} {
 		t.Run(name, func(t *testing.T) {
--- a/siteproof/path_test.go
+++ b/siteproof/path_test.go
@@ -554,8 +554,7 @@
 	s.checkRuns()
 }
 
-// TestHiddenAcceptanceIsNotDenied guards against an entry that answers 410 Gone for an
-// accepted job because the store's reads do not return the acceptance yet.
+// TestHiddenAcceptanceIsNotDenied guards against 410 Gone for an accepted job whose record reads hide.
 func TestHiddenAcceptanceIsNotDenied(t *testing.T) {
 	s := newSite(t, 2, 1)
 	planner := s.planner()
@@ -570,9 +569,7 @@
 	s.c.Check(status, qt.Equals, http.StatusGone)
 }
 
-// TestUnknownJobOverSilentConnections guards against a client that is refused, or waits for a
-// time-out, because the connections on which the entry reads about an unknown job have
-// stopped transferring data.
+// TestUnknownJobOverSilentConnections guards against a refusal after a time-out once connections to the store go silent.
 func TestUnknownJobOverSilentConnections(t *testing.T) {
 	s := newSite(t, 2, 1)
 	for range 3 {
--- a/stepentry/configage_test.go
+++ b/stepentry/configage_test.go
@@ -20,9 +20,7 @@
 
 const publicQueue = `{"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/q/","public":true}]}`
 
-// TestOldConfigurationIsConfirmed guards against requests that are refused although a read of
-// the store would show that the configuration is current, and against requests that wait for
-// a store which is known not to answer.
+// TestOldConfigurationIsConfirmed guards against refusals that one read avoids, and waits for a store known to be down.
 func TestOldConfigurationIsConfirmed(t *testing.T) {
 	c := qt.New(t)
 	store, err := standinstore.New("127.0.0.1:0")
@@ -53,9 +51,7 @@
 	c.Check(time.Since(begun) < confirmTimeout/2, qt.IsTrue, qt.Commentf("refused after %v", time.Since(begun)))
 }
 
-// TestReadBehindPeerIsNotUpToDate guards against an entry that counts as current by its reads
-// although a peer has shown that these lack the newest version, and against one that waits
-// for its next read then.
+// TestReadBehindPeerIsNotUpToDate guards against reads that count as current without a version which a peer has named.
 func TestReadBehindPeerIsNotUpToDate(t *testing.T) {
 	c := qt.New(t)
 	before := boottime.Now()
--- a/workerruntime/silent_test.go
+++ b/workerruntime/silent_test.go
@@ -13,8 +13,7 @@
 	"celerypoint.example/celerypoint/faultproxy"
 )
 
-// TestOneTimeoutAfterSilence guards against a time-out for each idle connection of the pool
-// after all of them have stopped transferring data: leases would expire meanwhile.
+// TestOneTimeoutAfterSilence guards against a time-out for each idle connection that has gone silent.
 func TestOneTimeoutAfterSilence(t *testing.T) {
 	c := qt.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }))
