stepplan, stepagent: a start order that was not answered is no proof of a crash

An agent lists the runs that may have been in progress when its worker ended, and the planner counted each as a crash. Runs whose order was lost on a blocked path before the worker crashed had never started. Ruled out: failed runs (none) and progress that could not be stored (no jobGivenUp in any log).

Change: a report says which of these runs the worker has neither answered nor listed. They still make a task a suspect, but count like runs on workers that cannot be reached: five losses of all kinds, or three confirmed crashes, fail a job.

Conclusion: the path is shown by logs and unit tests.

--- a/stepagent/former.go
+++ b/stepagent/former.go
@@ -23,6 +23,8 @@
 type formerRun struct {
 	worker.Run
 	startedAt time.Time
+	// unanswered says that the worker neither answered the start order nor listed the run.
+	unanswered bool
 }
 
 // formerWorker is an incarnation of the worker that has ended.
@@ -58,7 +60,7 @@
 	for key, r := range t.runs {
 		// The worker cannot have carried out an order that was not sent.
 		if r.confirmed || r.sent {
-			f.running = append(f.running, formerRun{key, r.startedAt})
+			f.running = append(f.running, formerRun{key, r.startedAt, !r.confirmed})
 		}
 	}
 	slices.SortFunc(f.running, func(x, y formerRun) int { return cmp.Compare(x.Task, y.Task) })
@@ -77,7 +79,7 @@
 	for _, f := range t.former {
 		w := wire.FormerWorker{Boot: f.incarnation, End: string(f.end), Ended: encodeEnds(f.ended)}
 		for _, r := range f.running {
-			w.Running = append(w.Running, wire.FormerRun{Task: r.Task, Run: r.Number, AgeMs: int(max(0, f.endedAt.Sub(r.startedAt)).Milliseconds())})
+			w.Running = append(w.Running, wire.FormerRun{Task: r.Task, Run: r.Number, AgeMs: int(max(0, f.endedAt.Sub(r.startedAt)).Milliseconds()), Unanswered: r.unanswered})
 		}
 		all = append(all, w)
 	}
--- a/stepagent/former_test.go
+++ b/stepagent/former_test.go
@@ -139,6 +139,7 @@
 	c.Assert(former, qt.HasLen, 1)
 	c.Assert(former[0].Running, qt.HasLen, 1)
 	c.Check(former[0].Running[0].Task, qt.Equals, "a.0.0.0")
+	c.Check(former[0].Running[0].Unanswered, qt.IsTrue)
 }
 
 // restartingWorker answers as its second incarnation after backAt. Until then its calls
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -268,7 +268,7 @@
 	for _, f := range w.Former {
 		former := stepplan.FormerWorker{Worker: f.Boot, End: worker.IncarnationEnd(f.End), Ended: decodeEnds(f.Ended)}
 		for _, t := range f.Running {
-			former.Running = append(former.Running, stepplan.FormerRun{Run: worker.Run{Task: t.Task, Number: t.Run}, Age: time.Duration(t.AgeMs) * time.Millisecond})
+			former.Running = append(former.Running, stepplan.FormerRun{Run: worker.Run{Task: t.Task, Number: t.Run}, Age: time.Duration(t.AgeMs) * time.Millisecond, Unanswered: t.Unanswered})
 		}
 		r.Former = append(r.Former, former)
 	}
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -626,7 +626,7 @@
 		order[k] = k
 	}
 	if s != separationNone {
-		slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(u.tasks[y].Crashes.Count(), u.tasks[x].Crashes.Count()) })
+		slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(u.tasks[y].crashCount(), u.tasks[x].crashCount()) })
 	}
 	return order
 }
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -486,7 +486,7 @@
 		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: name, Number: r.run}, Age: 100 * time.Millisecond})
 	}
 	for _, o := range w.unconfirmed {
-		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: o.order.Task.String(), Number: o.order.Run}, Age: 100 * time.Millisecond})
+		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: o.order.Task.String(), Number: o.order.Run}, Age: 100 * time.Millisecond, Unanswered: true})
 	}
 	w.former = append(w.former, f)
 	for name, r := range w.running {
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -27,10 +27,11 @@
 // crash. Then other units may start there if they fit nowhere else.
 const maxIsolation = 2 * time.Second
 
-// maxLosses is the number of workers that may crash under a task, or be gone until their
-// leases have expired, before its job fails. Most workers that cannot be reached are cut off,
-// so that it takes more of them than of crashes. The platform allows less than three starts
-// after three crashes.
+// maxLosses is the number of workers that may crash under a task, crash before they answer its
+// start order, or be gone until their leases have expired, before its job fails. Most workers
+// that cannot be reached are cut off, and an order that is not answered mostly did not arrive,
+// so that it takes more of these losses than of crashes. The platform allows less than three
+// starts after three crashes.
 const maxLosses = crashes.Limit + 2
 
 // recordCrash counts the crash of a worker's incarnation against the task of one of its
@@ -44,12 +45,11 @@
 	if t == nil || t.Done || r.Number > t.Run || j.Phase.Over() {
 		return
 	}
-	counted := t.Crashes.Add(r.Number)
-	if counted == t.Crashes {
+	if !t.addCrash(r) {
 		return
 	}
-	t.Crashes, t.lostWith = counted, former
-	if counted.Count() > 1 {
+	t.lostWith = former
+	if t.crashCount() > 1 {
 		sc.severalCrashes[t.ID] = t
 	}
 	if t.lostAt.Sub(t.lostFrom) < r.Age {
@@ -60,15 +60,57 @@
 	}
 	sc.dirty[id.Job] = true
 	kind := "taskSuspected"
-	if counted.Blamed() {
+	if t.blamed() {
 		kind = "taskGivenUp"
 	}
-	sc.addEvent(Event{Kind: kind, Job: id.Job, Task: r.Task, Run: r.Number, VM: vm.Agent, Reason: fmt.Sprintf("%s: crashes=%d, the run lasted %d ms", crashes.Rule, counted.Count(), r.Age.Milliseconds())})
-	if counted.Blamed() {
+	sc.addEvent(Event{Kind: kind, Job: id.Job, Task: r.Task, Run: r.Number, VM: vm.Agent, Reason: fmt.Sprintf("%s, the run lasted %d ms, start answered: %t", t.lossCounts(), r.Age.Milliseconds(), !r.Unanswered)})
+	if t.blamed() {
 		sc.endJob(j, stepfold.PhaseFailed, now)
 	}
 }
 
+// addCrash records that a run was lost in a crash, and reports whether that is new.
+func (t *Task) addCrash(r FormerRun) bool {
+	if !r.Unanswered {
+		counted := t.Crashes.Add(r.Number)
+		changed := counted != t.Crashes
+		t.Crashes = counted
+		t.possibleCrashes = slices.DeleteFunc(t.possibleCrashes, func(run int) bool { return run == r.Number })
+		return changed
+	}
+	if r.Number <= t.Crashes.ClearedThrough || slices.Contains(t.possibleCrashes, r.Number) || slices.Contains(t.Crashes.Runs[:], r.Number) {
+		return false
+	}
+	t.possibleCrashes = append(t.possibleCrashes, r.Number)
+	slices.Sort(t.possibleCrashes)
+	return true
+}
+
+// crashCount is the number of crashes that the task may have caused.
+func (t *Task) crashCount() int { return t.Crashes.Count() + len(t.possibleCrashes) }
+
+// suspect reports whether the task may be the cause of a crash.
+func (t *Task) suspect() bool { return t.crashCount() > 0 }
+
+// losses is the number of runs that were lost in crashes, in possible ones and in absences.
+func (t *Task) losses() int {
+	n := t.crashCount()
+	for _, run := range t.absences {
+		if !slices.Contains(t.Crashes.Runs[:], run) && !slices.Contains(t.possibleCrashes, run) {
+			n++
+		}
+	}
+	return n
+}
+
+// blamed reports whether the task is taken for the cause of its losses.
+func (t *Task) blamed() bool { return t.Crashes.Blamed() || t.losses() >= maxLosses }
+
+// lossCounts describes the losses of the task for a log line.
+func (t *Task) lossCounts() string {
+	return fmt.Sprintf("%s: crashes=%d, unanswered=%d, absences=%d", crashes.Rule, t.Crashes.Count(), len(t.possibleCrashes), len(t.absences))
+}
+
 // recordAbsence counts the loss of the task's run on a worker that its agent could not reach
 // until the lease had expired. The worker may have crashed, and its next incarnation may
 // never answer. A planner does not know the absences that an earlier one counted.
@@ -81,16 +123,10 @@
 	if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
 		t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
 	}
-	losses := t.Crashes.Count()
-	for _, run := range t.absences {
-		if !slices.Contains(t.Crashes.Runs[:], run) {
-			losses++
-		}
-	}
-	if losses < maxLosses {
+	if !t.blamed() {
 		return
 	}
-	sc.addEvent(Event{Kind: "taskGivenUp", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("%s: crashes=%d, crashes and absences=%d", crashes.Rule, t.Crashes.Count(), losses)})
+	sc.addEvent(Event{Kind: "taskGivenUp", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: t.lossCounts()})
 	sc.endJob(j, stepfold.PhaseFailed, now)
 }
 
@@ -98,13 +134,14 @@
 // an age at which no earlier run was still there.
 func (sc *Scheduler) clearIfOutlived(t *Task, at time.Time) {
 	lost := t.lostAt.Sub(t.lostFrom)
-	if !t.Crashes.Suspect() && len(t.absences) == 0 || !crashes.Outlives(at.Sub(t.StartedAt), lost) {
+	if !t.suspect() && len(t.absences) == 0 || !crashes.Outlives(at.Sub(t.StartedAt), lost) {
 		return
 	}
 	t.absences = nil
-	if !t.Crashes.Suspect() {
+	if !t.suspect() {
 		return
 	}
+	t.possibleCrashes = nil
 	t.Crashes = t.Crashes.Clear(t.Run)
 	sc.dirty[t.ID.Job] = true
 	sc.addEvent(Event{Kind: "taskCleared", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: fmt.Sprintf("ageMs=%d", at.Sub(t.StartedAt).Milliseconds())})
@@ -118,7 +155,7 @@
 	for id, t := range sc.severalCrashes {
 		j := sc.Jobs[id.Job]
 		switch {
-		case j == nil || j.Phase.Over() || t.Done || t.Crashes.Count() < 2:
+		case j == nil || j.Phase.Over() || t.Done || t.crashCount() < 2:
 			delete(sc.severalCrashes, id)
 		case t.Active && sc.runsOnlyUnitOf(sc.VMs[t.Agent], t):
 			isolated[t.Agent] = later(isolated[t.Agent], t.StartedAt)
@@ -142,8 +179,8 @@
 // to be told from: one of the same crash, or any if the task has more than one crash.
 func (p *pass) hasFellowSuspect(vm *VM, u unit, t *Task) bool {
 	for _, other := range vm.ActiveTasks {
-		fellow := t.Crashes.Count() > 1 || other.lostWith == t.lostWith && t.lostWith != ""
-		if fellow && other.Crashes.Suspect() && p.scheduler.stepOf(other) != u.step {
+		fellow := t.crashCount() > 1 || other.lostWith == t.lostWith && t.lostWith != ""
+		if fellow && other.suspect() && p.scheduler.stepOf(other) != u.step {
 			return true
 		}
 	}
@@ -154,7 +191,7 @@
 func (u unit) maxCrashes() int {
 	most := 0
 	for _, t := range u.tasks {
-		most = max(most, t.Crashes.Count())
+		most = max(most, t.crashCount())
 	}
 	return most
 }
@@ -174,14 +211,14 @@
 
 // permits reports whether the task of the unit may run on the VM.
 func (p *pass) permits(u unit, t *Task, vm *VM, s separation) bool {
-	if s == separationNone || !t.Crashes.Suspect() {
+	if s == separationNone || !t.suspect() {
 		return true
 	}
 	failedHere := len(t.FailedOn) < len(p.usable) && slices.Contains(t.FailedOn, vm.Agent)
 	if failedHere || p.hasFellowSuspect(vm, u, t) {
 		return false
 	}
-	return s == separationSuspects || t.Crashes.Count() == 1 || len(vm.ActiveTasks) == 0 && vm.free == vm.Capacity
+	return s == separationSuspects || t.crashCount() == 1 || len(vm.ActiveTasks) == 0 && vm.free == vm.Capacity
 }
 
 // separations lists the separations to try for the unit, in order.
@@ -212,7 +249,7 @@
 // isolate begins the isolation of the VMs of the unit's tasks with more than one crash.
 func (p *pass) isolate(u unit, vms []*VM) {
 	for i, t := range u.tasks {
-		if t.Crashes.Count() > 1 {
+		if t.crashCount() > 1 {
 			p.isolatedSince[vms[i].Agent] = p.now
 		}
 	}
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -133,6 +133,15 @@
 	ct.end(vm, worker.IncarnationCrashed, age, true)
 }
 
+// crashUnanswered crashes the worker of a VM that has answered none of its start orders.
+func (ct *crashTest) crashUnanswered(vm string) {
+	ct.crash(vm, 100*time.Millisecond)
+	newest := &ct.former[vm][len(ct.former[vm])-1]
+	for i := range newest.Running {
+		newest.Running[i].Unanswered = true
+	}
+}
+
 func (ct *crashTest) add(id string, step steps.Step) {
 	ct.scheduler.AddJob(newJob(id, "normal", ct.now, step), ct.now)
 }
@@ -320,6 +329,54 @@
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
 }
 
+// TestUnansweredStartsAreNoCrashes guards against failing a job whose task never ran, because
+// its start orders did not reach workers that crashed later.
+func TestUnansweredStartsAreNoCrashes(t *testing.T) {
+	ct := newCrashTest(t, 4)
+	ct.add("a", oneGPU)
+	for range 2 {
+		ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+		ct.crashUnanswered(ct.task("a").Agent)
+		ct.report(100 * time.Millisecond)
+	}
+	ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+	ct.crash(ct.task("a").Agent, 200*time.Millisecond)
+	ct.report(100 * time.Millisecond)
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
+}
+
+// TestUnansweredCrashesAreLimited guards against a task that is started without limit because
+// it crashes its workers before they answer the start order.
+func TestUnansweredCrashesAreLimited(t *testing.T) {
+	ct := newCrashTest(t, 8)
+	ct.add("a", oneGPU)
+	starts := 0
+	for !ct.scheduler.Jobs["a"].Phase.Over() && ct.startsWithin("a", 3*time.Second) {
+		starts++
+		ct.c.Assert(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+		ct.crashUnanswered(ct.task("a").Agent)
+		ct.report(100 * time.Millisecond)
+		ct.report(100 * time.Millisecond)
+	}
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
+}
+
+// TestUnansweredRunIsKeptApart guards against work that is lost again and again beside a task
+// that crashes its workers before they answer its start order.
+func TestUnansweredRunIsKeptApart(t *testing.T) {
+	ct := newCrashTest(t, 4)
+	ct.add("a", oneGPU)
+	ct.add("b", oneGPU)
+	first := ct.pass()
+	ct.c.Assert(first, qt.HasLen, 2)
+	ct.c.Assert(first[0].Agent, qt.Equals, first[1].Agent)
+	ct.crashUnanswered(first[0].Agent)
+	ct.report(100 * time.Millisecond)
+	again := ct.pass()
+	ct.c.Assert(again, qt.HasLen, 2)
+	ct.c.Check(again[0].Agent, qt.Not(qt.Equals), again[1].Agent)
+}
+
 // TestLastingTaskIsCleared guards against giving up a long-running task after crashes that
 // are far apart, because its progress ends at 100 % and so shows nothing of its age.
 func TestLastingTaskIsCleared(t *testing.T) {
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -91,11 +91,15 @@
 	// planner knew these times.
 	// lostWith is the incarnation of a worker that crashed under the newest of them, empty
 	// if only an earlier planner knew it.
+	// possibleCrashes holds the runs whose workers crashed without having answered the start
+	// order, in increasing order. A run may never have begun there, so that it takes more of
+	// them to blame the task. They are not stored: the agents report them to the next planner.
 	// absences holds the runs that were lost on workers that could not be reached until
 	// their leases had expired, in increasing order.
 	Crashes          crashes.Record
 	lostFrom, lostAt time.Time
 	lostWith         string
+	possibleCrashes  []int
 	absences         []int
 
 	// needs is the VM capacity that the active run occupies.
@@ -277,6 +281,9 @@
 	// Age is the time from the start order, or from when the agent first found the run,
 	// until the agent found that the worker had ended.
 	Age time.Duration
+	// Unanswered says that the worker neither answered the start order nor listed the run,
+	// which may never have started.
+	Unanswered bool
 }
 
 // RunningTask is a run that an agent lists in a report. It is executing, unless
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -469,6 +469,10 @@
 
 	// Task corresponds to the JSON schema field "task".
 	Task string `json:"task"`
+
+	// The worker neither answered the start order nor listed the run, which may never
+	// have started.
+	Unanswered bool `json:"unanswered,omitempty,omitzero"`
 }
 
 // An incarnation of a worker that has ended.
