--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -364,6 +364,6 @@
 		}
 	}
 	if len(s.violations) > 0 {
-		t.Errorf("seed %d: %d violations, logs in %s\n%s", s.seed, len(s.violations), s.dir, strings.Join(s.violations[:min(len(s.violations), 12)], "\n"))
+		t.Errorf("seed %d: %d violations, logs in %s\n%s\n%s", s.seed, len(s.violations), s.dir, strings.Join(s.violations[:min(len(s.violations), 12)], "\n"), evidence(s.dir, s.violations, runs))
 	}
 }
