interference, settings, cli: operators see and decide which tasks are kept apart

Nothing showed the pairs but a log line, nothing could be set, and observations from a single VM were enough.

Change: a slowdown needs observations from two VMs. [planning] apart and together decide about pairs before what was learned, checked against each other, and apply with the reload; each entry has them, so that a new planner does at once. `site neighbours` lists both with the evidence; a log line for each decision that begins or ends, a gauge. TestLatencyShowsDisturbance showed its tasks on one VM only, which no longer suffices: half of its rounds now take place on another VM, its bound is unchanged.

No effect on callers is claimed: no deployment was played with and without it.

--- a/cli/site.go
+++ b/cli/site.go
@@ -66,7 +66,7 @@
 
 func (p *program) siteCommand() *ffcli.Command {
 	return p.group("site", "run a role on the users' platform, or ask one",
-		p.siteEntryCommand(), p.siteAgentCommand(), p.siteExplainCommand())
+		p.siteEntryCommand(), p.siteAgentCommand(), p.siteExplainCommand(), p.siteNeighboursCommand())
 }
 
 func (p *program) siteEntryCommand() *ffcli.Command {
@@ -121,7 +121,7 @@
 		Timing: stepplan.Timing{
 			LeaseDuration: s.MaxLease * leasePercent / 100, KeepStatus: s.KeepStatus, MaxStopTime: s.MaxStopTime, MaxReclaimTime: s.MaxReclaimTime, FarFactor: s.FarFactor,
 		},
-		Policy:   stepplan.Policy{Paces: s.Paces == settings.PacesConsidered, Neighbours: s.Neighbours == settings.NeighboursSeparated},
+		Policy:   stepplan.Policy{Paces: s.Paces == settings.PacesConsidered, Neighbours: s.Neighbours == settings.NeighboursSeparated, NeighbourOverrides: s.NeighbourOverrides},
 		CPUShare: s.CPUShare, KeyGrace: s.KeyGrace * keyGracePercent / 100, MaxConfigAge: s.ConfigApply * configAgePercent / 100, ShutdownDelay: s.TerminationGrace - 2*stopMargin,
 	}
 }
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -1,21 +1,25 @@
 // Package interference learns which kinds of tasks slow each other down on one VM. Tasks share
 // more than the capacity that they declare, for example the bandwidth of a VM's memory. A Model
 // compares how slow runs of one kind were while a run of another kind was on the same VM with
-// how slow they were without one.
+// how slow they were without one. An operator's Override goes before what it has learned.
 //
-// A Model owns sums over the newest observations of each pair of kinds. It uses no clock and
-// takes no lock; the caller serializes access to it.
+// A Model owns sums over the newest observations of each pair of kinds, and the overrides. It
+// uses no clock and takes no lock; the caller serializes access to it.
 package interference
 
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // Observation is a part of a run during which the same kinds of tasks ran beside it.
 type Observation struct {
-	// Kind is the kind of the run's task, and Job the job that it belongs to.
-	Kind, Job string
+	// Kind is the kind of the run's task, Job the job that it belongs to, and VM the one
+	// that it ran on.
+	Kind, Job, VM string
+	// At is when the observation was made.
+	At time.Time
 	// Beside holds the kinds of the other tasks on the VM, each once.
 	Beside []string
 	// Slowness is the logarithm of how many times as long as expected the run took for this
@@ -30,8 +34,10 @@
 	// minSignificance is the difference of the two means in standard errors from which on it
 	// is not taken for chance. Some hundred pairs are compared, again and again.
 	minSignificance = 4
-	// minJobs is the number of jobs that have to show a slowdown. One job may be odd.
+	// minJobs and minVMs are the numbers of jobs and of VMs that have to show a slowdown. One
+	// job may be odd, and a VM may be slow for a reason of its own.
 	minJobs = 3
+	minVMs  = 2
 	// memory is the number of newest observations that the sums of a pair cover: each new one
 	// lessens the weight of the earlier ones by a share of 1/memory.
 	memory = 64
@@ -46,19 +52,29 @@
 // sums describes a weighted sample.
 type sums struct {
 	weight, value, square float64
-	// jobs holds the newest jobs in the sample, at most minJobs.
-	jobs []string
+	// jobs holds the newest jobs in the sample, at most minJobs, and vms the newest VMs, at
+	// most minVMs.
+	jobs, vms []string
 }
 
 func (s *sums) add(o Observation) {
 	x := max(-maxSlowness, min(maxSlowness, o.Slowness))
 	s.weight, s.value, s.square = s.weight*(1-1.0/memory)+1, s.value*(1-1.0/memory)+x, s.square*(1-1.0/memory)+x*x
-	if !slices.Contains(s.jobs, o.Job) {
-		s.jobs = append(s.jobs, o.Job)
-		s.jobs = s.jobs[max(0, len(s.jobs)-minJobs):]
+	s.jobs, s.vms = addNewest(s.jobs, o.Job, minJobs), addNewest(s.vms, o.VM, minVMs)
+}
+
+// addNewest adds the name unless the list has it, and drops the oldest beyond the limit.
+func addNewest(all []string, name string, limit int) []string {
+	if slices.Contains(all, name) {
+		return all
 	}
+	all = append(all, name)
+	return all[max(0, len(all)-limit):]
 }
 
+// sufficient reports whether the sample is from enough jobs and VMs.
+func (s *sums) sufficient() bool { return len(s.jobs) >= minJobs && len(s.vms) >= minVMs }
+
 func (s *sums) mean() float64 { return s.value / s.weight }
 
 // squaredError is the square of the standard error of the mean.
@@ -81,13 +97,17 @@
 	// observations counts the observations.
 	observations uint64
 	pairs        map[pair]*comparison
-	// slowed holds the pairs whose slowdown is known, with its factor.
+	// slowed holds the pairs whose slowdown is known, with its factor, and since the times
+	// from which on it has been known.
 	slowed map[pair]float64
+	since  map[pair]time.Time
+	// overrides holds an operator's decisions by kinds in increasing order.
+	overrides map[[2]string]Decision
 }
 
 // New returns a Model without observations.
 func New() *Model {
-	return &Model{kinds: map[string]uint64{}, pairs: map[pair]*comparison{}, slowed: map[pair]float64{}}
+	return &Model{kinds: map[string]uint64{}, pairs: map[pair]*comparison{}, slowed: map[pair]float64{}, since: map[pair]time.Time{}}
 }
 
 // Change says that the slowdown of one kind by another has become known, or no longer is.
@@ -123,7 +143,7 @@
 		} else {
 			c.without.add(o)
 		}
-		if change, changed := m.judge(p, c); changed {
+		if change, changed := m.judge(p, c, o.At); changed {
 			changes = append(changes, change)
 		}
 	}
@@ -142,16 +162,22 @@
 	for p := range m.pairs {
 		if p.slowed == oldest || p.other == oldest {
 			delete(m.pairs, p)
-			delete(m.slowed, p)
+			m.forget(p)
 		}
 	}
 }
 
+// forget drops the knowledge that the pair's slowdown is known.
+func (m *Model) forget(p pair) {
+	delete(m.slowed, p)
+	delete(m.since, p)
+}
+
 // judge decides anew whether the pair's slowdown is known. A slowdown that is known stays so
 // until half of the difference is gone, so that it does not come and go with single runs.
-func (m *Model) judge(p pair, c *comparison) (Change, bool) {
+func (m *Model) judge(p pair, c *comparison, now time.Time) (Change, bool) {
 	before, known := m.slowed[p]
-	if len(c.with.jobs) < minJobs || len(c.without.jobs) < minJobs {
+	if !c.with.sufficient() || !c.without.sufficient() {
 		return Change{}, false
 	}
 	difference := c.with.mean() - c.without.mean()
@@ -160,9 +186,12 @@
 		needed, significance = needed/2, significance/2
 	}
 	if difference < needed || difference < significance*math.Sqrt(c.with.squaredError()+c.without.squaredError()) {
-		delete(m.slowed, p)
+		m.forget(p)
 		return Change{p.slowed, p.other, 1}, known
 	}
+	if !known {
+		m.since[p] = now
+	}
 	m.slowed[p] = math.Exp(difference)
 	return Change{p.slowed, p.other, m.slowed[p]}, before == 0
 }
--- a/settings/site.go
+++ b/settings/site.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+
+	"celerypoint.example/celerypoint/interference"
 )
 
 // SiteEntry holds the settings of an entry on the users' platform, to which package
@@ -36,6 +40,9 @@
 	Paces PaceMode
 	// Neighbours says whether tasks that slow each other down are kept apart.
 	Neighbours NeighbourMode
+	// NeighbourOverrides are decisions about kinds of tasks, at most one about each pair. They
+	// are empty unless Neighbours is NeighboursSeparated.
+	NeighbourOverrides []interference.Override
 }
 
 // PaceMode says what the planner does with the paces of VMs.
@@ -162,8 +169,44 @@
 		oneOf(func(e *SiteEntry) *PaceMode { return &e.Paces }, PacesIgnored, PacesConsidered)},
 	{Key{Section: "planning", Name: "neighbours", Default: "ignored", Allowed: "ignored, separated", Help: "whether tasks that slow each other down on one VM are kept apart where there is room"},
 		oneOf(func(e *SiteEntry) *NeighbourMode { return &e.Neighbours }, NeighboursIgnored, NeighboursSeparated)},
+	{Key{Section: "planning", Name: "apart", Optional: true, Allowed: pairsAllowed, Help: "pairs of kinds of tasks to keep apart, whatever is known of them"},
+		neighbourOverrides(interference.KeepApart)},
+	{Key{Section: "planning", Name: "together", Optional: true, Allowed: pairsAllowed, Help: "pairs of kinds of tasks not to keep apart, whatever is known of them"},
+		neighbourOverrides(interference.AllowTogether)},
 }...)
 
+const (
+	pairsAllowed = "with neighbours = separated: pairs such as `image ocr:3 + queue checks`, separated by commas, each in one of apart and together, at most 64 in all"
+	maxPairs     = 64
+)
+
+// neighbourOverrides accepts pairs of kinds and adds an override with the decision for each.
+func neighbourOverrides(d interference.Decision) func(*SiteEntry, string) bool {
+	return func(e *SiteEntry, value string) bool {
+		if value == "" {
+			return true
+		}
+		for pair := range strings.SplitSeq(value, ",") {
+			a, b, found := strings.Cut(pair, " + ")
+			a, b = strings.TrimSpace(a), strings.TrimSpace(b)
+			o := interference.NewOverride(a, b, d)
+			known := slices.ContainsFunc(e.NeighbourOverrides, func(other interference.Override) bool { return other.Kinds == o.Kinds })
+			if !found || known || !isKind(a) || !isKind(b) {
+				return false
+			}
+			e.NeighbourOverrides = append(e.NeighbourOverrides, o)
+		}
+		return e.Neighbours == NeighboursSeparated && len(e.NeighbourOverrides) <= maxPairs
+	}
+}
+
+// isKind reports whether the text names a kind of tasks as the planner does: by their image
+// or, if they have none, by their queue.
+func isKind(text string) bool {
+	by, name, _ := strings.Cut(text, " ")
+	return (by == "image" || by == "queue") && name != "" && !strings.ContainsAny(name, " \t+")
+}
+
 var siteAgentBindings = append(siteNodeBindings(func(a *SiteAgent) *SiteNode { return &a.SiteNode }), []binding[SiteAgent]{
 	{Key{Section: "agent", Name: "workerAddress", Allowed: "IP:PORT", Help: "address of the worker on the agent's VM"},
 		connectAddress(func(a *SiteAgent) *string { return &a.WorkerAddress })},
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/interference"
 )
 
 const siteEntry = `[node]
@@ -53,6 +55,10 @@
 		{"farFactor = 3", "farFactor = 0.5", `.*: \[entry\] farFactor: found "0.5", allowed: 1 to 1000`},
 		{"farFactor = 3", "farFactor = 3\n[planning]\npaces = on", `.*: \[planning\] paces: found "on", allowed: ignored, considered`},
 		{"farFactor = 3", "farFactor = 3\n[planning]\nneighbours = on", `.*: \[planning\] neighbours: found "on", allowed: ignored, separated`},
+		{"farFactor = 3", "farFactor = 3\n[planning]\napart = queue a + queue b", `.*: \[planning\] apart: found "queue a \+ queue b", allowed: with neighbours = separated: .*`},
+		{"farFactor = 3", "farFactor = 3\n[planning]\nneighbours = separated\napart = queue a", `.*: \[planning\] apart: found "queue a", allowed: .*`},
+		{"farFactor = 3", "farFactor = 3\n[planning]\nneighbours = separated\napart = a + queue b", `.*: \[planning\] apart: found "a \+ queue b", allowed: .*`},
+		{"farFactor = 3", "farFactor = 3\n[planning]\nneighbours = separated\napart = queue a + queue b\ntogether = queue b + queue a", `.*: \[planning\] together: found "queue b \+ queue a", allowed: .* each in one of apart and together.*`},
 		{"farFactor = 3", "farFactor = 3\nother = 1", `.*: \[entry\] other: found an unknown key, allowed: .*`},
 	} {
 		_, err := load(strings.Replace(siteEntry, test.from, test.to, 1))
@@ -60,6 +66,20 @@
 	}
 }
 
+// TestNeighbourOverrides guards against pairs that are lost or read as others.
+func TestNeighbourOverrides(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "entry.ini")
+	text := siteEntry + "[planning]\nneighbours = separated\napart = queue b + image r/ocr:3, queue a + queue a\ntogether = \n"
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	s, err := LoadSiteEntry(path, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(s.NeighbourOverrides, qt.DeepEquals, []interference.Override{
+		{Kinds: [2]string{"image r/ocr:3", "queue b"}, Decision: interference.KeepApart},
+		{Kinds: [2]string{"queue a", "queue a"}, Decision: interference.KeepApart},
+	})
+}
+
 // TestWorkerService guards against settings of a VM without a worker, where the platform
 // renders no service, that are rejected, and against an invalid name that is accepted.
 func TestWorkerService(t *testing.T) {
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -193,6 +193,10 @@
 		return boottime.Now().Sub(d.records.currentAsOf).Milliseconds()
 	})
 	d.counters.Gauge("agentsInTouch", func() int64 { return int64(d.AttachedAgents()) })
+	d.counters.Gauge("interferingKinds", func() int64 {
+		found, _, _, _ := d.Neighbours()
+		return int64(len(found))
+	})
 }
 
 // Reload applies KeyGrace, MaxConfigAge and Timing of new settings at once. All other settings
--- a/stepentry/explain.go
+++ b/stepentry/explain.go
@@ -3,6 +3,7 @@
 import (
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/interference"
 	"celerypoint.example/celerypoint/stepplan"
 	"celerypoint.example/celerypoint/steps"
 )
@@ -37,3 +38,16 @@
 	d.counters.Count("placementExplained")
 	return d.planner.scheduler.Explain(j, boottime.Now()), true
 }
+
+// Neighbours lists the kinds of tasks that are known to slow others down on one VM, and the
+// operator's decisions about kinds. separated says whether tasks are kept apart, planning
+// whether this entry is the planner, which alone observes runs.
+func (d *Daemon) Neighbours() (found []interference.Finding, overrides []interference.Override, separated, planning bool) {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.scheduler == nil {
+		return nil, nil, false, false
+	}
+	found, overrides, separated = d.planner.scheduler.Neighbours()
+	return found, overrides, separated, true
+}
--- a/stepplan/neighbours.go
+++ b/stepplan/neighbours.go
@@ -63,7 +63,7 @@
 		return
 	}
 	rate := float64(t.Progress-begun.progress) / 100 / elapsed.Seconds()
-	sc.observeBeside(t, math.Log(expected/rate))
+	sc.observeBeside(t, math.Log(expected/rate), now)
 }
 
 // observeLatencyBeside compares the tail latency of a task that serves requests with what its
@@ -76,12 +76,12 @@
 	if _, elapsed := sc.segmentOf(t, now); elapsed < segmentLength {
 		return
 	}
-	sc.observeBeside(t, math.Log(float64(latencyMs)/float64(target)))
+	sc.observeBeside(t, math.Log(float64(latencyMs)/float64(target)), now)
 }
 
-func (sc *Scheduler) observeBeside(t *Task, slowness float64) {
+func (sc *Scheduler) observeBeside(t *Task, slowness float64, now time.Time) {
 	j := sc.Jobs[t.ID.Job]
-	o := interference.Observation{Kind: kind(j, sc.stepOf(t)), Job: t.ID.Job, Slowness: slowness}
+	o := interference.Observation{Kind: kind(j, sc.stepOf(t)), Job: t.ID.Job, VM: t.Agent, At: now, Slowness: slowness}
 	for _, other := range sc.VMs[t.Agent].ActiveTasks {
 		if k := kind(sc.Jobs[other.ID.Job], sc.stepOf(other)); other != t && !slices.Contains(o.Beside, k) {
 			o.Beside = append(o.Beside, k)
@@ -110,25 +110,46 @@
 	return ranks
 }
 
-// disturbs reports whether a task of the unit on the VM would slow one of its runs down or be
-// slowed down by one.
+// disturbs reports whether tasks of the unit are to be kept apart from one of the VM's runs.
 func (p *pass) disturbs(u unit, vm *VM) bool {
 	m := p.scheduler.interference
-	if m == nil || m.Known() == 0 {
+	if m == nil || m.SeparatesNothing() {
 		return false
 	}
 	own := kind(u.job, u.step)
 	for _, t := range vm.ActiveTasks {
-		other := kind(p.scheduler.Jobs[t.ID.Job], p.scheduler.stepOf(t))
-		if m.Slowdown(own, other) > 1 || m.Slowdown(other, own) > 1 {
+		if m.Apart(own, kind(p.scheduler.Jobs[t.ID.Job], p.scheduler.stepOf(t))) {
 			return true
 		}
 	}
 	return false
 }
 
-// disturbItself reports whether tasks of the unit slow each other down on one VM.
+// disturbItself reports whether tasks of the unit are to be kept apart from each other.
 func (p *pass) disturbItself(u unit) bool {
 	m := p.scheduler.interference
-	return m != nil && m.Slowdown(kind(u.job, u.step), kind(u.job, u.step)) > 1
+	return m != nil && m.Apart(kind(u.job, u.step), kind(u.job, u.step))
+}
+
+// overrideNeighbours applies an operator's decisions and logs those that have changed.
+func (sc *Scheduler) overrideNeighbours(before, after []interference.Override) {
+	sc.interference.SetOverrides(after)
+	log := func(event string, all, others []interference.Override) {
+		for _, o := range all {
+			if !slices.Contains(others, o) {
+				sc.addEvent(Event{Kind: event, Reason: fmt.Sprintf("kinds=%q,%q decision=%s", o.Kinds[0], o.Kinds[1], o.Decision)})
+			}
+		}
+	}
+	log("interferenceOverridden", after, before)
+	log("interferenceOverrideEnded", before, after)
+}
+
+// Neighbours returns the known slowdowns and the overrides. It reports false if tasks are not
+// kept apart.
+func (sc *Scheduler) Neighbours() ([]interference.Finding, []interference.Override, bool) {
+	if sc.interference == nil {
+		return nil, nil, false
+	}
+	return sc.interference.Findings(), slices.Clone(sc.policy.NeighbourOverrides), true
 }
--- a/stepplan/neighbours_test.go
+++ b/stepplan/neighbours_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/interference"
 	"celerypoint.example/celerypoint/steps"
 	"celerypoint.example/celerypoint/worker"
 )
@@ -155,6 +156,45 @@
 	}
 }
 
+// TestOverriddenKinds guards against an operator's decision about two kinds that has no effect,
+// and against one that makes tasks wait although there is room.
+func TestOverriddenKinds(t *testing.T) {
+	c := qt.New(t)
+	override := func(d interference.Decision) Policy {
+		return Policy{Neighbours: true, NeighbourOverrides: []interference.Override{interference.NewOverride("image scan", "image copy", d)}}
+	}
+	start := func(f *neighbourFleet, copies, gpus int) {
+		for range copies {
+			f.submit("copy", 3, gpus)
+		}
+		f.play(400 * time.Millisecond)
+		f.submit("scan", 4, 1)
+		f.play(400 * time.Millisecond)
+		c.Assert(f.progress, qt.HasLen, 3*copies+4)
+	}
+
+	f := newNeighbourFleet(override(interference.KeepApart))
+	start(f, 1, 1)
+	c.Check(f.mixed(), qt.Equals, 0)
+	f = newNeighbourFleet(override(interference.KeepApart))
+	start(f, 2, 5)
+	c.Check(f.mixed() > 0, qt.IsTrue)
+
+	f = newNeighbourFleet(Policy{Neighbours: true})
+	f.learn()
+	c.Assert(f.scheduler.interference.Known() > 0, qt.IsTrue)
+	f.scheduler.TakeOutput(f.now)
+	f.scheduler.SetPolicy(override(interference.AllowTogether))
+	events := f.scheduler.TakeOutput(f.now).Events
+	c.Assert(events, qt.HasLen, 1)
+	c.Check(events[0].Kind, qt.Equals, "interferenceOverridden")
+	start(f, 1, 1)
+	c.Check(f.mixed() > 0, qt.IsTrue)
+	found, overrides, _ := f.scheduler.Neighbours()
+	c.Check(found[0].Override, qt.Equals, interference.AllowTogether)
+	c.Check(overrides, qt.HasLen, 1)
+}
+
 // TestDisturbingTasksDoNotWait guards against keeping work from running to keep it apart: when
 // only VMs with disturbing tasks have room, tasks start there at once.
 func TestDisturbingTasksDoNotWait(t *testing.T) {
@@ -178,6 +218,10 @@
 	c := qt.New(t)
 	f := newNeighbourFleet(Policy{Neighbours: true})
 	for n := range 8 {
+		if n == 4 {
+			// The fullest VM is chosen, so that only this one would show the disturbance.
+			f.scheduler.VMs["vm0"].UnhealthyUntil = f.now.Add(time.Hour)
+		}
 		f.jobs++
 		f.scheduler.AddJob(steps.Job{ID: fmt.Sprintf("%016x", f.jobs), Queue: "q", Org: "o", AcceptedAt: f.now, Steps: []steps.Step{
 			{Count: 3, Needs: steps.Resources{GPUs: 1}, Image: "serve", LongRunning: true, TailLatencyMs: 100, MaxPerVM: 1},
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -433,6 +433,9 @@
 	// Neighbours keeps tasks of kinds that slow each other down on different VMs where there
 	// is room.
 	Neighbours bool
+	// NeighbourOverrides are an operator's decisions about kinds of tasks. Without Neighbours
+	// they have no effect.
+	NeighbourOverrides []interference.Override
 }
 
 // Option configures a Scheduler in New.
@@ -444,6 +447,7 @@
 // SetPolicy changes the policy. What was learned for decisions that are still selected is
 // kept.
 func (sc *Scheduler) SetPolicy(p Policy) {
+	before := sc.policy
 	sc.policy = p
 	switch {
 	case !p.Paces && !p.Neighbours:
@@ -456,6 +460,10 @@
 		sc.interference = nil
 	case sc.interference == nil:
 		sc.interference = interference.New()
+		before.NeighbourOverrides = nil
+	}
+	if p.Neighbours {
+		sc.overrideNeighbours(before.NeighbourOverrides, p.NeighbourOverrides)
 	}
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -817,6 +817,64 @@
 	VM string `json:"vm"`
 }
 
+// A kind of tasks that is known to slow another down on one VM, with the evidence.
+type NeighbourFinding struct {
+	// How long the slowdown has been known.
+	AgeMs int `json:"ageMs"`
+
+	// The weight of the observations without it.
+	Alone int `json:"alone"`
+
+	// The weight of the observations beside the other kind.
+	Beside int `json:"beside"`
+
+	// By corresponds to the JSON schema field "by".
+	By string `json:"by"`
+
+	// How long a part of a run takes beside the other kind, in percent of the time
+	// without it.
+	FactorPercent int `json:"factorPercent"`
+
+	// The operator's decision about the two kinds: apart or together.
+	Override string `json:"override,omitempty,omitzero"`
+
+	// Slowed corresponds to the JSON schema field "slowed".
+	Slowed string `json:"slowed"`
+
+	// The distance of the two means, in tenths of the standard error of their
+	// difference.
+	StandardErrorsTenths int `json:"standardErrorsTenths"`
+}
+
+// An operator's decision about two kinds of tasks.
+type NeighbourOverride struct {
+	// Decision corresponds to the JSON schema field "decision".
+	Decision NeighbourOverrideDecision `json:"decision"`
+
+	// Kinds corresponds to the JSON schema field "kinds".
+	Kinds []string `json:"kinds"`
+}
+
+type NeighbourOverrideDecision string
+
+const NeighbourOverrideDecisionApart NeighbourOverrideDecision = "apart"
+const NeighbourOverrideDecisionTogether NeighbourOverrideDecision = "together"
+
+// The kinds of tasks that are kept apart on VMs, and why.
+type NeighbourView struct {
+	// Found corresponds to the JSON schema field "found".
+	Found []NeighbourFinding `json:"found,omitempty,omitzero"`
+
+	// Overrides corresponds to the JSON schema field "overrides".
+	Overrides []NeighbourOverride `json:"overrides,omitempty,omitzero"`
+
+	// The entry that plans; the view has the rest only if this entry has answered.
+	Planner string `json:"planner"`
+
+	// Whether the settings of the planner ask to keep tasks apart.
+	Separated bool `json:"separated,omitempty,omitzero"`
+}
+
 // An organisation as the configuration holds it.
 type Org struct {
 	// Guarantee corresponds to the JSON schema field "guarantee".
@@ -993,6 +1051,21 @@
 	Known bool `json:"known"`
 }
 
+// A gang, or the single tasks of a step, that waits for a start.
+type PlacementAhead struct {
+	// The accelerators that all its tasks need.
+	Gpus int `json:"gpus"`
+
+	// Job corresponds to the JSON schema field "job".
+	Job string `json:"job"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step"`
+
+	// Tasks corresponds to the JSON schema field "tasks".
+	Tasks int `json:"tasks"`
+}
+
 // The number of VMs that cannot run a task of the unit for a reason.
 type PlacementExclusion struct {
 	// Reason corresponds to the JSON schema field "reason".
@@ -1044,11 +1117,27 @@
 const PlacementUnitVerdictStarts PlacementUnitVerdict = "starts"
 const PlacementUnitVerdictWaits PlacementUnitVerdict = "waits"
 
-// Where the tasks of a job that is not handed in would go.
+// Where the waiting tasks of a job would go.
 type PlacementView struct {
+	// The first units of other jobs that are placed before those of an accepted job
+	// and wait as well.
+	Ahead []PlacementAhead `json:"ahead,omitempty,omitzero"`
+
+	// The number of all such units.
+	AheadCount int `json:"aheadCount,omitempty,omitzero"`
+
+	// The ID of an accepted job, empty for one that is not handed in.
+	Job string `json:"job,omitempty,omitzero"`
+
+	// The phase of an accepted job.
+	Phase string `json:"phase,omitempty,omitzero"`
+
 	// The entry that plans; the view has units only if this entry has answered.
 	Planner string `json:"planner"`
 
+	// The number of tasks of an accepted job that have a run.
+	Running int `json:"running,omitempty,omitzero"`
+
 	// Units corresponds to the JSON schema field "units".
 	Units []PlacementUnit `json:"units,omitempty,omitzero"`
 }
