--- a/cli/siteexplain.go
+++ b/cli/siteexplain.go
@@ -40,20 +40,29 @@
 	entries := fs.String("entry", "", "`IP:PORT,...` of the metrics of entries; the first that plans answers")
 	queue := fs.String("queue", "", "`NAME` of the job's queue")
 	org := fs.String("org", "", "`NAME` of the job's organisation")
+	job := fs.String("job", "", "`ID` of an accepted job, in place of a file")
 	asJSON := fs.Bool("json", false, "print JSON")
-	return command(fs, "job.json", "tell where a job would go now, and why, without handing it in", "celerypoint site explain --entry 10.1.0.19:7001 --queue checks job.json",
+	return command(fs, "[job.json]", "tell where the waiting tasks of a job would go now, and why; a job from a file is not handed in", "celerypoint site explain --entry 10.1.0.19:7001 --queue checks job.json",
 		func(ctx context.Context, args []string) error {
-			if err := arguments(args, "job.json"); err != nil {
-				return err
-			}
-			if *entries == "" || *queue == "" {
-				return usagef("flags: --entry and --queue are required")
-			}
-			body, err := os.ReadFile(args[0])
-			if err != nil {
-				return fmt.Errorf("job: %w", err)
+			question := plannerQuestion{Method: http.MethodGet, Path: explainPath, Query: url.Values{"job": {*job}}}
+			switch {
+			case *entries == "":
+				return usagef("flags: --entry is required")
+			case *job != "" && (len(args) > 0 || *queue != "" || *org != ""):
+				return usagef("arguments: found --job with a file, --queue or --org, allowed: --job alone")
+			case *job == "":
+				if err := arguments(args, "job.json"); err != nil {
+					return err
+				}
+				if *queue == "" {
+					return usagef("flags: --queue is required with a file")
+				}
+				body, err := os.ReadFile(args[0])
+				if err != nil {
+					return fmt.Errorf("job: %w", err)
+				}
+				question = plannerQuestion{Method: http.MethodPost, Path: explainPath, Query: url.Values{"queue": {*queue}, "org": {*org}}, Body: body}
 			}
-			question := plannerQuestion{Method: http.MethodPost, Path: explainPath, Query: url.Values{"queue": {*queue}, "org": {*org}}, Body: body}
 			view, err := askPlanner(ctx, strings.Split(*entries, ","), question, func(v wire.PlacementView) string { return v.Planner })
 			if err != nil {
 				return err
@@ -65,6 +74,15 @@
 // writePlacement writes each unit with its tasks, and the VMs that it cannot run on.
 func writePlacement(out io.Writer, view wire.PlacementView) {
 	fmt.Fprintf(out, "planner %s\n", view.Planner)
+	if view.Job != "" {
+		fmt.Fprintf(out, "job %s: %s, tasks that run: %d\n", view.Job, view.Phase, view.Running)
+	}
+	if view.AheadCount > 0 {
+		fmt.Fprintf(out, "units that wait before it: %d\n", view.AheadCount)
+	}
+	for _, a := range view.Ahead {
+		fmt.Fprintf(out, "  job %s step %d, tasks: %d, accelerators: %d\n", a.Job, a.Step, a.Tasks, a.Gpus)
+	}
 	for _, u := range view.Units {
 		fmt.Fprintf(out, "\nstep %d %s: %s\n", u.Step, u.Verdict, u.Reason)
 		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/cli/siteexplain_test.go
+++ b/cli/siteexplain_test.go
@@ -47,3 +47,27 @@
 	code, _, _ = runCommand("site", "explain", "--queue", "checks", path)
 	c.Check(code, qt.Equals, 2)
 }
+
+// TestSiteExplainJob guards against a list of what an accepted job waits behind that is lost in
+// the output, and against a file that is ignored.
+func TestSiteExplainJob(t *testing.T) {
+	c := qt.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.Method, qt.Equals, http.MethodGet)
+		c.Check(r.URL.Query().Get("job"), qt.Equals, "00ff")
+		_, _ = w.Write([]byte(`{"planner":"entry2","job":"00ff","phase":"queued","running":1,"ahead":[{"job":"00aa","step":2,"tasks":3,"gpus":24}],"aheadCount":4}`))
+	}))
+	c.Cleanup(s.Close)
+	runCommand := func(args ...string) (int, string) {
+		var out, errors bytes.Buffer
+		code := Run(t.Context(), append([]string{"site", "explain", "--entry", strings.TrimPrefix(s.URL, "http://"), "--job", "00ff"}, args...), &out, &errors)
+		return code, out.String() + errors.String()
+	}
+	code, out := runCommand()
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	c.Check(out, qt.Contains, "job 00ff: queued, tasks that run: 1\nunits that wait before it: 4\n")
+	c.Check(out, qt.Contains, "  job 00aa step 2, tasks: 3, accelerators: 24\n")
+	code, out = runCommand("job.json")
+	c.Check(code, qt.Equals, 2)
+	c.Check(out, qt.Contains, "--job alone")
+}
--- a/stepentry/explain.go
+++ b/stepentry/explain.go
@@ -39,6 +39,19 @@
 	return d.planner.scheduler.Explain(j, boottime.Now()), true
 }
 
+// ExplainJob tells what would happen now to the waiting tasks of an accepted job. known says
+// whether there is such a job, planning whether this entry is the planner.
+func (d *Daemon) ExplainJob(id string) (e stepplan.JobExplanation, known, planning bool) {
+	d.planner.mu.Lock()
+	defer d.planner.mu.Unlock()
+	if d.planner.scheduler == nil {
+		return e, false, false
+	}
+	d.counters.Count("placementExplained")
+	e, known = d.planner.scheduler.ExplainJob(id, boottime.Now())
+	return e, known, true
+}
+
 // Neighbours lists the kinds of tasks that are known to slow others down on one VM, and the
 // operator's decisions about kinds. separated says whether tasks are kept apart, planning
 // whether this entry is the planner, which alone observes runs.
--- a/stepplan/explain.go
+++ b/stepplan/explain.go
@@ -113,9 +113,8 @@
 				t.Pace = vm.pace
 			}
 			e.Tasks = append(e.Tasks, t)
-			p.claim(vm, countedNeeds(u.step.Spec))
-			u.job.heldGPUs += u.step.Spec.Needs.GPUs
 		}
+		p.claimAll(u, vms)
 	}
 	switch d := p.decide(u).(type) {
 	case startUnit:
@@ -139,6 +138,118 @@
 	return e
 }
 
+// claimAll claims what the unit would take on the VMs of its tasks for the rest of the pass.
+func (p *pass) claimAll(u unit, vms []*VM) {
+	for _, vm := range vms {
+		p.claim(vm, countedNeeds(u.step.Spec))
+		u.job.heldGPUs += u.step.Spec.Needs.GPUs
+	}
+}
+
+// JobExplanation tells what a pass would do now with a job that has been accepted.
+type JobExplanation struct {
+	Phase stepfold.Phase
+	// Running is the number of tasks that have a run.
+	Running int
+	// Units holds the units that wait for a start and depend on no unfinished step.
+	Units []UnitExplanation
+	// Ahead holds the first units of other jobs that are placed before the first of Units and
+	// wait as well, at most maxAhead of the AheadCount. There are none without Units.
+	Ahead      []WaitingUnit
+	AheadCount int
+}
+
+// WaitingUnit is a unit that waits for a start.
+type WaitingUnit struct {
+	Job         string
+	Step, Tasks int
+	// GPUs is the number of accelerators that all its tasks need.
+	GPUs int
+}
+
+const maxAhead = 10
+
+// ExplainJob tells what a pass would do now with an accepted job, after the units that come
+// before those of the job. It reports false if no job has the ID. Nothing is started, stopped
+// or stored.
+func (sc *Scheduler) ExplainJob(id string, now time.Time) (JobExplanation, bool) {
+	j := sc.Jobs[id]
+	if j == nil {
+		return JobExplanation{}, false
+	}
+	all := JobExplanation{Phase: j.Phase}
+	for _, occurrence := range j.Occurrences {
+		for _, s := range occurrence {
+			for _, t := range s.Tasks {
+				if t.Active {
+					all.Running++
+				}
+			}
+		}
+	}
+	p := sc.newPass(now)
+	units := p.waitingUnits()
+	held := map[*Job]int{}
+	for _, u := range units {
+		held[u.job] = u.job.heldGPUs
+	}
+	defer func() {
+		for j, gpus := range held {
+			j.heldGPUs = gpus
+		}
+	}()
+	for _, joined := range units {
+		for _, u := range joined.parts() {
+			if u.job != j {
+				moves := false
+				if sc.guard(u.job, func() { moves = p.anticipate(u) }) && moves {
+					continue
+				}
+				if len(all.Units) == 0 {
+					all.addAhead(joined)
+				}
+				break
+			}
+			e := p.explain(u)
+			all.Units = append(all.Units, e)
+			if e.Verdict == VerdictWaits {
+				break
+			}
+		}
+	}
+	if len(all.Units) == 0 {
+		all.Ahead, all.AheadCount = nil, 0
+	}
+	return all, true
+}
+
+func (e *JobExplanation) addAhead(u unit) {
+	e.AheadCount++
+	if len(e.Ahead) < maxAhead {
+		e.Ahead = append(e.Ahead, WaitingUnit{Job: u.job.Spec.ID, Step: u.tasks[0].ID.Step, Tasks: len(u.tasks), GPUs: len(u.tasks) * u.step.Spec.Needs.GPUs})
+	}
+}
+
+// anticipate claims what a pass would give to the unit, and reports whether it would start or
+// make room for it.
+func (p *pass) anticipate(u unit) bool {
+	switch d := p.decide(u).(type) {
+	case startUnit:
+		p.claimAll(u, d.vms)
+		return true
+	case stopOthers:
+		p.claimAll(u, d.eviction.chosen)
+		return true
+	case holdBack:
+		if d.vm != nil {
+			p.heldBack = true
+			p.claim(d.vm, d.vm.free)
+		}
+		return true
+	}
+	return false
+}
+
 // placementReason tells by what the VMs of a unit that starts were chosen.
 func (p *pass) placementReason(u unit, vms []*VM) string {
 	reason := "the fullest VMs that hold it"
--- a/stepplan/explain_test.go
+++ b/stepplan/explain_test.go
@@ -1,11 +1,15 @@
 package stepplan
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
+	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
 )
 
@@ -78,3 +82,60 @@
 	c.Check(sc.TakeStops(), qt.HasLen, 0)
 	c.Check(sc.Jobs, qt.HasLen, before)
 }
+
+// TestExplainJobMatchesNextPass guards against an explanation of an accepted job that leaves out
+// the work before it, or that differs from what the next pass does with the same state.
+func TestExplainJobMatchesNextPass(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newNeighbourFleet(Policy{Paces: true, Neighbours: true})
+		ids := []string{f.submit("scan", rapid.IntRange(1, 5).Draw(rt, "running"), rapid.IntRange(1, 8).Draw(rt, "runningGPUs"))}
+		f.play(400 * time.Millisecond)
+		for range rapid.IntRange(1, 5).Draw(rt, "jobs") {
+			ids = append(ids, f.submit("copy", rapid.IntRange(1, 4).Draw(rt, "tasks"), rapid.IntRange(1, 8).Draw(rt, "gpus")))
+		}
+		asked := rapid.SampledFrom(ids[1:]).Draw(rt, "asked")
+		held := map[string]int{}
+		for id, j := range f.scheduler.Jobs {
+			held[id] = j.heldGPUs
+		}
+		explanation, known := f.scheduler.ExplainJob(asked, f.now)
+		c.Assert(known, qt.IsTrue)
+		for id, j := range f.scheduler.Jobs {
+			c.Assert(j.heldGPUs, qt.Equals, held[id])
+		}
+		c.Assert(f.scheduler.TakeOutput(f.now).Orders, qt.HasLen, 0)
+		f.scheduler.Plan(f.now)
+		want := map[int]string{}
+		for _, t := range f.scheduler.Jobs[asked].Occurrences[0][0].Tasks {
+			if t.Active {
+				want[t.ID.Index] = t.Agent
+			}
+		}
+		got := map[int]string{}
+		for _, u := range explanation.Units {
+			for _, t := range u.Tasks {
+				if u.Verdict == VerdictStarts {
+					got[t.Index] = t.VM
+				}
+			}
+		}
+		c.Assert(got, qt.DeepEquals, want)
+		waiting := 0
+		for _, id := range ids[:slices.Index(ids, asked)] {
+			if slices.ContainsFunc(f.scheduler.Jobs[id].Occurrences[0][0].Tasks, func(t *Task) bool { return !t.Active }) {
+				waiting++
+			}
+		}
+		c.Assert(explanation.AheadCount, qt.Equals, waiting)
+	})
+	f := newNeighbourFleet(Policy{})
+	for range 2 {
+		f.submit("copy", 8, 8)
+	}
+	f.scheduler.Cancel(f.submit("copy", 1, 1), f.now)
+	over, _ := f.scheduler.ExplainJob(fmt.Sprintf("%016x", f.jobs), f.now)
+	c.Check(over, qt.DeepEquals, JobExplanation{Phase: stepfold.PhaseCancelled})
+	_, known := New(Timing{}).ExplainJob("unknown", bootTime)
+	c.Check(known, qt.IsFalse)
+}
