recordlog: bound the wait before a further attempt of an append

Cause: a planner whose store refuses connections for some 20 s keeps a core busy and sends attempts without a pause. Seen on ten entries left over from interrupted soak runs: 34 to 37 % of a core each, 204 connection attempts in 2 s. The wait before a further attempt doubles when its timer fires; after a refusal the same timer serves for the pause, so that the wait doubled without anybody waiting, and overflowed after 35 refusals. Ruled out by perf: passes, elections and reads; all samples were in appendCall.run.

Change: the wait is bounded by attemptTimeout and starts anew with an attempt that no other accompanies.

--- a/recordlog/append.go
+++ b/recordlog/append.go
@@ -14,7 +14,9 @@
 	// attemptTimeout bounds one attempt.
 	attemptTimeout = 2 * time.Second
 	// hedgeDelay is the wait for a reply before a second attempt is sent on
-	// a new connection. The wait doubles with each further attempt.
+	// a new connection. The wait doubles with each further attempt, up to attemptTimeout,
+	// after which the earlier ones have ended. It starts anew with an attempt that no other
+	// accompanies.
 	hedgeDelay = 300 * time.Millisecond
 	// initialBackoff is the wait before the next attempt when an attempt has
 	// failed, for example was refused, and none is in flight. The wait doubles
@@ -86,13 +88,16 @@
 		case <-ctx.Done():
 			return 0, c.contextError(ctx.Err())
 		case <-hedge.C:
+			hedgeInterval = min(2*hedgeInterval, attemptTimeout)
+			if c.inFlight == 0 {
+				hedgeInterval = hedgeDelay
+			}
 			if c.inFlight < maxInFlight && c.rejected == nil {
 				if c.inFlight > 0 {
 					c.log.CloseIdleConnections()
 				}
 				c.startAttempt(ctx)
 			}
-			hedgeInterval *= 2
 			hedge.Reset(hedgeInterval)
 		case result := <-c.results:
 			c.inFlight--
