stepagent: keep tokens in range while a worker refuses all calls as stale

The step by which an agent raises its token doubles with each refusal in a row; after 63 of them, some seconds, the token overflowed and fell back to the worker's clock, although a worker accepts no lower one than it has seen.

Change: steps end at 2^53, up to which each number is exact in every JSON decoder; from there on tokens rise by one.

--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -214,6 +214,10 @@
 // the mutex.
 func (t *workerTable) raiseTokenAbove(bound int64) { t.token = max(t.token+1, bound) }
 
+// maxSteppedToken bounds the tokens that raiseStaleToken reaches by more than one at a time.
+// Up to it, each is the same number in every JSON decoder.
+const maxSteppedToken = 1 << 53
+
 // raiseStaleToken raises the fencing token after the worker has refused a call as stale,
 // unless the token has been raised since. Each refusal in a row doubles the step, since the
 // worker does not say which token it has seen. The caller holds the mutex.
@@ -221,7 +225,9 @@
 	if refused < t.token {
 		return
 	}
-	t.tokenStep = max(1, 2*t.tokenStep)
+	if t.tokenStep = max(1, 2*t.tokenStep); t.tokenStep > maxSteppedToken-t.token {
+		t.tokenStep = 1
+	}
 	t.raiseTokenAbove(max(t.token+t.tokenStep, t.workerTime()))
 }
 
--- a/stepagent/token_test.go
+++ b/stepagent/token_test.go
@@ -41,6 +41,22 @@
 	qt.Check(t, calls < 50, qt.IsTrue, qt.Commentf("%d calls", calls))
 }
 
+// TestTokenStaysInRange guards against a token that overflows while a worker refuses each call.
+func TestTokenStaysInRange(t *testing.T) {
+	c := qt.New(t)
+	table := newWorkerTable(time.Minute)
+	identify(table, worker.Announcement{ID: "i", StartedAtUnixMs: 1_900_000_000_000, Service: "s"})
+	const calls = 10_000
+	last := int64(0)
+	for range calls {
+		_, token := table.nextCall()
+		c.Assert(token > last, qt.IsTrue, qt.Commentf("%d after %d", token, last))
+		last = token
+		table.raiseStaleToken(token)
+	}
+	c.Check(last <= maxSteppedToken+calls, qt.IsTrue, qt.Commentf("%d", last))
+}
+
 // TestRestartedAgentReadsTheClockFirst guards against an order of the agent's process before
 // that is carried out after a status which seemed to rule that out.
 func TestRestartedAgentReadsTheClockFirst(t *testing.T) {
