stepplan: stop no run whose room an urgent task does not need

The runs to stop on a VM are chosen cheapest first until the task fits; when a larger one has to follow, it can make room enough alone, and the smaller ones are stopped for nothing.

Change: what a later choice has made unnecessary is left out again, the most lost work first.

Result: TestEvictionsAreNecessary failed after 6 cases before, passes with 3,000.

--- a/stepplan/preempt.go
+++ b/stepplan/preempt.go
@@ -193,17 +193,26 @@
 	return all
 }
 
+// stopGroup is what is stopped together with a run, with what that frees on the run's VM.
+type stopGroup struct {
+	members []*Task
+	cost    float64
+	freed   steps.Resources
+}
+
 // victims chooses runs on the VM to stop, the least lost work first, until a task
-// of the unit with the given need fits. It returns the tasks of these runs, the
+// of the unit with the given need fits, and leaves out those that a later choice has
+// made unnecessary. It returns the tasks of these runs, the
 // lost work, and whether the task of the unit fits then. stopped holds the tasks
 // whose runs are already chosen to be stopped for other tasks of the unit.
 func (p *pass) victims(u unit, vm *VM, available, need steps.Resources, stopped map[*Task]bool) ([]*Task, float64, bool) {
 	if available.Holds(need) {
 		return nil, 0, true
 	}
-	var victims []*Task
-	cost := 0.0
-	chosen := func(t *Task) bool { return stopped[t] || slices.Contains(victims, t) }
+	var groups []stopGroup
+	chosen := func(t *Task) bool {
+		return stopped[t] || slices.ContainsFunc(groups, func(g stopGroup) bool { return slices.Contains(g.members, t) })
+	}
 	for _, c := range p.candidates(vm) {
 		if available.Holds(need) {
 			break
@@ -216,15 +225,38 @@
 		if !p.mayDisrupt(together, chosen) {
 			continue
 		}
-		cost += c.cost
+		g := stopGroup{members: together, cost: c.cost}
 		for _, member := range together {
-			victims = append(victims, member)
 			if member.Agent == vm.Agent {
-				available = available.Plus(member.needs)
+				g.freed = g.freed.Plus(member.needs)
 			}
 		}
+		groups = append(groups, g)
+		available = available.Plus(g.freed)
+	}
+	if !available.Holds(need) {
+		return nil, 0, false
+	}
+	groups = necessary(groups, available, need)
+	var victims []*Task
+	cost := 0.0
+	for _, g := range groups {
+		victims, cost = append(victims, g.members...), cost+g.cost
+	}
+	return victims, cost, true
+}
+
+// necessary drops groups, the most lost work first, without which the need still fits in what
+// is available with all of them. The cheapest runs are chosen first, and a larger one that is
+// chosen after them can make room enough alone. groups is in the order of cost.
+func necessary(groups []stopGroup, available, need steps.Resources) []stopGroup {
+	for i := len(groups) - 1; i >= 0; i-- {
+		if without := available.Minus(groups[i].freed); without.Holds(need) {
+			available = without
+			groups = slices.Delete(groups, i, i+1)
+		}
 	}
-	return victims, cost, available.Holds(need)
+	return groups
 }
 
 // stoppedTogether lists the tasks whose active runs are stopped when the task is
