stepplan: say when an explanation sets a job aside

Cause: the read-through of the diff. Change: a sentence in the doc comment of ExplainJob, which decides about the jobs before the one asked for with the guard of a pass. Result: no change of behaviour.

--- a/stepplan/explain.go
+++ b/stepplan/explain.go
@@ -171,7 +171,7 @@
 
 // ExplainJob tells what a pass would do now with an accepted job, after the units that come
 // before those of the job. It reports false if no job has the ID. Nothing is started, stopped
-// or stored.
+// or stored; a job before it about which deciding fails is set aside, as by a pass.
 func (sc *Scheduler) ExplainJob(id string, now time.Time) (JobExplanation, bool) {
 	j := sc.Jobs[id]
 	if j == nil {
