--- a/entryd/crash_test.go
+++ b/entryd/crash_test.go
@@ -113,8 +113,7 @@
 	proxy.ServeHTTP(w, request)
 }
 
-// TestUnansweredStartsAreLimited guards against a job that is started without limit because
-// the runtimes crash before they answer its start.
+// TestUnansweredStartsAreLimited guards against starting a job again without limit.
 func TestUnansweredStartsAreLimited(t *testing.T) {
 	s := startCluster(t, 1, 0)
 	var runtimes []*crashingRuntime
--- a/stepplan/preempt_test.go
+++ b/stepplan/preempt_test.go
@@ -11,8 +11,7 @@
 	"celerypoint.example/celerypoint/steps"
 )
 
-// TestEvictionsAreNecessary guards against stopping a run whose room an urgent task does not
-// need, because others that are stopped for it make enough.
+// TestEvictionsAreNecessary guards against stopping a run whose room an urgent task does not need.
 func TestEvictionsAreNecessary(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sc := New(Timing{LeaseDuration: 5 * time.Second, KeepStatus: time.Minute, MaxStopTime: time.Second, MaxReclaimTime: 3 * time.Second, FarFactor: 3})
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -329,8 +329,7 @@
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
 }
 
-// TestUnansweredStartsAreNoCrashes guards against failing a job whose task never ran, because
-// its start orders did not reach workers that crashed later.
+// TestUnansweredStartsAreNoCrashes guards against failing a job whose task has hardly run.
 func TestUnansweredStartsAreNoCrashes(t *testing.T) {
 	ct := newCrashTest(t, 4)
 	ct.add("a", oneGPU)
@@ -345,8 +344,7 @@
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
 }
 
-// TestUnansweredCrashesAreLimited guards against a task that is started without limit because
-// it crashes its workers before they answer the start order.
+// TestUnansweredCrashesAreLimited guards against starting a task again without limit.
 func TestUnansweredCrashesAreLimited(t *testing.T) {
 	ct := newCrashTest(t, 8)
 	ct.add("a", oneGPU)
@@ -361,8 +359,7 @@
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
 }
 
-// TestUnansweredRunIsKeptApart guards against work that is lost again and again beside a task
-// that crashes its workers before they answer its start order.
+// TestUnansweredRunIsKeptApart guards against losing the same work again beside its cause.
 func TestUnansweredRunIsKeptApart(t *testing.T) {
 	ct := newCrashTest(t, 4)
 	ct.add("a", oneGPU)
