--- a/review/driver-2/cases.go
+++ b/review/driver-2/cases.go
@@ -271,7 +271,7 @@
 }
 
 // playDeadly: a work unit crashes each worker that starts it. The machines of the workers are
-// restarted in turn.
+// restarted in turn. When the job has been given up, another one like it is handed in.
 func playDeadly(s *system, trouble bool) (verdict, error) {
 	var workers []workerSpec
 	for i := range 6 {
@@ -280,13 +280,15 @@
 	if err := s.deploy([]queue{{"batch", "matcher", 1}}, workers, "batch"); err != nil {
 		return verdict{}, err
 	}
-	id, err := s.submit("batch", step{count: 1, gpus: 1, cpu: 1000, memMB: 1000, estimate: 5 * time.Second, spec: "crash 500"})
-	if err != nil {
-		return verdict{}, err
-	}
-	defer s.recordRuns(id)
-	asked := time.Now()
-	for begun := time.Now(); time.Since(begun) < 80*time.Second; {
+	id, asked := "", time.Now()
+	for begun := time.Now(); time.Since(begun) < 85*time.Second; {
+		if id == "" {
+			var err error
+			if id, err = s.submit("batch", step{count: 1, gpus: 1, cpu: 1000, memMB: 1000, estimate: 5 * time.Second, spec: "crash 500"}); err != nil {
+				return verdict{}, err
+			}
+			defer s.recordRuns(id)
+		}
 		for _, w := range s.workers {
 			if trouble {
 				w.signal(syscall.SIGTERM)
@@ -299,7 +301,7 @@
 		if time.Since(asked) > 4*time.Second {
 			asked = time.Now()
 			if s.state("batch", id) == "failed" {
-				return verdict{}, nil
+				id = ""
 			}
 		}
 	}
@@ -331,3 +333,98 @@
 	}
 	return fmt.Sprintf("BUDGET: %s.0.0.0 was started %d times; after three workers had crashed under it, machines in touch have started it %d times more", id, len(runs), inTouch)
 }
+
+// playGangFails: both members of a gang fail in each run. In the first run the agent of one of
+// them stands still from before the failure on, and the planner is killed after it.
+func playGangFails(s *system, trouble bool) (verdict, error) {
+	var workers []workerSpec
+	for i := range 6 {
+		workers = append(workers, workerSpec{id: fmt.Sprintf("i-%d", i+1), service: "matcher", rack: fmt.Sprintf("r%d", i/3)})
+	}
+	if err := s.deploy([]queue{{"batch", "matcher", 1}}, workers, "batch"); err != nil {
+		return verdict{}, err
+	}
+	id, err := s.submit("batch", step{count: 2, gpus: 7, cpu: 1000, memMB: 1000, estimate: 5 * time.Second, spec: "fail 3000", gang: true})
+	if err != nil {
+		return verdict{}, err
+	}
+	defer s.recordRuns(id)
+	for begun := time.Now(); len(s.runs(id)) < 2; time.Sleep(20 * time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			return verdict{}, fmt.Errorf("job %s has not begun", id)
+		}
+	}
+	if trouble {
+		time.Sleep(2 * time.Second)
+		frozen := s.runs(id)[1].worker
+		frozen.signal(syscall.SIGSTOP)
+		time.Sleep(2 * time.Second)
+		s.planner().signal(syscall.SIGKILL)
+		time.Sleep(1500 * time.Millisecond)
+		frozen.signal(syscall.SIGCONT)
+	}
+	for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(500 * time.Millisecond) {
+		if s.state("batch", id) != "failed" {
+			continue
+		}
+		time.Sleep(time.Second)
+		attempts := map[int]bool{}
+		for _, r := range s.runs(id) {
+			if r.EndReason == "failed" {
+				attempts[r.Run] = true
+			}
+		}
+		if len(attempts) < 3 {
+			return verdict{fmt.Sprintf("LOST: job %s is shown as failed after %d failed runs of its gang; max_attempts is 3", id, len(attempts))}, nil
+		}
+		return verdict{}, nil
+	}
+	return verdict{}, fmt.Errorf("job %s has not failed", id)
+}
+
+// playCrashLoops: six work units that last fail some seconds after each start, each after another
+// time. They may run on one worker only, which has room for eight.
+func playCrashLoops(s *system, trouble bool) (verdict, error) {
+	err := s.deploy([]queue{{"batch", "matcher", 1}}, []workerSpec{{id: "i-1", service: "matcher", rack: "r0"}, {id: "i-2", service: "matcher", rack: "r0"}, {id: "i-3", service: "matcher", rack: "r0"}, {id: "i-4", service: "matcher", rack: "r1"}}, "batch")
+	if err != nil {
+		return verdict{}, err
+	}
+	var ids []string
+	for i := range 6 {
+		spec := "run 300000"
+		if trouble {
+			spec = fmt.Sprintf("fail %d", 2000+1800*i)
+		}
+		id, err := s.submit("batch", step{count: 1, gpus: 1, cpu: 1000, memMB: 1000, estimate: time.Second, spec: spec, requirements: "r1", longRunning: true})
+		if err != nil {
+			return verdict{}, err
+		}
+		ids = append(ids, id)
+		defer s.recordRuns(id)
+	}
+	// afterRun and idleTime are those of the rule.
+	const afterRun, idleTime = 6 * time.Second, 3 * time.Second
+	for begun := time.Now(); time.Since(begun) < 70*time.Second; time.Sleep(20 * time.Millisecond) {
+		for _, id := range ids {
+			var ended time.Time
+			runs := s.runs(id)
+			for _, r := range runs {
+				if r.EndedAt.IsZero() {
+					ended = time.Now()
+				} else if r.EndedAt.After(ended) {
+					ended = r.EndedAt
+				}
+			}
+			if idle := time.Since(ended); len(runs) > 0 && idle > afterRun+idleTime {
+				inUse := 0
+				for _, other := range ids {
+					if s.running(other) {
+						inUse++
+					}
+				}
+				return verdict{fmt.Sprintf("LOST: the work unit of job %s, which lasts, has had nothing running for %.1f s, with %d of 8 GPUs of its worker in use", id, idle.Seconds(), inUse)}, nil
+			}
+		}
+	}
+	return verdict{}, nil
+}
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -19,7 +19,7 @@
 type verdict struct{ broken string }
 
 var cases = map[string]func(s *system, trouble bool) (verdict, error){
-	"cutoffs": playCutOffs, "handover": playHandOver, "services": playServices, "rack": playRack, "longwork": playLongWork, "deadly": playDeadly,
+	"cutoffs": playCutOffs, "handover": playHandOver, "services": playServices, "rack": playRack, "longwork": playLongWork, "deadly": playDeadly, "gang": playGangFails, "crashloops": playCrashLoops,
 }
 
 func main() {
--- a/review/driver-2/system.go
+++ b/review/driver-2/system.go
@@ -423,6 +423,7 @@
 	count, gpus, cpu, memMB int
 	work, estimate          time.Duration
 	requirements, affinity  string
+	gang, longRunning       bool
 	// spec is what the stand-in for the worker makes of the job; see package standinworker.
 	spec string
 }
@@ -438,6 +439,12 @@
 	if st.requirements != "" {
 		fields["requirements"] = st.requirements
 	}
+	if st.gang {
+		fields["gang"] = true
+	}
+	if st.longRunning {
+		fields["long_running"] = true
+	}
 	if st.affinity != "" {
 		fields["affinity"] = st.affinity
 	}
