stepplan: cut-offs of a worker do not fail a job

Cause: a run that is lost with an expired lease while its worker is out of reach was counted as a possible crash at once, and five of these fail the job. The later answer of the same incarnation, which proves that the run did not crash the worker, changed nothing. Ruled out: failures of runs, crashes that the agent reports, and the quarantine; the log has "crashes=0, unanswered=0, absences=5".

Change: such a loss is undecided until the agent reports the worker again. The same incarnation, or one that left, drops it; the end of the incarnation counts as before; a worker that stays out of reach counts as crashed after a minute. A task whose undecided losses could bring it to five is not started meanwhile, so that it can neither take down further workers nor be given up without cause. A successor takes the undecided losses from the reports of the agents, which go on listing the runs of a worker that is out of reach; before, each planner counted anew.

Why this works: the limit stays five, and only proof decides. Undecided losses of one task are always on different incarnations, since a start on the same one needs its answer.

The simulation also checks that a failed job has a cause.

--- /dev/null
+++ b/stepplan/absences_test.go
@@ -0,0 +1,133 @@
+package stepplan
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/stepfold"
+	"celerypoint.example/celerypoint/steps"
+	"celerypoint.example/celerypoint/worker"
+)
+
+// cutOff makes the workers unreachable until their leases have expired and the planner has
+// taken note of it.
+func (ct *crashTest) cutOff(vms ...string) {
+	for _, vm := range vms {
+		ct.lost[vm] = true
+	}
+	for range 70 {
+		ct.report(100 * time.Millisecond)
+		ct.scheduler.ExpireLeases(ct.now)
+	}
+}
+
+// reach makes a worker answer again, which has ended its runs meanwhile.
+func (ct *crashTest) reach(vm string) {
+	delete(ct.lost, vm)
+	ct.running[vm] = nil
+}
+
+// takeOver replaces the planner by another one that knows what was stored.
+func (ct *crashTest) takeOver() {
+	former := ct.scheduler
+	ct.scheduler = newCluster(0, ct.now)
+	for _, j := range former.Jobs {
+		ct.scheduler.RestoreJob(stepfold.JobState{Job: &j.Spec, Progress: j.storedProgress(wallTime)}, ct.now.Add(time.Second), wallTime, ct.now)
+	}
+	for vm := range ct.sessions {
+		ct.sessions[vm] = 1
+		ct.scheduler.AgentAttached(vm, 1)
+	}
+}
+
+// TestCutOffsFailNoJob guards against a job that is given up because its only worker was cut off again and again.
+func TestCutOffsFailNoJob(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		step     steps.Step
+		takeOver bool
+	}{
+		{"single", oneGPU, false},
+		{"single, planner replaced during the cut-off", oneGPU, true},
+		{"gang", steps.Step{Count: 2, Gang: true, Needs: steps.Resources{GPUs: 1}}, false},
+		{"lasting", steps.Step{Count: 1, LongRunning: true, Needs: steps.Resources{GPUs: 1}}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ct := newCrashTest(t, 1)
+			ct.add("a", test.step)
+			for n := range 2 * maxLosses {
+				ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue, qt.Commentf("start %d", n+1))
+				ct.cutOff("vm0")
+				if test.takeOver {
+					ct.takeOver()
+					ct.cutOff("vm0")
+				}
+				ct.c.Assert(ct.task("a").Active, qt.IsFalse)
+				ct.reach("vm0")
+				ct.report(100 * time.Millisecond)
+				ct.c.Assert(ct.scheduler.Jobs["a"].Phase.Over(), qt.IsFalse, qt.Commentf("cut-off %d", n+1))
+			}
+		})
+	}
+}
+
+// TestUndecidedLossesHoldTask guards against a verdict on a task while nobody knows whether its workers have crashed.
+func TestUndecidedLossesHoldTask(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// end is how the first worker ended, empty if it was only cut off.
+		end      worker.IncarnationEnd
+		observed bool
+		want     stepfold.Phase
+	}{
+		{"cut off", "", true, stepfold.PhaseRunning},
+		{"left", worker.IncarnationLeft, true, stepfold.PhaseRunning},
+		{"crashed", worker.IncarnationCrashed, true, stepfold.PhaseFailed},
+		{"ended unseen", worker.IncarnationCrashed, false, stepfold.PhaseFailed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ct := newCrashTest(t, 2*maxLosses)
+			ct.add("a", oneGPU)
+			var lost []string
+			for range maxLosses {
+				ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+				lost = append(lost, ct.task("a").Agent)
+				ct.cutOff(ct.task("a").Agent)
+			}
+			ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
+			ct.c.Check(ct.pass(), qt.HasLen, 0)
+			// The first loss is decided by what its agent reports, the others by the time.
+			if test.end != "" {
+				ct.end(lost[0], test.end, time.Second, test.observed)
+			}
+			ct.reach(lost[0])
+			for range 10 {
+				ct.pass()
+				ct.cutOff()
+			}
+			ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, test.want)
+			ct.c.Check(ct.task("a").Active, qt.Equals, test.want == stepfold.PhaseRunning)
+		})
+	}
+}
+
+// TestSuccessorsCountAbsences guards against a task that takes down one worker for good after the other and is started by each new planner again.
+func TestSuccessorsCountAbsences(t *testing.T) {
+	const vms = 12
+	ct := newCrashTest(t, vms)
+	ct.add("a", oneGPU)
+	starts := 0
+	for starts < vms && ct.startsWithin("a", 3*time.Second) {
+		starts++
+		ct.cutOff(ct.task("a").Agent)
+		ct.takeOver()
+		ct.cutOff()
+	}
+	ct.c.Check(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+	for range 10 {
+		ct.cutOff()
+	}
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
+}
--- a/stepplan/order.go
+++ b/stepplan/order.go
@@ -146,14 +146,15 @@
 }
 
 // waitingUnit returns the unit of the step's tasks that wait for a start and whose
-// Task.NotBefore has passed, and whether there are any. A gang is left out while any
-// of its members has an active run. For single tasks, waitingSince is the earliest.
+// Task.NotBefore has passed, and whether there are any. Tasks with undecided losses are left
+// out, and a gang while any of its members is one or has an active run. For single tasks,
+// waitingSince is the earliest.
 func (s *Step) waitingUnit(j *Job, now time.Time) (unit, bool) {
 	u := unit{job: j, step: s}
 	if s.Spec.Gang {
 		u.tasks = s.Tasks
 		for _, t := range s.Tasks {
-			if t.Active || now.Before(t.NotBefore) {
+			if t.Active || now.Before(t.NotBefore) || t.undecided() {
 				return unit{}, false
 			}
 			u.waitingSince = later(u.waitingSince, t.WaitSince)
@@ -161,7 +162,7 @@
 		return u, true
 	}
 	for _, t := range s.Tasks {
-		if t.Done || t.Active || now.Before(t.NotBefore) {
+		if t.Done || t.Active || now.Before(t.NotBefore) || t.undecided() {
 			continue
 		}
 		if len(u.tasks) == 0 || t.WaitSince.Before(u.waitingSince) {
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -270,6 +270,11 @@
 	}
 	vm.Service, vm.Zone, vm.Rack, vm.Labels, vm.Capacity = r.Service, r.Zone, r.Rack, r.Labels, r.Capacity
 	vm.Unreachable = r.Unreachable
+	if r.Unreachable {
+		sc.recordUnreachableRuns(vm, r, now)
+	} else {
+		sc.decideAbsences(vm, r, now)
+	}
 	vm.Draining, vm.DrainDeadline = r.Draining, now.Add(time.Duration(r.RemainingMs)*time.Millisecond)
 	if r.Unhealthy {
 		vm.UnhealthyUntil = now.Add(unhealthyVMBackoff)
@@ -498,6 +503,7 @@
 // may still start them under its next lease.
 func (sc *Scheduler) ExpireLeases(now time.Time) {
 	for name, vm := range sc.VMs {
+		sc.expireAbsences(vm, now)
 		if len(vm.ActiveTasks) > 0 && now.Before(vm.LeaseUntil) {
 			continue
 		}
@@ -505,13 +511,22 @@
 			if vm.Attached && t.ConclusiveReport < 0 {
 				continue
 			}
-			if vm.Attached && vm.Unreachable {
-				sc.recordAbsence(t, now)
-			}
-			sc.markLost(t, now, "the lease expired")
+			sc.loseToExpiredLease(vm, t, now)
 		}
 		if vm.Replaced {
 			delete(sc.VMs, name)
 		}
 	}
 }
+
+// loseToExpiredLease marks the task's run on the VM as lost after every lease has expired.
+// The worker may have crashed if its agent cannot reach it.
+func (sc *Scheduler) loseToExpiredLease(vm *VM, t *Task, now time.Time) {
+	if vm.Attached && vm.Unreachable {
+		sc.recordAbsence(vm, t, t.Run, t.Worker, now)
+		if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
+			t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
+		}
+	}
+	sc.markLost(t, now, "the lease expired")
+}
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"celerypoint.example/celerypoint/access"
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/lease"
 	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
@@ -21,7 +22,8 @@
 // have succeeded, no worker exceeds its capacity, and a job is stored as
 // completed only when all its tasks have succeeded. A task that crashes its workers is
 // started at most maxCrashingStarts times, not counting starts whose agent stopped before
-// it had reported the crash.
+// it had reported the crash. A job is stored as failed only after failures of one of its
+// tasks, or ends and long absences of the workers that had it.
 
 const (
 	simLeaseDuration = 5 * time.Second
@@ -69,6 +71,10 @@
 	// lastSeen is the agent's newest report from before its calls to the worker began to
 	// fail, nil while they are answered. The worker goes on meanwhile, or crashes unseen.
 	lastSeen *Report
+	// lostAt is when the calls began to fail, and lostRuns holds the names of the tasks that
+	// the worker had then.
+	lostAt   time.Time
+	lostRuns []string
 	// former holds the incarnations whose crash the agent has noticed. The first reported
 	// of them are known to the planner, and what follows from the first stored is stored.
 	former           []FormerWorker
@@ -98,14 +104,17 @@
 	// crashing holds the tasks that crash each worker that starts them, with the number
 	// of starts that their agents may have reported.
 	crashing map[string]int
-	// allCrash says that the first task of each job is one of them.
-	allCrash bool
+	// causes counts what can fail a job, by the successKey of its task.
+	causes map[string]int
+	// allCrash says that the first task of each job is one of them, noFaults that no run
+	// fails or crashes its worker.
+	allCrash, noFaults bool
 }
 
 func (w *simWorker) incarnationID() string { return fmt.Sprintf("%s/%d", w.name, w.restarts) }
 
 func newSim(t *rapid.T) *sim {
-	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}}
+	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}, causes: map[string]int{}}
 	for i := range simVMs {
 		s.workers = append(s.workers, &simWorker{name: fmt.Sprintf("vm%d", i), running: map[string]simRun{}, highestRun: map[string]int{}})
 	}
@@ -143,7 +152,7 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
-	if s.allCrash || rapid.IntRange(0, 3).Draw(s.t, "crashing") == 0 {
+	if s.allCrash || !s.noFaults && rapid.IntRange(0, 3).Draw(s.t, "crashing") == 0 {
 		s.crashing[steps.TaskID{Job: id}.String()] = 0
 	}
 	s.jobs[id] = j
@@ -179,6 +188,9 @@
 // phase that callers see. It checks that all tasks of a completed job have succeeded.
 func (s *sim) store(p stepfold.Progressed) {
 	s.storedProgress[p.ID] = p.Progress
+	if p.Progress.Phase == stepfold.PhaseFailed {
+		s.checkFailed(p.ID)
+	}
 	if p.Progress.Phase != stepfold.PhaseCompleted {
 		return
 	}
@@ -192,6 +204,34 @@
 	}
 }
 
+// checkFailed checks that a failed job has a task with as many failures and losses as the
+// fewest that fail a job.
+func (s *sim) checkFailed(job string) {
+	most := 0
+	for i, step := range s.jobs[job].Steps {
+		for k := range step.Count {
+			id := steps.TaskID{Job: job, Step: i, Index: k}
+			n := s.causes[s.successKey(id)]
+			for _, w := range s.workers {
+				if w.lastSeen != nil && s.now.Sub(w.lostAt) >= maxAbsence && slices.Contains(w.lostRuns, id.String()) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	if most < min(simMaxAttempts, crashes.Limit) {
+		s.t.Fatalf("job %s is stored as failed after %d failures, crashes and long absences", job, most)
+	}
+}
+
+// addCause counts a cause for which the job of the named task may fail.
+func (s *sim) addCause(name string) {
+	if id, err := steps.ParseTaskID(name); err == nil {
+		s.causes[s.successKey(id)]++
+	}
+}
+
 // successKey is the same for all members of a gang, which succeed together.
 func (s *sim) successKey(id steps.TaskID) string {
 	if s.jobs[id.Job].Steps[id.Step].Gang {
@@ -274,9 +314,13 @@
 		}
 	}
 	w.version++
+	work := time.Minute
+	if !s.noFaults {
+		work = time.Duration(rapid.IntRange(100, 3000).Draw(s.t, "workMs")) * time.Millisecond
+	}
 	w.running[name] = simRun{
-		run: o.Run, gpus: step.Needs.GPUs, endsAt: s.now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(s.t, "workMs")) * time.Millisecond),
-		fails: rapid.IntRange(0, 5).Draw(s.t, "fails") == 0,
+		run: o.Run, gpus: step.Needs.GPUs, endsAt: s.now.Add(work),
+		fails: !s.noFaults && rapid.IntRange(0, 5).Draw(s.t, "fails") == 0,
 	}
 	used := 0
 	for _, r := range w.running {
@@ -335,6 +379,7 @@
 			case s.now.After(w.deadline):
 				s.end(w, name, worker.EndLeaseExpired)
 			case !s.now.Before(r.endsAt) && r.fails:
+				s.addCause(name)
 				s.end(w, name, worker.EndFailed)
 				s.breakGang(name, r.run)
 			case !s.now.Before(r.endsAt):
@@ -441,16 +486,25 @@
 	if w.lastSeen == nil {
 		w.version++
 		r := w.buildReport()
-		w.lastSeen = &r
+		w.lastSeen, w.lostAt, w.lostRuns = &r, s.now, nil
+		for _, run := range r.Running {
+			w.lostRuns = append(w.lostRuns, run.Task)
+		}
 	}
 }
 
 // findWorker ends loseWorker.
 func (s *sim) findWorker(w *simWorker) {
-	if w.lastSeen != nil {
-		w.lastSeen = nil
-		w.version++
+	if w.lastSeen == nil {
+		return
 	}
+	if s.now.Sub(w.lostAt) >= maxAbsence {
+		for _, name := range w.lostRuns {
+			s.addCause(name)
+		}
+	}
+	w.lastSeen = nil
+	w.version++
 }
 
 // resolveUnconfirmed decides each order that the worker has not answered: it is
@@ -489,6 +543,14 @@
 		f.Running = append(f.Running, FormerRun{Run: worker.Run{Task: o.order.Task.String(), Number: o.order.Run}, Age: 100 * time.Millisecond, Unanswered: true})
 	}
 	w.former = append(w.former, f)
+	for _, r := range f.Running {
+		s.addCause(r.Task)
+	}
+	if w.lastSeen != nil {
+		for _, name := range w.lostRuns {
+			s.addCause(name)
+		}
+	}
 	for name, r := range w.running {
 		s.breakGang(name, r.run)
 	}
@@ -620,3 +682,56 @@
 		})
 	})
 }
+
+// Guards against interleavings of cut-offs of workers with restarts of agents and changes of
+// planner in which a job fails although no run fails and no worker crashes.
+func TestCutOffsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt)
+		s.noFaults = true
+		anyWorker := func(rt *rapid.T) *simWorker {
+			return s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]
+		}
+		reportAndPass := func(rt *rapid.T) {
+			s.advance(400 * time.Millisecond)
+			for _, w := range s.workers {
+				s.report(w)
+			}
+			s.runPass()
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"accept": func(*rapid.T) {
+				if len(s.jobs) < 2 {
+					s.submitJob()
+				}
+			},
+			"reportAndPass":  reportAndPass,
+			"reportAndPass2": reportAndPass,
+			"cutOffs": func(rt *rapid.T) {
+				for _, w := range s.workers {
+					s.findWorker(w)
+				}
+				for range 4 {
+					reportAndPass(rt)
+				}
+				for _, w := range s.workers {
+					if rapid.IntRange(0, 3).Draw(rt, "cutOff") > 0 {
+						s.loseWorker(w)
+					}
+				}
+				for range 20 {
+					reportAndPass(rt)
+				}
+			},
+			"lose":  func(rt *rapid.T) { s.loseWorker(anyWorker(rt)) },
+			"find":  func(rt *rapid.T) { s.findWorker(anyWorker(rt)) },
+			"agent": func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
+			"takeOver": func(rt *rapid.T) {
+				if rapid.IntRange(0, 4).Draw(rt, "takeOver") == 0 {
+					s.takeOver()
+				}
+			},
+			"": func(*rapid.T) {},
+		})
+	})
+}
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -28,10 +28,10 @@
 const maxIsolation = 2 * time.Second
 
 // maxLosses is the number of workers that may crash under a task, crash before they answer its
-// start order, or be gone until their leases have expired, before its job fails. Most workers
-// that cannot be reached are cut off, and an order that is not answered mostly did not arrive,
-// so that it takes more of these losses than of crashes. The platform allows less than three
-// starts after three crashes.
+// start order, or not come back after their leases have expired, before its job fails. An
+// order that is not answered mostly did not arrive, and a worker that does not come back may
+// have ended for another reason, so that it takes more of these losses than of crashes. The
+// platform allows less than three starts after three crashes.
 const maxLosses = crashes.Limit + 2
 
 // recordCrash counts the crash of a worker's incarnation against the task of one of its
@@ -92,15 +92,11 @@
 // suspect reports whether the task may be the cause of a crash.
 func (t *Task) suspect() bool { return t.crashCount() > 0 }
 
-// losses is the number of runs that were lost in crashes, in possible ones and in absences.
+// losses is the number of runs that were lost in crashes, in possible ones and in absences
+// that count as crashes.
 func (t *Task) losses() int {
-	n := t.crashCount()
-	for _, run := range t.absences {
-		if !slices.Contains(t.Crashes.Runs[:], run) && !slices.Contains(t.possibleCrashes, run) {
-			n++
-		}
-	}
-	return n
+	crashed, _ := t.absenceCounts()
+	return t.crashCount() + crashed
 }
 
 // blamed reports whether the task is taken for the cause of its losses.
@@ -108,26 +104,8 @@
 
 // lossCounts describes the losses of the task for a log line.
 func (t *Task) lossCounts() string {
-	return fmt.Sprintf("%s: crashes=%d, unanswered=%d, absences=%d", crashes.Rule, t.Crashes.Count(), len(t.possibleCrashes), len(t.absences))
-}
-
-// recordAbsence counts the loss of the task's run on a worker that its agent could not reach
-// until the lease had expired. The worker may have crashed, and its next incarnation may
-// never answer. A planner does not know the absences that an earlier one counted.
-func (sc *Scheduler) recordAbsence(t *Task, now time.Time) {
-	j := sc.Jobs[t.ID.Job]
-	if t.Done || j.Phase.Over() {
-		return
-	}
-	t.absences = append(t.absences, t.Run)
-	if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
-		t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
-	}
-	if !t.blamed() {
-		return
-	}
-	sc.addEvent(Event{Kind: "taskGivenUp", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: t.Agent, Reason: t.lossCounts()})
-	sc.endJob(j, stepfold.PhaseFailed, now)
+	absent, undecided := t.absenceCounts()
+	return fmt.Sprintf("%s: crashes=%d, unanswered=%d, absences=%d, undecided=%d", crashes.Rule, t.Crashes.Count(), len(t.possibleCrashes), absent, undecided)
 }
 
 // clearIfOutlived drops the suspicion against a task whose run was at work at the time, at
@@ -137,7 +115,7 @@
 	if !t.suspect() && len(t.absences) == 0 || !crashes.Outlives(at.Sub(t.StartedAt), lost) {
 		return
 	}
-	t.absences = nil
+	t.absences, t.outlivedThrough = nil, t.Run
 	if !t.suspect() {
 		return
 	}
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -29,11 +29,14 @@
 	former   map[string][]FormerWorker
 	ended    map[string][]worker.Ended
 	starts   []StartOrder
+	// lost holds the VMs whose agents cannot reach their workers.
+	lost map[string]bool
 }
 
 func newCrashTest(t *testing.T, vms int) *crashTest {
 	ct := &crashTest{
 		c: qt.New(t), now: bootTime, restarts: map[string]int{}, sessions: map[string]int{}, running: map[string][]RunningTask{}, former: map[string][]FormerWorker{}, ended: map[string][]worker.Ended{},
+		lost: map[string]bool{},
 	}
 	ct.scheduler = newCluster(0, ct.now)
 	for i := range vms {
@@ -49,24 +52,21 @@
 
 // report lets time pass and has all agents report. Runs make one percent of progress
 // every 50 ms, up to 100 %.
-func (ct *crashTest) report(after time.Duration) { ct.reportExcept(nil, after) }
-
-// reportExcept is report, where the agents of the lost VMs cannot reach their workers.
-func (ct *crashTest) reportExcept(lost map[string]bool, after time.Duration) {
+func (ct *crashTest) report(after time.Duration) {
 	ct.now = ct.now.Add(after)
 	for i := range len(ct.sessions) {
 		vm := fmt.Sprintf("vm%d", i)
 		for k := range ct.running[vm] {
-			if !lost[vm] {
+			if !ct.lost[vm] {
 				ct.running[vm][k].Progress = min(100, ct.running[vm][k].Progress+int(after/(50*time.Millisecond)))
 			}
 		}
 		ct.scheduler.HandleReport(Report{
 			Agent: vm, Session: ct.sessions[vm], Version: 1, WorkerPresent: true, Worker: ct.worker(vm), Rack: fmt.Sprintf("r%d", i/2),
 			Capacity: steps.Resources{CPU: 32000, MemMB: 64000, GPUs: 8}, Running: ct.running[vm], Former: ct.former[vm], Ended: ct.ended[vm],
-			Unhealthy: lost[vm], Unreachable: lost[vm],
+			Unhealthy: ct.lost[vm], Unreachable: ct.lost[vm],
 		}, ct.now)
-		if !lost[vm] {
+		if !ct.lost[vm] {
 			ct.scheduler.LeaseGranted(vm, ct.now)
 		}
 	}
@@ -313,15 +313,14 @@
 	const vms = 8
 	ct := newCrashTest(t, vms)
 	ct.add("a", oneGPU)
-	lost := map[string]bool{}
 	starts := 0
 	for range 2 * vms {
 		for _, o := range ct.pass() {
 			starts++
-			lost[o.Agent] = true
+			ct.lost[o.Agent] = true
 		}
 		for range 70 {
-			ct.reportExcept(lost, 100*time.Millisecond)
+			ct.report(100 * time.Millisecond)
 		}
 		ct.scheduler.ExpireLeases(ct.now)
 	}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -95,12 +95,15 @@
 	// order, in increasing order. A run may never have begun there, so that it takes more of
 	// them to blame the task. They are not stored: the agents report them to the next planner.
 	// absences holds the runs that were lost on workers that could not be reached until
-	// their leases had expired, in increasing order.
+	// their leases had expired. They are not stored: while the worker cannot be reached, its
+	// agent reports them to the next planner. Runs up to outlivedThrough no longer count as
+	// absences, because a run has outlived the lost ones.
 	Crashes          crashes.Record
 	lostFrom, lostAt time.Time
 	lostWith         string
 	possibleCrashes  []int
-	absences         []int
+	absences         []absence
+	outlivedThrough  int
 
 	// needs is the VM capacity that the active run occupies.
 	needs steps.Resources
@@ -227,6 +230,8 @@
 	FormerWorkers []string
 	// Unreachable says that, by the newest report, the agent's calls to the worker fail.
 	Unreachable bool
+	// absentTasks holds the tasks with an undecided absence on the VM.
+	absentTasks map[steps.TaskID]*Task
 	// LastEndNumber is the highest worker.Ended.EndNumber that was processed for
 	// the worker's incarnation.
 	LastEndNumber int64
