stepplan, stepagent: a new planner learns from agents when the leases of lost workers expired

Cause: a new planner takes the leases of all workers with stored runs to last until lease.EarlierTermsExpireBy: 12 s in which an earlier planner may still grant, and one lease. It kept that bound after the agent had attached to it, although the agent passes on every lease and knows when it requested the newest one. Ruled out: the election (a term begins within 1.3 s), attaching (milliseconds) and placement (the task starts 4 ms after the loss).

Change: an agent that cannot reach its worker reports the age of the newest lease that it requested, or of its process if it has requested none. Once no lease can last that long, the report proves that the runs have ended, whichever planners granted the leases, and the planner marks them as lost. An agent without a worker also names its VM, so that its report says nothing about a replaced VM. VMs from which no agent reports keep the long bound.

Why this works: the worker's deadline is its clock at the request plus the duration of the lease, so that the time of the request bounds it, and only this agent calls the worker. The proof speaks of the past. A bound for the time after a report would fail, because the agent may restart and follow an earlier planner again, which was only paused.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -39,9 +39,21 @@
 // given duration keeps active, if the planner received the request for the lease
 // at the given time.
 func ExpiresBy(received time.Time, duration time.Duration) time.Time {
-	return received.Add(duration + duration*ClockDriftPercent/100 + Slack)
+	return received.Add(longest(duration))
 }
 
+// longest is the longest real time from a reading of the worker's clock until every run
+// has ended that a lease of the given duration from that reading keeps active.
+func longest(duration time.Duration) time.Duration {
+	return duration + duration*ClockDriftPercent/100 + Slack
+}
+
+// Expired reports whether every run has ended that leases of the given duration kept
+// active, whichever planners granted them. age is the time since the agent requested the
+// newest lease that the worker may hold, or since the agent's process began if it has
+// requested none: an earlier process had requested its leases before.
+func Expired(age, duration time.Duration) bool { return age >= longest(duration) }
+
 // EarlierTermsExpireBy returns the time by which every run has ended that leases
 // granted by planners of earlier terms keep active. claimed is when the planner of
 // the newest term had read its own claim back from the store, or a later time. An
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -39,3 +39,37 @@
 	c.Assert(MayGrant(claimed, claimed.Add(TermValidity)), qt.IsFalse)
 	c.Assert(EarlierTermsExpireBy(claimed, 5*time.Second).Before(ExpiresBy(lastGrant, 5*time.Second)), qt.IsFalse)
 }
+
+// Guards against a planner that takes the leases of earlier planners for expired while one
+// of them can still keep a run active. The agent restarts any number of times, and each
+// lease that its processes requested may have been granted by any planner and passed on.
+func TestExpiredBoundsLeasesOfAllPlanners(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		duration := time.Duration(rapid.Int64Range(1, 6000).Draw(rt, "grantMs")) * time.Millisecond
+		rate := rapid.Float64Range(0.98, 1.02).Draw(rt, "rate")
+		late := time.Duration(rapid.Int64Range(0, 250).Draw(rt, "lateMs")) * time.Millisecond
+		now, ends := time.Unix(1000, 0), time.Unix(0, 0)
+		step := func(label string) {
+			now = now.Add(time.Duration(rapid.Int64Range(0, 9000).Draw(rt, label)) * time.Millisecond)
+		}
+		var requested time.Time
+		for range rapid.IntRange(1, 3).Draw(rt, "processes") {
+			step("beforeProcess")
+			// The process has requested no lease.
+			requested = now
+			for range rapid.IntRange(0, 3).Draw(rt, "requests") {
+				step("beforeRequest")
+				requested = now
+				// The worker reaches its deadline duration/rate after the reading of its clock,
+				// and ends its runs late.
+				if end := now.Add(time.Duration(float64(duration)/rate) + late); end.After(ends) {
+					ends = end
+				}
+			}
+		}
+		step("beforeReport")
+		if Expired(now.Sub(requested), duration) && ends.After(now) {
+			rt.Fatalf("the leases count as expired %s before a run ends", ends.Sub(now))
+		}
+	})
+}
--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -275,6 +275,43 @@
 	}
 }
 
+// TestRunsOfVanishedWorkerAcrossPlanners guards against a wait for a lost worker that begins anew with each planner.
+func TestRunsOfVanishedWorkerAcrossPlanners(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		restartAgent bool
+	}{
+		{"agentLives", false},
+		{"agentRestarts", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, 3, 2)
+			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 6000", capacity.GPUs, 1, false))
+			a := s.awaitStart(jobID(1))
+			time.Sleep(100 * time.Millisecond)
+			lostAt := time.Now()
+			a.worker.Close()
+			for range 2 {
+				killed := s.planner()
+				killed.kill()
+				s.entries = slices.DeleteFunc(s.entries, func(e *entryProcess) bool { return e == killed })
+				if test.restartAgent {
+					a.kill()
+					s.runAgent(a)
+				}
+				s.eventually("another entry plans", func() bool { return s.planner() != nil && s.planner().daemon.AttachedAgents() > 0 })
+			}
+			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+			starts := s.starts(jobID(1))
+			s.c.Assert(starts, qt.HasLen, 2)
+			delay := starts[1].StartedAt.Sub(lostAt)
+			s.c.Check(delay < maxLease+5*time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %s", delay))
+			time.Sleep(settleTime)
+			s.checkRuns()
+		})
+	}
+}
+
 // TestNotedEndsAreStored guards against acknowledging ends of another incarnation.
 func TestNotedEndsAreStored(t *testing.T) {
 	for _, test := range []struct {
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -174,7 +174,7 @@
 		return nil, fmt.Errorf("agent %s: %w", c.Name, err)
 	}
 	d.rpc = engine
-	d.table.vm = d.address()
+	d.table.vm, d.table.leaseRequestedAt = d.address(), time.Now()
 	d.log.Add("agentStarted", eventlog.Fields{"boot": d.bootID, "listen": engine.Address()})
 	d.goroutines.Go(func() { d.poll(d.ctx) })
 	d.goroutines.Go(func() { d.reportLoop(d.ctx) })
@@ -345,7 +345,7 @@
 	t := d.table
 	t.mu.Lock()
 	current, clockAtRequest := t.current, t.minClock()
-	body := d.buildReport()
+	body := d.requestLease()
 	t.mu.Unlock()
 	body.Session = number
 	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -380,6 +380,15 @@
 	conn.Close()
 }
 
+// requestLease returns a report, which also requests a lease if the worker can be reached.
+// The caller holds the table's mutex and sets the session number.
+func (d *Daemon) requestLease() wire.WorkerReport {
+	if d.table.identified() && !d.table.unhealthy {
+		d.table.leaseRequestedAt = time.Now()
+	}
+	return d.buildReport()
+}
+
 // buildReport returns a report of the table. The report contains no worker until
 // the worker has been identified. The caller holds the table's mutex and sets the session
 // number.
@@ -387,7 +396,11 @@
 	t := d.table
 	a := t.announced
 	w := wire.WorkerReport{Agent: d.cfg.Name, Boot: d.bootID, Version: t.version, Leaving: d.stopping.Load(), Former: t.reportedFormer(time.Now())}
+	if !t.identified() || t.unhealthy {
+		w.LeaseAgeMs = int(time.Since(t.leaseRequestedAt).Milliseconds())
+	}
 	if !t.identified() {
+		w.VM = t.vm
 		return w
 	}
 	// Without an announcement there is no capacity, which keeps tasks away by itself. As soon
--- a/stepagent/table.go
+++ b/stepagent/table.go
@@ -115,6 +115,10 @@
 	// lease is the time, on the worker's clock, until which the planner has
 	// allowed the worker to run tasks.
 	lease time.Duration
+	// leaseRequestedAt is when the agent last requested a lease, or when its process began to
+	// listen if it has requested none. No lease that the worker holds, or may still be
+	// given, was requested later: the process before has ended by then.
+	leaseRequestedAt time.Time
 	// lastCall is the number of the newest call to the worker. lastMergedCall is
 	// the highest number of a call whose status was merged; statuses of earlier
 	// calls are ignored, because replies can arrive out of order.
--- a/stepentry/agents.go
+++ b/stepentry/agents.go
@@ -257,6 +257,7 @@
 		Agent: w.Agent, Session: w.Session, Version: w.Version, WorkerPresent: s.Present, Worker: s.Boot, Service: s.Service, Zone: s.Zone,
 		Rack: s.Rack, Labels: s.Labels, Capacity: steps.Resources{CPU: s.Cpu, MemMB: s.MemMB, GPUs: s.Gpus},
 		Draining: s.Draining, RemainingMs: s.RemainingMs, Unhealthy: s.Unhealthy, Unreachable: s.Unreachable, Leaving: w.Leaving,
+		VM: w.VM, LeaseAge: time.Duration(w.LeaseAgeMs) * time.Millisecond,
 	}
 	for _, t := range w.Running {
 		r.Running = append(r.Running, stepplan.RunningTask{
--- a/stepplan/replaced.go
+++ b/stepplan/replaced.go
@@ -15,11 +15,14 @@
 	return ""
 }
 
-// separateReplaced moves the active runs that the VM has on another VM than the one of the
-// given incarnation. An agent with the name of another has replaced it, and the replaced VM
-// may only be cut off, so that its runs go on until their leases expire.
-func (sc *Scheduler) separateReplaced(vm *VM, incarnation string) {
-	present := vmOf(incarnation)
+// separateReplaced moves the active runs that the VM has on another VM than the one that
+// reports. An agent with the name of another has replaced it, and the replaced VM may only
+// be cut off, so that its runs go on until their leases expire.
+func (sc *Scheduler) separateReplaced(vm *VM, r Report) {
+	present := r.VM
+	if r.WorkerPresent {
+		present = vmOf(r.Worker)
+	}
 	for _, t := range sc.activeTasksOn(vm) {
 		former := vmOf(t.Worker)
 		if present == "" || former == "" || former == present {
@@ -33,6 +36,6 @@
 		replaced.used = replaced.used.Plus(t.needs)
 		t.Agent = replaced.Agent
 		sc.dirty[t.ID.Job] = true
-		sc.addEvent(Event{Kind: "vmReplaced", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: vm.Agent, Reason: "the run is on " + t.Worker + ", the agent reports " + incarnation})
+		sc.addEvent(Event{Kind: "vmReplaced", Job: t.ID.Job, Task: t.ID.String(), Run: t.Run, VM: vm.Agent, Reason: "the run is on " + t.Worker + ", the agent reports from " + present})
 	}
 }
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -249,12 +249,11 @@
 	// The agent may not have heard from its worker either while it was silent.
 	silent := !vm.Reported || now.Sub(vm.ReportedAt) > stallTimeout
 	vm.Reported, vm.ReportedAt, vm.Leaving = true, now, r.Leaving
-	if r.WorkerPresent {
-		sc.separateReplaced(vm, r.Worker)
-	}
+	sc.separateReplaced(vm, r)
 	sc.moveListedRuns(vm, r)
 	sc.handleFormer(vm, r.Former, now)
 	if !r.WorkerPresent {
+		sc.endExpiredRuns(vm, r, now)
 		return
 	}
 	if vm.Worker != r.Worker {
@@ -288,6 +287,7 @@
 		sc.handleEnd(vm, e, now)
 	}
 	sc.reconcileRuns(vm, r, silent, now)
+	sc.endExpiredRuns(vm, r, now)
 	sc.stopUnfinishableRuns(vm, now)
 }
 
@@ -511,7 +511,7 @@
 			if vm.Attached && t.ConclusiveReport < 0 {
 				continue
 			}
-			sc.loseToExpiredLease(vm, t, now)
+			sc.loseToExpiredLease(vm, t, vm.Attached && vm.Unreachable, now)
 		}
 		if vm.Replaced {
 			delete(sc.VMs, name)
@@ -519,10 +519,27 @@
 	}
 }
 
+// endExpiredRuns marks the runs on the VM as lost if the report shows that the leases of
+// all planners have expired, with the same exception as ExpireLeases. The report proves it
+// by itself: it is of an agent that follows this planner, so that none of an earlier term
+// can have extended the lease through the agent since, and what the agent does after the
+// report cannot revive a run. A bound for the time after the report would not hold, because
+// an agent that restarts may follow an earlier planner again.
+func (sc *Scheduler) endExpiredRuns(vm *VM, r Report, now time.Time) {
+	if !lease.Expired(r.LeaseAge, sc.Timing.LeaseDuration) {
+		return
+	}
+	for _, t := range sc.activeTasksOn(vm) {
+		if t.ConclusiveReport >= 0 {
+			sc.loseToExpiredLease(vm, t, true, now)
+		}
+	}
+}
+
 // loseToExpiredLease marks the task's run on the VM as lost after every lease has expired.
 // The worker may have crashed if its agent cannot reach it.
-func (sc *Scheduler) loseToExpiredLease(vm *VM, t *Task, now time.Time) {
-	if vm.Attached && vm.Unreachable {
+func (sc *Scheduler) loseToExpiredLease(vm *VM, t *Task, unreachable bool, now time.Time) {
+	if unreachable {
 		sc.recordAbsence(vm, t, t.Run, t.Worker, now)
 		if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
 			t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -71,6 +71,8 @@
 	// lastSeen is the agent's newest report from before its calls to the worker began to
 	// fail, nil while they are answered. The worker goes on meanwhile, or crashes unseen.
 	lastSeen *Report
+	// leaseRequestedAt is when the agent last requested a lease, or when its process began.
+	leaseRequestedAt time.Time
 	// lostAt is when the calls began to fail, and lostRuns holds the names of the tasks that
 	// the worker had then.
 	lostAt   time.Time
@@ -101,6 +103,12 @@
 	// All members of a gang have the same key.
 	succeeded map[string]bool
 	session   int
+	// earlierTermsGrantUntil is when a planner that was replaced grants no lease any more.
+	// It goes on granting to the agents that have not attached to its successor, and to
+	// those that have restarted since.
+	earlierTermsGrantUntil time.Time
+	// startedInTerm holds the names of the tasks whose newest run the present planner started.
+	startedInTerm map[string]bool
 	// crashing holds the tasks that crash each worker that starts them, with the number
 	// of starts that their agents may have reported.
 	crashing map[string]int
@@ -114,9 +122,9 @@
 func (w *simWorker) incarnationID() string { return fmt.Sprintf("%s/%d", w.name, w.restarts) }
 
 func newSim(t *rapid.T) *sim {
-	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}, causes: map[string]int{}}
+	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}, causes: map[string]int{}, startedInTerm: map[string]bool{}}
 	for i := range simVMs {
-		s.workers = append(s.workers, &simWorker{name: fmt.Sprintf("vm%d", i), running: map[string]simRun{}, highestRun: map[string]int{}})
+		s.workers = append(s.workers, &simWorker{leaseRequestedAt: s.now, name: fmt.Sprintf("vm%d", i), running: map[string]simRun{}, highestRun: map[string]int{}})
 	}
 	s.scheduler = s.newScheduler()
 	return s
@@ -318,6 +326,7 @@
 	if !s.noFaults {
 		work = time.Duration(rapid.IntRange(100, 3000).Draw(s.t, "workMs")) * time.Millisecond
 	}
+	s.startedInTerm[name] = true
 	w.running[name] = simRun{
 		run: o.Run, gpus: step.Needs.GPUs, endsAt: s.now.Add(work),
 		fails: !s.noFaults && rapid.IntRange(0, 5).Draw(s.t, "fails") == 0,
@@ -452,7 +461,7 @@
 	// while the agent reports it as unconfirmed.
 	if w.lastSeen != nil {
 		r := *w.lastSeen
-		r.Session, r.Version, r.Unhealthy, r.Unreachable = w.session, w.version, true, true
+		r.Session, r.Version, r.Unhealthy, r.Unreachable, r.LeaseAge = w.session, w.version, true, true, s.now.Sub(w.leaseRequestedAt)
 		s.scheduler.HandleReport(r, s.now)
 		s.sendStops()
 		return
@@ -460,10 +469,30 @@
 	s.scheduler.HandleReport(w.buildReport(), s.now)
 	w.reported = len(w.former)
 	s.scheduler.LeaseGranted(w.name, s.now)
-	w.deadline = s.now.Add(simLeaseDuration)
+	w.extendLease(s.now)
 	s.sendStops()
 }
 
+// extendLease grants a lease that the agent has requested now.
+func (w *simWorker) extendLease(now time.Time) {
+	w.leaseRequestedAt, w.deadline = now, now.Add(simLeaseDuration)
+}
+
+// reportToEarlierPlanner has an agent without a session request a lease from a planner that
+// was replaced, if that may still grant one. Runs that the present planner has started on the
+// worker are left out: it does not know of leases that others extend after an agent restarts.
+func (s *sim) reportToEarlierPlanner(w *simWorker) {
+	if w.session != 0 || w.lastSeen != nil || !s.now.Before(s.earlierTermsGrantUntil) {
+		return
+	}
+	for name := range w.running {
+		if s.startedInTerm[name] {
+			return
+		}
+	}
+	w.extendLease(s.now)
+}
+
 // buildReport returns what the agent knows of a worker that answers its calls.
 func (w *simWorker) buildReport() Report {
 	r := Report{
@@ -570,7 +599,7 @@
 		}
 	}
 	w.former, w.reported, w.stored = nil, 0, 0
-	w.version, w.unconfirmed = 0, nil
+	w.version, w.unconfirmed, w.leaseRequestedAt = 0, nil, s.now
 	if w.lastSeen != nil {
 		// An agent that has not found its worker reports none.
 		w.lastSeen = &Report{Agent: w.name}
@@ -581,6 +610,7 @@
 // takeOver replaces the planner by another that restores the stored progress.
 func (s *sim) takeOver() {
 	s.scheduler = s.newScheduler()
+	s.earlierTermsGrantUntil, s.startedInTerm = s.now.Add(lease.TermValidity), map[string]bool{}
 	earlierLeasesExpireBy := lease.EarlierTermsExpireBy(s.now, simLeaseDuration)
 	for id, j := range s.jobs {
 		s.scheduler.RestoreJob(stepfold.JobState{Job: &j, Progress: s.storedProgress[id], Cancelled: s.cancelled[id]}, earlierLeasesExpireBy, s.now, s.now)
@@ -628,6 +658,7 @@
 			"find":   func(rt *rapid.T) { s.findWorker(anyWorker(rt)) },
 			"drain":  func(rt *rapid.T) { anyWorker(rt).draining = true },
 			"agent":  func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
+			"former": func(rt *rapid.T) { s.reportToEarlierPlanner(anyWorker(rt)) },
 			"cancel": func(rt *rapid.T) {
 				if len(s.jobs) > 0 {
 					id := fmt.Sprintf("%016x", rapid.IntRange(0, len(s.jobs)-1).Draw(rt, "job"))
@@ -677,6 +708,7 @@
 			"lose":           func(rt *rapid.T) { s.loseWorker(anyWorker(rt)) },
 			"find":           func(rt *rapid.T) { s.findWorker(anyWorker(rt)) },
 			"agent":          func(rt *rapid.T) { s.restartAgent(anyWorker(rt)) },
+			"former":         func(rt *rapid.T) { s.reportToEarlierPlanner(anyWorker(rt)) },
 			"takeOver":       func(*rapid.T) { s.takeOver() },
 			"":               func(*rapid.T) {},
 		})
@@ -735,3 +767,70 @@
 		})
 	})
 }
+
+// Guards against hand-overs in which a run starts while an earlier planner, which was only
+// paused or cut off, keeps an earlier run active through an agent that still follows it.
+func TestHandOverUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt)
+		s.noFaults = true
+		reportAndPass := func() {
+			s.advance(400 * time.Millisecond)
+			for _, w := range s.workers {
+				s.report(w)
+			}
+			s.runPass()
+		}
+		handOver := func(*rapid.T) {
+			for _, w := range s.workers {
+				w.unreachable = rapid.Bool().Draw(rt, "unreachable")
+			}
+			s.takeOver()
+			for range rapid.SampledFrom([]int{1, 5, 15, 25}).Draw(rt, "rounds") {
+				reportAndPass()
+				for _, w := range s.workers {
+					switch event := rapid.IntRange(0, 19).Draw(rt, "event"); {
+					case event == 19:
+						// A restarted agent may follow the earlier planner again.
+						w.unreachable = true
+						s.restartAgent(w)
+						s.findWorker(w)
+					case event == 18 && !w.unreachable:
+						s.loseWorker(w)
+					case w.unreachable:
+						s.reportToEarlierPlanner(w)
+					}
+				}
+			}
+			for _, w := range s.workers {
+				w.unreachable = false
+				if rapid.Bool().Draw(rt, "lose") {
+					s.loseWorker(w)
+				}
+				if rapid.Bool().Draw(rt, "restart") {
+					s.restartAgent(w)
+				}
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"accept": func(*rapid.T) {
+				if len(s.jobs) < 4 {
+					s.submitJob()
+				}
+			},
+			"calm": func(*rapid.T) {
+				for _, w := range s.workers {
+					s.findWorker(w)
+				}
+				for range 5 {
+					reportAndPass()
+				}
+			},
+			"reportAndPass": func(*rapid.T) { reportAndPass() },
+			"handOver":      handOver,
+			"handOver2":     handOver,
+			"agent":         func(*rapid.T) { s.restartAgent(s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]) },
+			"":              func(*rapid.T) {},
+		})
+	})
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -183,7 +183,8 @@
 	// when a session begins.
 	ReportedAt time.Time
 	// LeaseUntil is when every run on the VM has ended if no further lease is
-	// granted; see package lease.
+	// granted; see package lease. The agent's reports may show earlier that the leases have
+	// expired; see Report.LeaseAge.
 	LeaseUntil time.Time
 	// Worker is the ID of the worker's incarnation, which changes when the worker
 	// restarts. It is empty until the agent has reported a worker.
@@ -244,6 +245,13 @@
 	// Version increases with each change of the agent's state; see
 	// Task.ConclusiveReport.
 	Version int
+	// LeaseAge is the time since the agent requested the newest lease that its worker may
+	// hold; see lease.Expired. It is 0 while the agent reaches the worker, and if the agent
+	// does not tell it.
+	LeaseAge time.Duration
+	// VM identifies the agent's VM as the names of incarnations do. It is set only while
+	// WorkerPresent is false.
+	VM string
 	// WorkerPresent is false while the agent knows of no worker; apart from
 	// Leaving and Former, the fields below have no meaning then.
 	WorkerPresent bool
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2088,6 +2088,10 @@
 	// running.
 	Former []FormerWorker `json:"former,omitempty,omitzero"`
 
+	// The time since the agent requested the newest lease that its worker may hold,
+	// in milliseconds; only while it cannot reach the worker.
+	LeaseAgeMs int `json:"leaseAgeMs,omitempty,omitzero"`
+
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
@@ -2100,6 +2104,9 @@
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version"`
 
+	// The agent's VM as in the names of incarnations; only without a worker.
+	VM string `json:"vm,omitempty,omitzero"`
+
 	// Worker corresponds to the JSON schema field "worker".
 	Worker WorkerState `json:"worker"`
 }
