soak: interrupt workers for about a lease while planners change

Its runs are short, and no family of faults combines interrupted calls to a worker with changes of the planner.

Change: a family "handover" interrupts the calls to a worker for 3 to 9 s while entries stop, are killed or are paused and the agent restarts, and a client submits jobs whose runs outlast a lease.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -48,6 +48,9 @@
 	crashRandom *rand.Rand
 	http        http.Client
 	id          int
+	// longRuns says that all jobs have one task of one accelerator whose run takes longRunMs
+	// to twice as long.
+	longRuns bool
 
 	mu   sync.Mutex
 	jobs []*submission
@@ -125,6 +128,10 @@
 		runMs *= 6
 	}
 	j := &submission{id: fmt.Sprintf("%08x%08x", c.id, n), taskCount: count, gang: c.random.IntN(2) == 0}
+	if c.longRuns {
+		count, gpus, runMs = 1, 1, longRunMs+c.random.IntN(longRunMs)
+		j.taskCount, j.gang = 1, false
+	}
 	j.spec = fmt.Sprintf("run %d %s", runMs, j.id)
 	if j.crashes = c.crashRandom.IntN(crashingShare) == 0; j.crashes {
 		j.spec = fmt.Sprintf("crash %d %s", 5+c.crashRandom.IntN(300), j.id)
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -115,8 +115,10 @@
 			all = append(all, s.drawLateCalls(length)...)
 		case "silent":
 			all = append(all, s.drawSilentFaults(length)...)
+		case "handover":
+			all = append(all, s.drawHandOvers(length)...)
 		default:
-			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late, silent", family)
+			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late, silent, handover", family)
 		}
 	}
 	slices.SortStableFunc(all, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 	freshSeeds    = flag.Int("soak.seeds", 0, "number of random seeds in addition to those of testdata/seeds.txt and testdata/ci.txt")
 	maxParallel   = flag.Int("soak.parallel", 3, "number of seeds that run at once; each starts about 10 processes")
 	faultDuration = flag.Duration("soak.length", 20*time.Second, "how long faults are injected")
-	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence,late,silent", "families of faults that are injected")
+	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence,late,silent,handover", "families of faults that are injected")
 	keepDir       = flag.String("soak.keep", "", "directory in which the logs of all seeds are kept; without it, only logs of failed seeds are kept")
 )
 
@@ -107,6 +107,12 @@
 		callers = append(callers, c)
 		busy.Go(func() { c.sendRequests(ctx) })
 	}
+	if slices.Contains(strings.Split(*families, ","), "handover") {
+		c := s.newClient(clientCount + 1 + len(s.entries))
+		c.longRuns = true
+		callers = append(callers, c)
+		busy.Go(func() { c.sendRequests(ctx) })
+	}
 	prober := s.newClient(clientCount)
 	probing, stopProbe := context.WithCancel(context.Background())
 	defer stopProbe()
