stepplan: leases of earlier planners bound all runs of a new term

Cause: TestHandOverUnderFaults finds a second run while the first one goes on, after one drawn history, if earlier planners may also extend the leases of runs that the present planner started. An agent that restarts knows no term and may follow an earlier planner again, which was paused and is within its 12 s; if the present planner cannot reach that agent, its own grants run out first. The bound for earlier planners was applied to restored runs only.

Change: Scheduler.EarlierLeasesUntil holds the bound for all VMs of a term, in place of a time for each VM with restored runs. An agent in contact still proves earlier that the leases of a lost worker have expired.

Why this works: until that time no run counts as lost by the planner's own grants alone, and after it no earlier planner may grant. The price is that a VM that is lost together with its agent is waited for until 18 s after the newest change of the planner, also for runs that began after it.

--- a/codec/odd_test.go
+++ b/codec/odd_test.go
@@ -25,7 +25,7 @@
 	sc := stepplan.New(stepplan.Timing{LeaseDuration: 10 * time.Second})
 	sc.Configure(access.Config{Queues: []access.Queue{{Name: "q", MaxAttempts: 2}}})
 	for _, j := range []steps.Job{job, timed} {
-		sc.RestoreJob(stepfold.JobState{Job: &j, Progress: p}, now, now, now)
+		sc.RestoreJob(stepfold.JobState{Job: &j, Progress: p}, now, now)
 	}
 	sc.Plan(now)
 	sc.TakeOutput(now)
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -256,13 +256,14 @@
 		scheduler.Configure(d.config.current)
 	}
 	scheduler.Evacuated, scheduler.PreemptFrom = d.config.evacuatedZones(), now.Add(preemptDelay)
-	earlierLeasesEnd, wall := lease.EarlierTermsExpireBy(now, timing.LeaseDuration), time.Now()
+	scheduler.EarlierLeasesUntil = lease.EarlierTermsExpireBy(now, timing.LeaseDuration)
+	wall := time.Now()
 	for id, e := range d.records.state.Jobs {
 		if e.Job == nil && e.Cancelled {
 			scheduler.Cancel(id, now)
 			continue
 		}
-		scheduler.RestoreJob(*e, earlierLeasesEnd, wall, now)
+		scheduler.RestoreJob(*e, wall, now)
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.planner.scheduler, d.planner.term, d.planner.fence = scheduler, self.Term, fence
--- a/stepentry/reject_test.go
+++ b/stepentry/reject_test.go
@@ -39,7 +39,8 @@
 		progress.Tasks[steps.TaskID{Index: i}] = stepfold.TaskProgress{Run: 1, Agent: "vm", Worker: "w", Checkpoint: fmt.Sprint(i, checkpoint)}
 	}
 	job := steps.Job{ID: id, Queue: "q", Steps: []steps.Step{{Count: tasks}}, AcceptedAt: now}
-	sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, now.Add(time.Hour), now, now)
+	sc.EarlierLeasesUntil = now.Add(time.Hour)
+	sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, now, now)
 }
 
 // startPlanner starts an entry that plans in term 1 without having claimed it. Its client of
--- a/stepplan/absences_test.go
+++ b/stepplan/absences_test.go
@@ -33,8 +33,9 @@
 func (ct *crashTest) takeOver() {
 	former := ct.scheduler
 	ct.scheduler = newCluster(0, ct.now)
+	ct.scheduler.EarlierLeasesUntil = ct.now.Add(time.Second)
 	for _, j := range former.Jobs {
-		ct.scheduler.RestoreJob(stepfold.JobState{Job: &j.Spec, Progress: j.storedProgress(wallTime)}, ct.now.Add(time.Second), wallTime, ct.now)
+		ct.scheduler.RestoreJob(stepfold.JobState{Job: &j.Spec, Progress: j.storedProgress(wallTime)}, wallTime, ct.now)
 	}
 	for vm := range ct.sessions {
 		ct.sessions[vm] = 1
--- a/stepplan/done_test.go
+++ b/stepplan/done_test.go
@@ -64,7 +64,7 @@
 	c.Assert(err, qt.IsNil)
 
 	successor := newCluster(1, bootTime)
-	successor.RestoreJob(stepfold.JobState{Job: &spec, Progress: decoded.(stepfold.Progressed).Progress}, bootTime.Add(time.Second), wallTime, bootTime)
+	successor.RestoreJob(stepfold.JobState{Job: &spec, Progress: decoded.(stepfold.Progressed).Progress}, wallTime, bootTime)
 	restored := successor.Jobs[spec.ID]
 	c.Assert(restored.storedProgress(wallTime), qt.DeepEquals, progress[0].Progress)
 	c.Assert(restored.Phase, qt.Equals, stepfold.PhaseRunning)
@@ -118,7 +118,7 @@
 				rt.Fatal(err)
 			}
 			successor := newCluster(1, bootTime)
-			successor.RestoreJob(stepfold.JobState{Job: &spec, Progress: decoded.(stepfold.Progressed).Progress}, bootTime, wallTime, bootTime)
+			successor.RestoreJob(stepfold.JobState{Job: &spec, Progress: decoded.(stepfold.Progressed).Progress}, wallTime, bootTime)
 			restored := successor.Jobs[spec.ID]
 			if restored.Phase != j.Phase {
 				rt.Fatalf("phase: found %s, want %s", restored.Phase, j.Phase)
--- a/stepplan/expired_test.go
+++ b/stepplan/expired_test.go
@@ -36,7 +36,8 @@
 			job := newJob("a", "normal", bootTime, oneGPU)
 			progress := stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, Tasks: map[steps.TaskID]stepfold.TaskProgress{{}: {Run: 1, Agent: agent, Worker: incarnation}}}
 			until := lease.EarlierTermsExpireBy(bootTime, 5*time.Second)
-			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, until, wallTime, bootTime)
+			sc.EarlierLeasesUntil = until
+			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, wallTime, bootTime)
 			task := sc.Jobs["a"].Occurrences[0][0].Tasks[0]
 			now := bootTime.Add(time.Second)
 			if test.report != nil {
@@ -72,3 +73,18 @@
 	ct.scheduler.HandleReport(report, ct.now)
 	c.Check(ct.task("a").Active, qt.IsFalse)
 }
+
+// TestRunOfThisTermWaitsForEarlierLeases guards against a second run while an earlier planner extends the lease of the first one through an agent that has restarted.
+func TestRunOfThisTermWaitsForEarlierLeases(t *testing.T) {
+	c := qt.New(t)
+	ct := newCrashTest(t, 1)
+	until := lease.EarlierTermsExpireBy(ct.now, 5*time.Second)
+	ct.scheduler.EarlierLeasesUntil = until
+	ct.add("a", oneGPU)
+	c.Assert(ct.pass(), qt.HasLen, 1)
+	ct.scheduler.AgentDetached("vm0", 1)
+	ct.scheduler.ExpireLeases(until.Add(-time.Millisecond))
+	c.Check(ct.task("a").Active, qt.IsTrue)
+	ct.scheduler.ExpireLeases(until)
+	c.Check(ct.task("a").Active, qt.IsFalse)
+}
--- a/stepplan/giveup_test.go
+++ b/stepplan/giveup_test.go
@@ -39,7 +39,8 @@
 	// A successor stops the run and starts none.
 	successor := newCluster(1, bootTime)
 	spec := sc.Jobs["a"].Spec
-	successor.RestoreJob(stepfold.JobState{Job: &spec, Progress: p}, bootTime.Add(time.Second), wallTime, bootTime)
+	successor.EarlierLeasesUntil = bootTime.Add(time.Second)
+	successor.RestoreJob(stepfold.JobState{Job: &spec, Progress: p}, wallTime, bootTime)
 	successor.Plan(bootTime)
 	c.Assert(successor.TakeStops(), qt.HasLen, 1)
 	c.Assert(successor.TakeOutput(wallTime).Orders, qt.HasLen, 0)
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -85,11 +85,9 @@
 const maxClockError = 10 * time.Minute
 
 // RestoreJob adds a job with its stored progress. The job's occurrences and active
-// runs count as begun now. By earlierLeasesExpireBy, all leases that earlier
-// planners granted have expired. Until then, runs on the VM of an agent that does
-// not report count as active. A job that is already known, or whose acceptance is
+// runs count as begun now. A job that is already known, or whose acceptance is
 // not known, is ignored. wall is the wall-clock time that corresponds to now.
-func (sc *Scheduler) RestoreJob(e stepfold.JobState, earlierLeasesExpireBy, wall, now time.Time) {
+func (sc *Scheduler) RestoreJob(e stepfold.JobState, wall, now time.Time) {
 	if e.Job == nil || sc.Jobs[e.Job.ID] != nil {
 		return
 	}
@@ -111,7 +109,7 @@
 		sc.restoreDone(j, r, now)
 	}
 	for id, p := range e.Progress.Tasks {
-		sc.restoreTask(j, id, p, earlierLeasesExpireBy, now)
+		sc.restoreTask(j, id, p, now)
 	}
 	switch {
 	case e.Cancelled && !e.Progress.Phase.Over():
@@ -123,7 +121,7 @@
 	}
 }
 
-func (sc *Scheduler) restoreTask(j *Job, id steps.TaskID, p stepfold.TaskProgress, earlierLeasesExpireBy, now time.Time) {
+func (sc *Scheduler) restoreTask(j *Job, id steps.TaskID, p stepfold.TaskProgress, now time.Time) {
 	if id.Step >= len(j.Spec.Steps) || id.Index >= j.Spec.Steps[id.Step].Count {
 		return
 	}
@@ -152,9 +150,6 @@
 		s[id.Step].DoneCount++
 	case p.Agent != "":
 		vm := sc.vm(p.Agent)
-		if vm.LeaseUntil.Before(earlierLeasesExpireBy) {
-			vm.LeaseUntil = earlierLeasesExpireBy
-		}
 		t.needs = countedNeeds(s[id.Step].Spec)
 		sc.beginRun(t, vm, p.Worker, now)
 		t.ConclusiveReport, t.Running, t.resumed = 0, true, true
--- a/stepplan/jobs_test.go
+++ b/stepplan/jobs_test.go
@@ -73,7 +73,7 @@
 				job := newJob("j", "q", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}})
 				job.QueuePolicy = test.policy
 				if restored {
-					sc.RestoreJob(stepfold.JobState{Job: &job}, bootTime, wallTime, bootTime)
+					sc.RestoreJob(stepfold.JobState{Job: &job}, wallTime, bootTime)
 				} else {
 					sc.AddJob(job, bootTime)
 				}
@@ -113,7 +113,7 @@
 		sc.Configure(access.Config{})
 		job := newJob("j", "q", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}})
 		progress := stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, Tasks: map[steps.TaskID]stepfold.TaskProgress{{}: {Run: 2, Agent: "va", Worker: "va", Failures: 1}}}
-		sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, bootTime, wallTime, bootTime)
+		sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, wallTime, bootTime)
 		sc.failRun("j", 1, bootTime)
 		c.Assert(sc.plannedVMs(bootTime), qt.HasLen, 0)
 		c.Assert(sc.Jobs["j"].Phase, qt.Equals, stepfold.PhaseRunning)
@@ -121,7 +121,7 @@
 			progress = sc.Jobs["j"].storedProgress(wallTime)
 			sc = newServiceCluster()
 			sc.Configure(access.Config{})
-			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, bootTime, wallTime, bootTime)
+			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, wallTime, bootTime)
 		}
 		sc.Configure(access.Config{Queues: []access.Queue{{Name: "q", Service: "a", Priority: 1, MaxAttempts: test.maxAttempts}}})
 		c.Assert(sc.plannedVMs(bootTime.Add(time.Second)), qt.DeepEquals, test.starts)
@@ -139,8 +139,8 @@
 	ended := job
 	ended.ID = "ended"
 	running := stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, Tasks: map[steps.TaskID]stepfold.TaskProgress{{}: {Run: 1, Agent: "va", Worker: "va"}}}
-	sc.RestoreJob(stepfold.JobState{Job: &job, Progress: running}, bootTime, wallTime, bootTime)
-	sc.RestoreJob(stepfold.JobState{Job: &ended, Progress: running}, bootTime, wallTime, bootTime)
+	sc.RestoreJob(stepfold.JobState{Job: &job, Progress: running}, wallTime, bootTime)
+	sc.RestoreJob(stepfold.JobState{Job: &ended, Progress: running}, wallTime, bootTime)
 	added := job
 	added.ID = "added"
 	sc.AddJob(added, bootTime)
@@ -168,7 +168,7 @@
 			progress := stepfold.Progress{Phase: stepfold.PhaseRunning, Begun: true, Tasks: map[steps.TaskID]stepfold.TaskProgress{
 				{Occurrence: 0}: {Run: 1, Done: true}, {Occurrence: 1}: {Run: 1}, {Occurrence: occurrence}: {Run: 1, Done: done},
 			}}
-			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, bootTime, wallTime, bootTime)
+			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, wallTime, bootTime)
 			sc.StartDueOccurrences(wallTime.Add(time.Hour), bootTime)
 			c.Check(sc.Jobs["j"].Phase, qt.Equals, stepfold.PhaseRunning)
 			c.Check(len(sc.Jobs["j"].Occurrences), qt.Equals, 2)
@@ -196,7 +196,7 @@
 		sc.Timing.KeepStatus = 2 * time.Minute
 		job := newJob("j", "q", bootTime, steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}})
 		ended := stepfold.Progress{Phase: stepfold.PhaseCompleted, Begun: true, EndedAt: wallTime.Add(-test.age)}
-		sc.RestoreJob(stepfold.JobState{Job: &job, Progress: ended}, bootTime, wallTime.Add(test.ahead), bootTime)
+		sc.RestoreJob(stepfold.JobState{Job: &job, Progress: ended}, wallTime.Add(test.ahead), bootTime)
 		sc.PruneJobs(bootTime)
 		c.Check(sc.Jobs["j"] != nil, qt.Equals, test.kept, qt.Commentf("%+v", test))
 	}
--- a/stepplan/replaced_test.go
+++ b/stepplan/replaced_test.go
@@ -53,7 +53,8 @@
 			if test.restore {
 				progress := sc.Jobs[job.ID].storedProgress(now)
 				sc = newScheduler()
-				sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, until, now, now)
+				sc.EarlierLeasesUntil = until
+				sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, now, now)
 			}
 			for now.Before(until) {
 				report("j/2@10.0.0.2:7000")
--- a/stepplan/restore_test.go
+++ b/stepplan/restore_test.go
@@ -41,7 +41,7 @@
 			sc := New(Timing{KeepStatus: 2 * time.Minute})
 			job := steps.Job{ID: "a", Steps: []steps.Step{{Count: 1}}}
 			progress := stepfold.Progress{Phase: stepfold.PhaseCompleted, EndedAt: test.endedAt}
-			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, bootTime, wallTime, bootTime)
+			sc.RestoreJob(stepfold.JobState{Job: &job, Progress: progress}, wallTime, bootTime)
 			sc.PruneJobs(bootTime.Add(test.after))
 			qt.Assert(t, sc.TakeOutput(wallTime).PrunedJobs, qt.DeepEquals, test.want)
 		})
--- a/stepplan/room_test.go
+++ b/stepplan/room_test.go
@@ -114,7 +114,7 @@
 func (rt *roomTest) takeOver() {
 	rt.scheduler = newCluster(0, rt.now)
 	for i := range rt.jobs {
-		rt.scheduler.RestoreJob(stepfold.JobState{Job: &rt.jobs[i], Progress: rt.stored[rt.jobs[i].ID]}, rt.now, wallTime, rt.now)
+		rt.scheduler.RestoreJob(stepfold.JobState{Job: &rt.jobs[i], Progress: rt.stored[rt.jobs[i].ID]}, wallTime, rt.now)
 	}
 	for vm := range rt.sessions {
 		if !rt.lost[vm] {
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -498,13 +498,13 @@
 	sc.failJob(j, s, t, now)
 }
 
-// ExpireLeases marks the active runs as lost on every VM whose VM.LeaseUntil has
-// passed, except those whose start the agent has not answered in its present session: it
-// may still start them under its next lease.
+// ExpireLeases marks the active runs as lost on every VM whose VM.LeaseUntil has passed, once
+// EarlierLeasesUntil has passed too, except those whose start the agent has not answered in its
+// present session: it may still start them under its next lease.
 func (sc *Scheduler) ExpireLeases(now time.Time) {
 	for name, vm := range sc.VMs {
 		sc.expireAbsences(vm, now)
-		if len(vm.ActiveTasks) > 0 && now.Before(vm.LeaseUntil) {
+		if len(vm.ActiveTasks) > 0 && now.Before(later(vm.LeaseUntil, sc.EarlierLeasesUntil)) {
 			continue
 		}
 		for _, t := range sc.activeTasksOn(vm) {
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -107,8 +107,6 @@
 	// It goes on granting to the agents that have not attached to its successor, and to
 	// those that have restarted since.
 	earlierTermsGrantUntil time.Time
-	// startedInTerm holds the names of the tasks whose newest run the present planner started.
-	startedInTerm map[string]bool
 	// crashing holds the tasks that crash each worker that starts them, with the number
 	// of starts that their agents may have reported.
 	crashing map[string]int
@@ -122,7 +120,7 @@
 func (w *simWorker) incarnationID() string { return fmt.Sprintf("%s/%d", w.name, w.restarts) }
 
 func newSim(t *rapid.T) *sim {
-	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}, causes: map[string]int{}, startedInTerm: map[string]bool{}}
+	s := &sim{t: t, now: time.Unix(1000, 0), storedProgress: map[string]stepfold.Progress{}, jobs: map[string]steps.Job{}, cancelled: map[string]bool{}, succeeded: map[string]bool{}, crashing: map[string]int{}, causes: map[string]int{}}
 	for i := range simVMs {
 		s.workers = append(s.workers, &simWorker{leaseRequestedAt: s.now, name: fmt.Sprintf("vm%d", i), running: map[string]simRun{}, highestRun: map[string]int{}})
 	}
@@ -326,7 +324,6 @@
 	if !s.noFaults {
 		work = time.Duration(rapid.IntRange(100, 3000).Draw(s.t, "workMs")) * time.Millisecond
 	}
-	s.startedInTerm[name] = true
 	w.running[name] = simRun{
 		run: o.Run, gpus: step.Needs.GPUs, endsAt: s.now.Add(work),
 		fails: !s.noFaults && rapid.IntRange(0, 5).Draw(s.t, "fails") == 0,
@@ -479,17 +476,11 @@
 }
 
 // reportToEarlierPlanner has an agent without a session request a lease from a planner that
-// was replaced, if that may still grant one. Runs that the present planner has started on the
-// worker are left out: it does not know of leases that others extend after an agent restarts.
+// was replaced, if that may still grant one.
 func (s *sim) reportToEarlierPlanner(w *simWorker) {
 	if w.session != 0 || w.lastSeen != nil || !s.now.Before(s.earlierTermsGrantUntil) {
 		return
 	}
-	for name := range w.running {
-		if s.startedInTerm[name] {
-			return
-		}
-	}
 	w.extendLease(s.now)
 }
 
@@ -610,10 +601,10 @@
 // takeOver replaces the planner by another that restores the stored progress.
 func (s *sim) takeOver() {
 	s.scheduler = s.newScheduler()
-	s.earlierTermsGrantUntil, s.startedInTerm = s.now.Add(lease.TermValidity), map[string]bool{}
-	earlierLeasesExpireBy := lease.EarlierTermsExpireBy(s.now, simLeaseDuration)
+	s.earlierTermsGrantUntil = s.now.Add(lease.TermValidity)
+	s.scheduler.EarlierLeasesUntil = lease.EarlierTermsExpireBy(s.now, simLeaseDuration)
 	for id, j := range s.jobs {
-		s.scheduler.RestoreJob(stepfold.JobState{Job: &j, Progress: s.storedProgress[id], Cancelled: s.cancelled[id]}, earlierLeasesExpireBy, s.now, s.now)
+		s.scheduler.RestoreJob(stepfold.JobState{Job: &j, Progress: s.storedProgress[id], Cancelled: s.cancelled[id]}, s.now, s.now)
 	}
 	for _, w := range s.workers {
 		w.session, w.reported = 0, w.stored
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -197,7 +197,7 @@
 	ct.c.Assert(progress, qt.HasLen, 1)
 	job := ct.scheduler.Jobs["a"].Spec
 	ct.scheduler = newCluster(0, ct.now)
-	ct.scheduler.RestoreJob(stepfold.JobState{Job: &job, Progress: progress[0].Progress}, ct.now, wallTime, ct.now)
+	ct.scheduler.RestoreJob(stepfold.JobState{Job: &job, Progress: progress[0].Progress}, wallTime, ct.now)
 	for vm := range ct.sessions {
 		ct.scheduler.AgentAttached(vm, 1)
 	}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -182,9 +182,9 @@
 	// ReportedAt is when the newest report was received. The caller also sets it
 	// when a session begins.
 	ReportedAt time.Time
-	// LeaseUntil is when every run on the VM has ended if no further lease is
-	// granted; see package lease. The agent's reports may show earlier that the leases have
-	// expired; see Report.LeaseAge.
+	// LeaseUntil is when every run on the VM has ended that leases of this planner keep
+	// active, if it grants no further one; see package lease. Zero means that it has
+	// granted none.
 	LeaseUntil time.Time
 	// Worker is the ID of the worker's incarnation, which changes when the worker
 	// restarts. It is empty until the agent has reported a worker.
@@ -405,6 +405,11 @@
 	// PreemptFrom is the time before which no run is stopped to make room. VMs with free
 	// capacity may not have reported yet when a planner begins.
 	PreemptFrom time.Time
+	// EarlierLeasesUntil is when every run has ended that leases of earlier planners keep
+	// active; see lease.EarlierTermsExpireBy. Until then such a lease may be granted on any
+	// VM without a session, also on one that had reported in this term: its agent may have
+	// restarted and follow an earlier planner again.
+	EarlierLeasesUntil time.Time
 	// Evacuated holds the zones on whose VMs no task starts.
 	Evacuated map[string]bool
 
