entryd: a late event does not drop an ended attempt before its record is stored

Callers of the own interface saw no wrong answer; a crash that an attempt had ended with was not counted, and the planner took its own attempt over once more.

Cause: an attempt that has ended stays in the table until the record of its end is applied. Any further event for it, such as the second of several replies to Release, found it in PhaseEnded with no order and dropped it as one that was never committed. Its record was then skipped as obsolete, and the attempt taken over, without what was known of its end.

Change: an attempt is dropped only by the event that ends it.

Result: TestEndedAttemptKeepsItsRecord fails before.

--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -49,9 +49,10 @@
 	if f := d.jobs.logState.Jobs[a.JobID]; f != nil {
 		checkpoint = f.CheckpointMs
 	}
-	if next.Phase == gang.PhaseEnded && !closesAttempt(orders) {
+	if before != gang.PhaseEnded && next.Phase == gang.PhaseEnded && !closesAttempt(orders) {
 		// The attempt was not committed, so the log needs no record of its
-		// end, and the job waits again.
+		// end, and the job waits again. One that was committed stays until its record is
+		// applied, whatever other events arrive.
 		d.dropAttempt(attemptID)
 		d.planRequested.Store(true)
 	}
