entryd, gang, agentd: count crashes of runtimes that had not answered a start

Cause: the agent may say that the runtime lost the task only after the lease of the start has expired, because a late start could still reach the next process. The planner ended the attempt by the same lease 0.3 s earlier, and the agent's reply to the release could not tell of a crash in any case.

Change: the reply tells of it, and the planner awaits the reply of an agent that has said that its tasks do not run for ConfirmEvery (1 s) after the lease. The abort record counts such a crash apart from others, since the start may not have reached the runtime: five losses of all kinds fail the job, as for jobs of steps, three crashes as before.

Why this works: the count rests on what the agent found, is stored with the record of the attempt's end, and survives changes of the planner.

The test waited for 20 s. Five starts, which it allows, take 24 s with leases of 4 s. It now waits for five leases with their delays, 25 s, and is stricter in another way: the job has to fail by the rule taskCrashesWorkers, where any outcome counted before.

TestUnansweredCrashesBlameLater: four such crashes fail no job.

--- a/agentd/attempt.go
+++ b/agentd/attempt.go
@@ -314,7 +314,10 @@
 	if a.all(func(t task) bool { return t.answered }) && a.short == nil {
 		d.answers.markAnswered(a.id)
 	}
-	releases, result := a.pendingReleases, wire.ReleaseResult{Started: true, CheckpointMs: a.checkpointMs()}
+	releases, result := a.pendingReleases, wire.ReleaseResult{
+		Started: true, CheckpointMs: a.checkpointMs(),
+		UnansweredCrash: a.startError != "" && !a.all(func(t task) bool { return !t.runtimeLost }),
+	}
 	d.answers.addUnsentReplies(1)
 	return []func(){func() {
 		for _, r := range releases {
--- a/crashes/record.go
+++ b/crashes/record.go
@@ -14,6 +14,11 @@
 // crashes that nobody could observe, such as those of a VM whose agent stopped too.
 const Limit = 3
 
+// MaxLosses is the number of losses of all kinds after which a task is to blame: crashes, and
+// weaker evidence, such as crashes of workers that had not answered the start. Such a start
+// mostly did not arrive, so that it takes more of these losses than of crashes.
+const MaxLosses = Limit + 2
+
 // Rule names the rule by which a job is given up because of its crashes.
 const Rule = "taskCrashesWorkers"
 
--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -303,7 +304,7 @@
 	p := wire.ReleaseParams{Job: a.JobID, Attempt: a.ID, Term: int(a.Term), Checkpoint: o.Checkpoint, Reason: a.Reason}
 	send(d, conn, agent.MethodRelease, p, now.Add(d.cfg.Reclaim), func(r wire.ReleaseResult, err error) {
 		if err == nil {
-			d.step(a.ID, gang.Released{VM: o.VM, BootID: bootID, Started: r.Started, CheckpointMs: int64(r.CheckpointMs)})
+			d.step(a.ID, gang.Released{VM: o.VM, BootID: bootID, Started: r.Started, CheckpointMs: int64(r.CheckpointMs), UnansweredCrash: r.UnansweredCrash})
 		}
 	})
 }
@@ -320,20 +321,21 @@
 	return time.Since(a.runningSince)
 }
 
-// recordCrash keeps the job away from the VM for some time. It reports whether the job is
-// to blame for the crashes of its attempts, including this one, and is then about to end.
-func (d *Daemon) recordCrash(r *trackedJob, vmID string, ran time.Duration) bool {
+// recordCrash keeps the job away from the VM on which a crash of the worker runtime ended
+// the attempt, for some time. It reports whether the job is to blame for the crashes of its
+// attempts, including this one, and is then about to end.
+func (d *Daemon) recordCrash(r *trackedJob, vmID string, record jobfold.Abort) bool {
 	d.jobs.mu.Lock()
 	defer d.jobs.mu.Unlock()
 	r.avoidUntil[vmID] = time.Now().Add(avoidDuration)
 	e := d.jobs.logState.Jobs[r.job.ID]
-	blamed := e != nil && e.CrashesAfter(ran).Blamed()
+	blamed := e != nil && e.BlamedAfter(record)
 	kind := "jobSuspected"
 	if blamed {
 		kind, r.endPending = "jobGivenUp", true
 		d.count(crashes.Rule)
 	}
-	d.ring.Add(timeline.Event{Kind: kind, Job: r.job.ID, Org: r.job.Org, VM: vmID, Detail: fmt.Sprintf("the worker runtime crashed after %d ms", ran.Milliseconds())})
+	d.ring.Add(timeline.Event{Kind: kind, Job: r.job.ID, Org: r.job.Org, VM: vmID, Detail: fmt.Sprintf("the worker runtime crashed after %d ms, start answered: %t", record.Ran.Milliseconds(), record.Crashed)})
 	return blamed
 }
 
@@ -353,10 +355,13 @@
 		return
 	}
 	record := jobfold.Abort{JobID: a.JobID, Attempt: a.ID, Reason: o.Reason, Term: a.Term, CheckpointMs: o.CheckpointMs}
-	if r != nil && o.CrashedVM != "" {
-		record.Crashed, record.Ran = true, d.ranFor(a.ID)
-		if blamed := d.recordCrash(r, o.CrashedVM, record.Ran); blamed {
-			failed := outcome.Failed{Reason: crashes.Rule + ": most recently on VM " + o.CrashedVM + ": " + o.Reason}
+	crashedVM := cmp.Or(o.CrashedVM, o.UnansweredVM)
+	if r != nil && crashedVM != "" {
+		if record.Crashed, record.UnansweredCrash = o.CrashedVM != "", o.CrashedVM == ""; record.Crashed {
+			record.Ran = d.ranFor(a.ID)
+		}
+		if blamed := d.recordCrash(r, crashedVM, record); blamed {
+			failed := outcome.Failed{Reason: crashes.Rule + ": most recently on VM " + crashedVM + ": " + o.Reason}
 			d.runOnLogPool(func() { d.appendEnd(a.JobID, a.ID, failed) })
 			return
 		}
--- a/entryd/crash_test.go
+++ b/entryd/crash_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/job"
 	"celerypoint.example/celerypoint/outcome"
 	"celerypoint.example/celerypoint/shape"
@@ -130,7 +132,10 @@
 		Org: "paint", Tasks: 1, AcceleratorsPerTask: 1, Urgency: job.UrgencyNormal, Idempotent: true, Deadline: time.Now().Add(time.Minute), Payload: []byte(`{"runMs":60000}`),
 	})
 	qt.Assert(t, err, qt.IsNil)
-	s.waitFor("the job ends", func() bool {
+	// The next start waits until the lease of an unanswered one has expired, and its agent has
+	// reported the crash.
+	c := DefaultConfig()
+	s.waitWithin(maxCrashingStarts*(c.GangLease+c.ConfirmEvery), "the job is given up", func() bool {
 		starts := int64(0)
 		for _, r := range runtimes {
 			starts += r.starts.Load()
@@ -139,6 +144,11 @@
 			t.Fatalf("the job was started %d times", starts)
 		}
 		view, found, err := s.entries[0].Job(s.context(), v.ID)
-		return err == nil && found && view.Outcome != nil
+		if err != nil || !found || view.Outcome == nil {
+			return false
+		}
+		failed, isFailed := view.Outcome.(outcome.Failed)
+		qt.Assert(t, isFailed && strings.HasPrefix(failed.Reason, crashes.Rule), qt.IsTrue, qt.Commentf("%+v", view.Outcome))
+		return true
 	})
 }
--- a/entryd/entryd_test.go
+++ b/entryd/entryd_test.go
@@ -107,7 +107,12 @@
 
 func (s *cluster) waitFor(what string, f func() bool) {
 	s.t.Helper()
-	deadline := time.Now().Add(testTimeout)
+	s.waitWithin(testTimeout, what, f)
+}
+
+func (s *cluster) waitWithin(limit time.Duration, what string, f func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(limit)
 	for !f() {
 		if time.Now().After(deadline) {
 			s.t.Fatalf("timeout: %s", what)
--- a/gang/abort.go
+++ b/gang/abort.go
@@ -70,13 +70,19 @@
 }
 
 // finishAbort ends an aborting attempt once no member can run or start any more.
-// Until then it repeats the release orders every Timing.ConfirmEvery.
+// Until then it repeats the release orders every Timing.ConfirmEvery. An agent whose
+// runtime has not answered a start learns only after the end of the lease whether the
+// runtime crashed, so that its reply is awaited for Timing.ConfirmEvery more.
 func (s *step) finishAbort() {
 	for _, m := range s.Members {
 		if m.State == MemberReleased || m.State == MemberDone {
 			continue
 		}
-		if s.now.Before(m.LeaseExpiresBy) {
+		until := m.LeaseExpiresBy
+		if m.Refuted && m.State != MemberLost {
+			until = until.Add(s.timing.ConfirmEvery)
+		}
+		if s.now.Before(until) {
 			if !s.now.Before(s.NextConfirm) {
 				s.releaseMembers()
 			}
@@ -86,7 +92,7 @@
 	if s.Idempotent && !s.Cancelled {
 		s.Phase = PhaseEnded
 		s.CheckpointMs = s.commonCheckpoint()
-		s.addOrder(Abort{Reason: s.Reason, CheckpointMs: s.CheckpointMs, FailedVM: s.FailedVM, CrashedVM: s.CrashedVM})
+		s.addOrder(Abort{Reason: s.Reason, CheckpointMs: s.CheckpointMs, FailedVM: s.FailedVM, CrashedVM: s.CrashedVM, UnansweredVM: s.UnansweredVM})
 		return
 	}
 	s.end(s.stoppedOutcome())
--- a/gang/step.go
+++ b/gang/step.go
@@ -60,6 +60,7 @@
 		s.confirmed(e)
 	case NotRunning:
 		if m := s.member(e.VM); m != nil && m.State != MemberDone {
+			m.Refuted = true
 			s.extendForEarlierPlanner()
 			s.abort(e.VM + " does not run: " + e.Reason)
 		}
@@ -285,6 +286,9 @@
 	}
 	m.ReleasedCheckpointMs = e.CheckpointMs
 	m.State = MemberReleased
+	if e.UnansweredCrash && s.UnansweredVM == "" {
+		s.UnansweredVM = e.VM
+	}
 	s.extendForEarlierPlanner()
 }
 
--- a/gang/types.go
+++ b/gang/types.go
@@ -88,6 +88,9 @@
 	// StartConfirmed says that the member is known to have started: it confirmed
 	// the start, or reported something about its running tasks.
 	StartConfirmed bool
+	// Refuted says that the agent has answered that the member's tasks do not run, or are
+	// being stopped.
+	Refuted bool
 	// EndKnown says that the planner knows how the member's tasks ended: all
 	// ended with answers, the only task failed or was stopped, or the agent
 	// confirmed a Release and had not restarted since it granted the reservation.
@@ -156,6 +159,9 @@
 	// CrashedVM is the VM on which a crash of the worker runtime ended the attempt, empty
 	// for none.
 	CrashedVM string
+	// UnansweredVM is a VM whose worker runtime crashed without having answered the start of
+	// the attempt's tasks, empty for none. The start may not have reached the runtime.
+	UnansweredVM string
 	// Result is the outcome of the job that the attempt ended with. It is nil
 	// before PhaseEnded, and in PhaseEnded if the job waits for another attempt.
 	Result outcome.Outcome
@@ -230,10 +236,12 @@
 	// dropped its reservation, or does not know the attempt, and will not start the
 	// tasks from now on. Started says that the tasks had been started.
 	// CheckpointMs is the progress that all of them can resume from, 0 for none.
+	// UnansweredCrash says that the worker runtime crashed and had not answered the start.
 	Released struct {
-		VM, BootID   string
-		Started      bool
-		CheckpointMs int64
+		VM, BootID      string
+		Started         bool
+		CheckpointMs    int64
+		UnansweredCrash bool
 	}
 	// Lost reports that contact with the VM is lost, or that its agent restarted.
 	Lost struct{ VM string }
@@ -302,14 +310,16 @@
 	}
 	// Abort appends the abort record to the log, after which the job waits for
 	// another attempt. FailedVM is set if an error of the job itself ended the
-	// attempt on that VM, and CrashedVM if a crash of the VM's worker runtime did.
-	// The caller counts both, and when there are too many it appends an end record
+	// attempt on that VM, CrashedVM if a crash of the VM's worker runtime did, and
+	// UnansweredVM if that runtime had not answered the start.
+	// The caller counts them, and when there are too many it appends an end record
 	// with outcome.Failed instead.
 	Abort struct {
 		Reason       string
 		CheckpointMs int64
 		FailedVM     string
 		CrashedVM    string
+		UnansweredVM string
 	}
 	// End appends the end record, which closes the job with the outcome.
 	End struct{ Outcome outcome.Outcome }
--- a/jobfold/apply.go
+++ b/jobfold/apply.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"celerypoint.example/celerypoint/crashes"
 	"celerypoint.example/celerypoint/job"
@@ -137,21 +136,31 @@
 	}
 	e.Phase = PhaseWaiting
 	e.CheckpointMs = max(e.CheckpointMs, r.CheckpointMs)
+	e.Crashes, e.UnansweredCrashes = e.crashesAfter(r)
 	if r.Crashed {
-		e.Crashes = e.CrashesAfter(r.Ran)
 		e.LongestLost = max(e.LongestLost, r.Ran)
 	}
 	return Valid{}
 }
 
-// CrashesAfter is the record of crashes if the newest committed attempt is lost in one
-// after it has run for the given time.
-func (e *JobState) CrashesAfter(ran time.Duration) crashes.Record {
-	r := e.Crashes
-	if crashes.Outlives(ran, e.LongestLost) {
-		r = r.Clear(e.CommitCount - 1)
-	}
-	return r.Add(e.CommitCount)
+// crashesAfter returns the crashes if the newest committed attempt ends with the abort.
+func (e *JobState) crashesAfter(r Abort) (counted crashes.Record, unanswered int) {
+	switch {
+	case r.Crashed && crashes.Outlives(r.Ran, e.LongestLost):
+		return e.Crashes.Clear(e.CommitCount - 1).Add(e.CommitCount), 0
+	case r.Crashed:
+		return e.Crashes.Add(e.CommitCount), e.UnansweredCrashes
+	case r.UnansweredCrash:
+		return e.Crashes, e.UnansweredCrashes + 1
+	}
+	return e.Crashes, e.UnansweredCrashes
+}
+
+// BlamedAfter reports whether the job is to blame for its crashes if its newest committed
+// attempt ends with the abort.
+func (e *JobState) BlamedAfter(r Abort) bool {
+	counted, unanswered := e.crashesAfter(r)
+	return counted.Blamed() || counted.Count()+unanswered >= crashes.MaxLosses
 }
 
 func (s *State) cancel(r CancelRequested) Result {
--- a/jobfold/crash_test.go
+++ b/jobfold/crash_test.go
@@ -44,3 +44,32 @@
 		})
 	}
 }
+
+// TestUnansweredCrashesBlameLater guards against a job that is given up after a few crashes of runtimes that its start may not have reached, and one that is never given up.
+func TestUnansweredCrashesBlameLater(t *testing.T) {
+	unanswered, crashed := Abort{UnansweredCrash: true}, Abort{Crashed: true}
+	for _, test := range []struct {
+		name   string
+		before []Abort
+		last   Abort
+		blamed bool
+	}{
+		{"four unanswered", []Abort{unanswered, unanswered, unanswered}, unanswered, false},
+		{"five unanswered", []Abort{unanswered, unanswered, unanswered, unanswered}, unanswered, true},
+		{"two crashes, two unanswered", []Abort{crashed, unanswered, crashed}, unanswered, false},
+		{"two crashes, three unanswered", []Abort{crashed, unanswered, crashed, unanswered}, unanswered, true},
+		{"three crashes", []Abort{crashed, crashed}, crashed, true},
+		{"without a crash", []Abort{{}, {}, {}, {}, {}}, Abort{}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := JobState{}
+			for i, r := range append(test.before, test.last) {
+				e.CommitCount = i + 1
+				if last := i == len(test.before); last || e.BlamedAfter(r) {
+					qt.Check(t, e.BlamedAfter(r), qt.Equals, last && test.blamed)
+				}
+				e.Crashes, e.UnansweredCrashes = e.crashesAfter(r)
+			}
+		})
+	}
+}
--- a/jobfold/types.go
+++ b/jobfold/types.go
@@ -47,6 +47,10 @@
 	// runtimes. LongestLost is the longest time that one of them had run.
 	Crashes     crashes.Record
 	LongestLost time.Duration
+	// UnansweredCrashes counts the attempts whose start a worker runtime had not answered
+	// when it crashed. The start may not have reached the runtime, so that it takes more of
+	// them to blame the job; see BlamedAfter.
+	UnansweredCrashes int
 	// CancelRequested is true when a cancel record came before the end record.
 	CancelRequested bool
 	// Outcome is nil until PhaseEnded.
@@ -105,6 +109,8 @@
 		// for Ran, 0 if that is not known.
 		Crashed bool
 		Ran     time.Duration
+		// UnansweredCrash says that a worker runtime crashed before it answered the start.
+		UnansweredCrash bool
 	}
 	// CancelRequested requests the cancellation of a job that has not ended.
 	CancelRequested struct{ JobID string }
--- a/platformlog/jobs.go
+++ b/platformlog/jobs.go
@@ -26,7 +26,7 @@
 	case jobfold.Commit:
 		return wire.JobRecord{Kind: wire.JobRecordKindCommit, JobID: r.JobID, Attempt: r.Attempt, Term: int(r.Term), Members: encodeMembers(r.Members)}
 	case jobfold.Abort:
-		return wire.JobRecord{Kind: wire.JobRecordKindAbort, JobID: r.JobID, Attempt: r.Attempt, Term: int(r.Term), Reason: r.Reason, CheckpointMs: int(r.CheckpointMs), Crashed: r.Crashed, RanMs: int(r.Ran.Milliseconds())}
+		return wire.JobRecord{Kind: wire.JobRecordKindAbort, JobID: r.JobID, Attempt: r.Attempt, Term: int(r.Term), Reason: r.Reason, CheckpointMs: int(r.CheckpointMs), Crashed: r.Crashed, RanMs: int(r.Ran.Milliseconds()), UnansweredCrash: r.UnansweredCrash}
 	case jobfold.CancelRequested:
 		return wire.JobRecord{Kind: wire.JobRecordKindCancel, JobID: r.JobID}
 	case jobfold.Ended:
@@ -98,7 +98,7 @@
 		if w.RanMs < 0 {
 			return nil, fmt.Errorf("ranMs: found %d, allowed: at least 0", w.RanMs)
 		}
-		return jobfold.Abort{JobID: w.JobID, Attempt: w.Attempt, Reason: w.Reason, Term: int64(w.Term), CheckpointMs: int64(w.CheckpointMs), Crashed: w.Crashed, Ran: time.Duration(w.RanMs) * time.Millisecond}, nil
+		return jobfold.Abort{JobID: w.JobID, Attempt: w.Attempt, Reason: w.Reason, Term: int64(w.Term), CheckpointMs: int64(w.CheckpointMs), Crashed: w.Crashed, Ran: time.Duration(w.RanMs) * time.Millisecond, UnansweredCrash: w.UnansweredCrash}, nil
 	case wire.JobRecordKindCancel:
 		return jobfold.CancelRequested{JobID: w.JobID}, nil
 	case wire.JobRecordKindEnded:
@@ -150,7 +150,7 @@
 			Members: encodeMembers(e.Members), CheckpointMs: int(e.CheckpointMs),
 			Tries: e.CommitCount, Outcome: codec.EncodeOutcome(e.Outcome),
 			EndedAtOffset: int(e.EndedOffset), Cancelled: e.CancelRequested,
-			Crashes: countedRuns(e.Crashes), CrashesCleared: e.Crashes.ClearedThrough, LongestLostMs: int(e.LongestLost.Milliseconds()),
+			Crashes: countedRuns(e.Crashes), CrashesCleared: e.Crashes.ClearedThrough, LongestLostMs: int(e.LongestLost.Milliseconds()), UnansweredCrashes: e.UnansweredCrashes,
 		})
 	}
 	for _, region := range slices.Sorted(maps.Keys(s.Terms)) {
@@ -260,7 +260,7 @@
 		Job: j, Region: w.Region, Attempt: w.Attempt, TriedAttempts: w.Tried,
 		CommitOffset: int64(w.CommitOffset), Members: members, CheckpointMs: int64(w.CheckpointMs),
 		CommitCount: w.Tries, CancelRequested: w.Cancelled, Outcome: o, EndedOffset: int64(w.EndedAtOffset),
-		Crashes: crashes.Record{}.Clear(w.CrashesCleared), LongestLost: time.Duration(w.LongestLostMs) * time.Millisecond,
+		Crashes: crashes.Record{}.Clear(w.CrashesCleared), LongestLost: time.Duration(w.LongestLostMs) * time.Millisecond, UnansweredCrashes: max(0, w.UnansweredCrashes),
 	}
 	for _, attempt := range w.Crashes {
 		if attempt < 1 || attempt > w.Tries {
--- a/platformlog/records_test.go
+++ b/platformlog/records_test.go
@@ -75,6 +75,8 @@
 		jobfold.Commit{JobID: "j1", Attempt: "a1", Term: 1, Members: member},
 		jobfold.Abort{JobID: "j1", Attempt: "a1", Term: 1, Reason: "lost", CheckpointMs: 12, Crashed: true, Ran: 1500 * time.Millisecond},
 		jobfold.Commit{JobID: "j1", Attempt: "a2", Term: 1, Members: member},
+		jobfold.Abort{JobID: "j1", Attempt: "a2", Term: 1, Reason: "lost", UnansweredCrash: true},
+		jobfold.Commit{JobID: "j1", Attempt: "a3", Term: 1, Members: member},
 		jobfold.Commit{JobID: "j2", Attempt: "b1", Term: 1, Members: member},
 		jobfold.Ended{JobID: "j2", Attempt: "b1", Term: 1, Outcome: outcome.Unknown{Reason: "lost"}},
 		jobfold.Ended{JobID: "j3", Outcome: outcome.NotRun{Rule: "deadline", Reason: "late"}},
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -32,7 +32,7 @@
 // order that is not answered mostly did not arrive, and a worker that does not come back may
 // have ended for another reason, so that it takes more of these losses than of crashes. The
 // platform allows less than three starts after three crashes.
-const maxLosses = crashes.Limit + 2
+const maxLosses = crashes.MaxLosses
 
 // recordCrash counts the crash of a worker's incarnation against the task of one of its
 // runs, and fails the job of a task that is to blame for its crashes.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -660,6 +660,9 @@
 
 	// Term corresponds to the JSON schema field "term".
 	Term int `json:"term,omitempty,omitzero"`
+
+	// A worker runtime crashed before it answered the start of the attempt's tasks.
+	UnansweredCrash bool `json:"unansweredCrash,omitempty,omitzero"`
 }
 
 type JobRecordKind string
@@ -718,6 +721,9 @@
 
 	// Tries corresponds to the JSON schema field "tries".
 	Tries int `json:"tries,omitempty,omitzero"`
+
+	// The attempts whose start a worker runtime had not answered when it crashed.
+	UnansweredCrashes int `json:"unansweredCrashes,omitempty,omitzero"`
 }
 
 // A job as callers see it.
@@ -1281,6 +1287,10 @@
 
 	// Started corresponds to the JSON schema field "started".
 	Started bool `json:"started"`
+
+	// The worker runtime has restarted and had not answered the start of a task that
+	// it does not know.
+	UnansweredCrash bool `json:"unansweredCrash,omitempty,omitzero"`
 }
 
 // Extends the lease from the confirmation of that round on.
