stepplan: isolations of a VM do not add up for a waiting task

A long-running task could wait for over 3 s beside room for two of it.

Cause: a VM that runs a task with more than one crash takes nothing else for 2 s from that run's start. A task that had already waited for something else, such as the VM's 1.5 s after a refused start or an earlier isolation, waited for the whole of it again. Ruled out by the state at the failure: headroom, job share, quarantine and leases; the isolation is all that keeps the task from the VM with 7 idle accelerators.

Change: a unit that the platform does not allow to wait longer may start on isolated VMs once it has waited for 2.5 s in all.

Result: TestIsolationsDoNotAddUp fails before.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -430,6 +430,11 @@
 // task may wait 3 s for its start while there is capacity.
 const avoidanceWait = 1200 * time.Millisecond
 
+// maxAvoidance is how long a unit with mayIgnoreFailures waits at most, for whatever causes,
+// before it may also start on isolated VMs. It is below the 3 s by a pass and the delivery of
+// the start order.
+const maxAvoidance = 2500 * time.Millisecond
+
 // minQuarantine is how long no unit starts on a quarantined VM after a failure there.
 const minQuarantine = 2 * time.Second
 
@@ -501,12 +506,14 @@
 
 // allowingVMs lists the usable VMs that have the service and the label that the unit's
 // tasks require, except those that are quarantined or have been isolated for less than
-// maxIsolation.
+// maxIsolation. A unit that has to start soon does not wait for the end of an isolation: it
+// may have waited for something else before, and isolations of one VM follow each other.
 func (p *pass) allowingVMs(u unit) []*VM {
 	var allowed []*VM
+	startsSoon := p.now.Sub(u.waitingSince) >= maxAvoidance && p.mayIgnoreFailures(u)
 	for _, vm := range p.usable {
 		since, isolated := p.isolatedSince[vm.Agent]
-		if p.allows(u, vm) && !p.quarantined[vm.Agent] && !(isolated && p.now.Sub(since) < maxIsolation) {
+		if p.allows(u, vm) && !p.quarantined[vm.Agent] && !(isolated && p.now.Sub(since) < maxIsolation && !startsSoon) {
 			allowed = append(allowed, vm)
 		}
 	}
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -415,3 +415,32 @@
 		})
 	}
 }
+
+// TestIsolationsDoNotAddUp guards against a task that waits beside room for two because a suspect starts again, so that the isolation of its VM begins anew.
+func TestIsolationsDoNotAddUp(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	lasting := oneGPU
+	lasting.LongRunning = true
+	// An urgent suspect is placed first.
+	ct.scheduler.AddJob(newJob("suspect", "urgent", ct.now, lasting), ct.now)
+	for range 2 {
+		ct.c.Assert(ct.startsWithin("suspect", 3*time.Second), qt.IsTrue)
+		ct.crash(ct.task("suspect").Agent, time.Hour)
+		ct.report(3 * time.Second)
+	}
+	ct.c.Assert(ct.startsWithin("suspect", 3*time.Second), qt.IsTrue)
+	lasting.Count = 8
+	ct.add("busy", lasting)
+	ct.c.Assert(ct.startsWithin("busy", time.Second), qt.IsTrue)
+	lasting.Count = 1
+	ct.add("a", lasting)
+	for waited := time.Duration(0); !ct.task("a").Active; waited += 100 * time.Millisecond {
+		ct.c.Assert(waited < roomLimit, qt.IsTrue)
+		if suspect := ct.task("suspect"); suspect.Active && ct.now.Sub(suspect.StartedAt) >= time.Second {
+			ct.fail(StartOrder{Agent: suspect.Agent, Task: suspect.ID, Run: suspect.Run})
+		}
+		ct.report(100 * time.Millisecond)
+		ct.pass()
+	}
+	ct.c.Check(ct.task("a").Agent, qt.Equals, ct.task("suspect").Agent)
+}
