stepplan: ends of workers that their agents have not seen count as losses

Cause: only an agent that was running when its worker ended can tell a crash. After its restart it reports another incarnation, and the planner lost the run without counting anything.

Change: such an end counts as one of the five losses of all kinds that fail a job, unless the worker was draining. It makes the task no suspect.

Why this works: the planner knows that the run was in progress on an incarnation that has ended. Each start of a task that crashes its workers now ends in a loss that counts, so that five starts are the most.

--- a/stepplan/absences.go
+++ b/stepplan/absences.go
@@ -48,6 +48,25 @@
 	}
 }
 
+// recordUnexplainedEnd records the loss of the task's run in an end of its worker that the
+// agent has not seen, because it was restarted as well. The worker may have crashed, or its
+// VM may have lost power. It counts like the crash of a worker that was out of reach.
+func (sc *Scheduler) recordUnexplainedEnd(vm *VM, t *Task, now time.Time) {
+	if t.Done || t.Run <= t.outlivedThrough || sc.Jobs[t.ID.Job].Phase.Over() || slices.ContainsFunc(t.absences, func(a absence) bool { return a.run == t.Run }) {
+		return
+	}
+	t.absences = append(t.absences, absence{run: t.Run, agent: vm.Agent, worker: t.Worker, crashed: true})
+	t.extendLost()
+	sc.giveUpIfBlamed(vm, t, now)
+}
+
+// extendLost makes lostFrom and lostAt those of the present run if it lasted longer.
+func (t *Task) extendLost() {
+	if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
+		t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
+	}
+}
+
 // recordUnreachableRuns records the absences that an earlier planner knew: the agent of a
 // worker that cannot be reached goes on listing the runs that it last had.
 func (sc *Scheduler) recordUnreachableRuns(vm *VM, r Report, now time.Time) {
--- a/stepplan/absences_test.go
+++ b/stepplan/absences_test.go
@@ -1,6 +1,7 @@
 package stepplan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,3 +133,44 @@
 	}
 	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
 }
+
+// TestUnexplainedEndsAreLimited guards against a task that crashes its workers and is started again and again because their agents restart as well.
+func TestUnexplainedEndsAreLimited(t *testing.T) {
+	ct := newCrashTest(t, 4)
+	ct.add("a", oneGPU)
+	starts := 0
+	for starts <= maxCrashingStarts && ct.startsWithin("a", 3*time.Second) {
+		starts++
+		ct.end(ct.task("a").Agent, worker.IncarnationCrashed, 200*time.Millisecond, false)
+		ct.report(300 * time.Millisecond)
+	}
+	ct.c.Check(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
+}
+
+// TestUnexplainedEndsFailNoSoundJob guards against a job that fails because its VMs lost power at times, or their drained workers were replaced.
+func TestUnexplainedEndsFailNoSoundJob(t *testing.T) {
+	for _, drain := range []bool{false, true} {
+		t.Run(fmt.Sprintf("drain=%t", drain), func(t *testing.T) {
+			ct := newCrashTest(t, 4)
+			lasting := oneGPU
+			lasting.LongRunning = true
+			ct.add("a", lasting)
+			length := time.Second
+			for n := range 2 * maxLosses {
+				ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue, qt.Commentf("start %d", n+1))
+				for range 10 {
+					ct.report(length)
+				}
+				vm := ct.task("a").Agent
+				if ct.scheduler.VMs[vm].Draining = drain; !drain {
+					// A run that outlives the ones before clears the task.
+					length *= 2
+				}
+				ct.end(vm, worker.IncarnationCrashed, length, false)
+				ct.report(300 * time.Millisecond)
+				ct.c.Assert(ct.scheduler.Jobs["a"].Phase.Over(), qt.IsFalse, qt.Commentf("end %d", n+1))
+			}
+		})
+	}
+}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -269,6 +269,7 @@
 	}
 	vm.Service, vm.Zone, vm.Rack, vm.Labels, vm.Capacity = r.Service, r.Zone, r.Rack, r.Labels, r.Capacity
 	vm.Unreachable = r.Unreachable
+	drained := vm.Draining
 	if r.Unreachable {
 		sc.recordUnreachableRuns(vm, r, now)
 	} else {
@@ -280,6 +281,9 @@
 	}
 	for _, t := range sc.activeTasksOn(vm) {
 		if t.Worker != r.Worker {
+			if !drained {
+				sc.recordUnexplainedEnd(vm, t, now)
+			}
 			sc.markLost(t, now, "the worker restarted, its agent does not know why")
 		}
 	}
@@ -541,9 +545,7 @@
 func (sc *Scheduler) loseToExpiredLease(vm *VM, t *Task, unreachable bool, now time.Time) {
 	if unreachable {
 		sc.recordAbsence(vm, t, t.Run, t.Worker, now)
-		if age := t.ProgressAt.Sub(t.StartedAt); t.lostAt.Sub(t.lostFrom) < age {
-			t.lostFrom, t.lostAt = t.StartedAt, t.ProgressAt
-		}
+		t.extendLost()
 	}
 	sc.markLost(t, now, "the lease expired")
 }
