stepplan: the rate of a restored run does not count its earlier progress

Cause: the rate of a run was its progress divided by the time since the planner had restored it. A run at 40 % seemed to make a percent in 0.25 ms, and counted as stalled after 1.2 s. A run that resumes from a checkpoint and the forecast for a draining worker had the same arithmetic.

Change: the rate of a restored or resumed run counts from the first increase of its progress that is seen; until the second, the caller's estimate stands in for it.

--- a/stepplan/health.go
+++ b/stepplan/health.go
@@ -24,17 +24,44 @@
 	minProgressForForecast = 5
 )
 
-// remainingTime estimates how long the task's run still takes, from its progress
-// or, below minProgressForForecast, from the caller's estimate.
+// observedRate returns how much progress the run has made, in percent, in which time. Both are
+// 0 while that is not known.
+func (t *Task) observedRate() (elapsed time.Duration, progress int) {
+	switch {
+	case !t.resumed:
+		return t.ProgressAt.Sub(t.StartedAt), t.Progress
+	case t.rateFrom.IsZero():
+		return 0, 0
+	}
+	return t.ProgressAt.Sub(t.rateFrom), t.Progress - t.rateFromProgress
+}
+
+// recordProgress records a higher progress of the run. The first progress of a resumed run
+// that is reported was made before, and the time of its first increase ends an interval of
+// unknown length, so that its rate counts from that increase on.
+func (t *Task) recordProgress(progress int, now time.Time) {
+	if t.resumed && t.Progress > 0 && t.rateFrom.IsZero() {
+		t.rateFrom, t.rateFromProgress = now, progress
+	}
+	t.Progress, t.ProgressAt = progress, now
+}
+
+// remainingTime estimates how long the task's run still takes, from its progress or, while
+// less than minProgressForForecast is known, from the caller's estimate.
 func (sc *Scheduler) remainingTime(t *Task, now time.Time) time.Duration {
-	if t.Progress < minProgressForForecast {
-		return max(sc.stepOf(t).Spec.Estimate-now.Sub(t.StartedAt), 0)
+	estimate := sc.stepOf(t).Spec.Estimate
+	elapsed, progress := t.observedRate()
+	switch {
+	case progress >= minProgressForForecast:
+		return elapsed * time.Duration(100-t.Progress) / time.Duration(progress)
+	case t.resumed:
+		return estimate * time.Duration(100-t.Progress) / 100
 	}
-	return t.ProgressAt.Sub(t.StartedAt) * time.Duration(100-t.Progress) / time.Duration(t.Progress)
+	return max(estimate-now.Sub(t.StartedAt), 0)
 }
 
 // stalled reports whether the task's run has made no progress for longer than its
-// average rate of progress explains. Before the first progress it adds to
+// average rate of progress explains. While that is not known it adds to
 // stallTimeout a quarter of the caller's estimate: stallTolerancePercent percent of
 // it, stallTolerancePercent times. A run that is not known to have started, has
 // reached 100 % or belongs to a long-running step is never stalled.
@@ -44,11 +71,11 @@
 		return false
 	}
 	sinceProgress := now.Sub(later(t.ProgressAt, t.StallFrom))
-	if t.Progress == 0 {
+	elapsed, progress := t.observedRate()
+	if progress == 0 {
 		return sinceProgress > stallTimeout+s.Spec.Estimate*stallTolerancePercent*stallTolerancePercent/100
 	}
-	timePerPercent := t.ProgressAt.Sub(t.StartedAt) / time.Duration(t.Progress)
-	return sinceProgress > stallTimeout+stallTolerancePercent*timePerPercent
+	return sinceProgress > stallTimeout+stallTolerancePercent*elapsed/time.Duration(progress)
 }
 
 // stopUnfinishableRuns stops the runs on the VM that are stalled, or that may not
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -44,6 +44,7 @@
 	t.Running, t.ConclusiveReport, t.StopRequestedAt = false, -1, time.Time{}
 	t.StartedAt, t.Progress, t.ProgressAt, t.StallFrom = now, 0, now, now
 	t.segment = segment{}
+	t.rateFrom, t.rateFromProgress = time.Time{}, 0
 	t.resumed, t.paceFrom, t.paceFromProgress = sc.stepOf(t).Spec.Checkpointing && t.Checkpoint != "", time.Time{}, 0
 	vm.ActiveTasks[t.ID] = t
 	vm.neighbourhood++
@@ -380,7 +381,7 @@
 	t.Running = true
 	switch {
 	case run.Progress > t.Progress:
-		t.Progress, t.ProgressAt = run.Progress, now
+		t.recordProgress(run.Progress, now)
 		sc.observePace(t, now)
 		sc.observeProgressBeside(t, now)
 		sc.clearIfOutlived(t, now)
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -73,6 +73,10 @@
 	// StallFrom is when the newest time of silence of the agent ended, or the run began.
 	// Before it, a lack of progress says nothing about the run.
 	StallFrom time.Time
+	// rateFrom and rateFromProgress are the time and the progress from which on a resumed run
+	// shows its rate. rateFrom is zero until that is known.
+	rateFrom         time.Time
+	rateFromProgress int
 	// resumed says that the run began with a checkpoint, or under an earlier planner, so that
 	// its first progress says nothing about its pace.
 	resumed bool
