stepplan: count headroom and job shares for each service

Cause: the headroom for urgent work was 15 % of the accelerators of all usable VMs. The share that a job may hold, and the rule when a unit may ignore failures, counted them all too.

Change: the counts are those of the VMs whose service the unit requires.

--- a/stepplan/explain.go
+++ b/stepplan/explain.go
@@ -274,7 +274,8 @@
 	case !u.job.QueueKnown:
 		return "the configuration has no such queue"
 	case p.mustLeaveHeadroom(u):
-		return fmt.Sprintf("it has time to wait, and %d of %d accelerators are free, of which %d %% are kept for urgent work", p.idleGPUs, p.totalGPUs, headroomPercent)
+		of := p.poolOf(u)
+		return fmt.Sprintf("it has time to wait, and %d of %d accelerators are free, of which %d %% are kept for urgent work", of.idleGPUs, of.totalGPUs, headroomPercent)
 	case p.exceedsJobShare(u):
 		return fmt.Sprintf("the job would hold more than %d %% of the accelerators", maxJobSharePercent)
 	case u.job.Queue.Priority == 0 && p.now.Before(p.scheduler.PreemptFrom):
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -24,26 +24,56 @@
 	// orgsWithinGuarantee holds the organisations whose jobs of priority 0 need no
 	// more accelerators than their guarantee.
 	orgsWithinGuarantee map[string]bool
-	// totalGPUs counts the accelerators of the usable VMs, idleGPUs those of them
-	// that are free, and rackFreeGPUs the sum of VM.free on each rack.
-	totalGPUs, idleGPUs int
-	rackFreeGPUs        map[string]int
+	// pools counts the accelerators of the usable VMs of each service, and under the empty
+	// name those of all usable VMs. rackFreeGPUs is the sum of VM.free on each rack.
+	pools        map[string]*pool
+	rackFreeGPUs map[string]int
 	// evictable holds what victims reads, for the VMs that it has been computed for.
 	// membersToStop holds, for gangs, the number of runs that are stopped together.
 	evictable     map[*VM][]candidate
 	membersToStop map[*Step]int
 	// heldBack says that a VM is kept from other work until it is empty.
 	heldBack bool
-	// quarantined holds the agents of the usable VMs in quarantine. Their accelerators count
-	// in quarantinedGPUs and quarantinedIdleGPUs in place of totalGPUs and idleGPUs.
-	quarantined                          map[string]bool
-	quarantinedGPUs, quarantinedIdleGPUs int
+	// quarantined holds the agents of the usable VMs in quarantine.
+	quarantined map[string]bool
 	// urgentPace is that of Scheduler.urgentPace if units are placed by pace, 0 if not.
 	urgentPace float64
 	// isolatedSince maps the agents of the isolated VMs to when their isolation began.
 	isolatedSince map[string]time.Time
 }
 
+// pool counts the accelerators of some usable VMs.
+type pool struct {
+	// totalGPUs counts those of VMs that are not in quarantine, idleGPUs those of them that
+	// are free. quarantinedGPUs and quarantinedIdleGPUs are the same for VMs in quarantine.
+	totalGPUs, idleGPUs                  int
+	quarantinedGPUs, quarantinedIdleGPUs int
+}
+
+// poolsOf returns the pools that the VM belongs to.
+func (p *pass) poolsOf(vm *VM) []*pool {
+	names := []string{"", vm.Service}
+	if vm.Service == "" {
+		names = names[:1]
+	}
+	all := make([]*pool, len(names))
+	for i, name := range names {
+		if p.pools[name] == nil {
+			p.pools[name] = &pool{}
+		}
+		all[i] = p.pools[name]
+	}
+	return all
+}
+
+// poolOf returns the pool of the VMs whose service the unit requires.
+func (p *pass) poolOf(u unit) pool {
+	if found := p.pools[u.job.Queue.Service]; found != nil {
+		return *found
+	}
+	return pool{}
+}
+
 // Plan starts the waiting gangs and single tasks that fit. It stops other runs
 // where that makes room for a gang or task of a queue with priority 0.
 func (sc *Scheduler) Plan(now time.Time) {
@@ -61,7 +91,7 @@
 // newPass begins a pass with the VMs that are usable now.
 func (sc *Scheduler) newPass(now time.Time) *pass {
 	p := &pass{
-		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), rackFreeGPUs: map[string]int{},
+		scheduler: sc, now: now, orgsWithinGuarantee: sc.orgsWithinGuarantee(), pools: map[string]*pool{}, rackFreeGPUs: map[string]int{},
 		evictable: map[*VM][]candidate{}, membersToStop: map[*Step]int{}, isolatedSince: sc.isolatedVMs(), quarantined: map[string]bool{},
 	}
 	for _, vm := range sc.VMs {
@@ -82,10 +112,12 @@
 func (p *pass) add(vm *VM) {
 	vm.free = vm.Capacity.Minus(vm.used)
 	p.usable = append(p.usable, vm)
-	if p.quarantined[vm.Agent] {
-		p.quarantinedGPUs += vm.Capacity.GPUs
-	} else {
-		p.totalGPUs += vm.Capacity.GPUs
+	for _, of := range p.poolsOf(vm) {
+		if p.quarantined[vm.Agent] {
+			of.quarantinedGPUs += vm.Capacity.GPUs
+		} else {
+			of.totalGPUs += vm.Capacity.GPUs
+		}
 	}
 	p.addIdle(vm, max(0, vm.free.GPUs))
 	p.rackFreeGPUs[vm.Rack] += vm.free.GPUs
@@ -101,10 +133,12 @@
 
 // addIdle counts n more accelerators of the VM as free.
 func (p *pass) addIdle(vm *VM, n int) {
-	if p.quarantined[vm.Agent] {
-		p.quarantinedIdleGPUs += n
-	} else {
-		p.idleGPUs += n
+	for _, of := range p.poolsOf(vm) {
+		if p.quarantined[vm.Agent] {
+			of.quarantinedIdleGPUs += n
+		} else {
+			of.idleGPUs += n
+		}
 	}
 }
 
@@ -251,8 +285,8 @@
 // of queues with priority 0, so that these need not wait until other runs have been
 // stopped.
 const (
-	// headroomPercent is the percentage of the accelerators of all usable VMs that
-	// is kept free.
+	// headroomPercent is the percentage of the accelerators of all usable VMs of a
+	// service that is kept free.
 	headroomPercent = 15
 	// headroomSlackPercent is a percentage of a unit's estimated run time. A unit
 	// that has less time than this until unit.latestStart may use the headroom.
@@ -265,7 +299,7 @@
 const maxLongRunningWait = 2 * time.Second
 
 // maxJobSharePercent is the maximum percentage of the accelerators of all usable
-// VMs that one job occupies. It limits tasks that start one by one, which are
+// VMs of its service that one job occupies. It limits tasks that start one by one, which are
 // those outside gangs, and are not covered by a guarantee.
 const maxJobSharePercent = 50
 
@@ -278,7 +312,7 @@
 	}
 	needed := u.step.Spec.Needs.GPUs
 	held := u.job.heldGPUs
-	return held > 0 && held+needed > p.totalGPUs*maxJobSharePercent/100
+	return held > 0 && held+needed > p.poolOf(u).totalGPUs*maxJobSharePercent/100
 }
 
 // isOverdue reports whether the unit is long-running and has waited for maxLongRunningWait
@@ -290,7 +324,8 @@
 // hasIdleForTwo reports whether there are free accelerators for two of the unit, with those
 // in quarantine.
 func (p *pass) hasIdleForTwo(u unit) bool {
-	return p.idleGPUs+p.quarantinedIdleGPUs >= 2*len(u.tasks)*u.step.Spec.Needs.GPUs
+	of := p.poolOf(u)
+	return of.idleGPUs+of.quarantinedIdleGPUs >= 2*len(u.tasks)*u.step.Spec.Needs.GPUs
 }
 
 // mayIgnoreFailures reports whether the unit may start on VMs where it or others have failed
@@ -300,7 +335,8 @@
 	if p.now.Sub(u.waitingSince) < avoidanceWait || !p.hasIdleForTwo(u) {
 		return false
 	}
-	return u.step.Spec.LongRunning || 2*(p.idleGPUs+p.quarantinedIdleGPUs) > p.totalGPUs+p.quarantinedGPUs
+	of := p.poolOf(u)
+	return u.step.Spec.LongRunning || 2*(of.idleGPUs+of.quarantinedIdleGPUs) > of.totalGPUs+of.quarantinedGPUs
 }
 
 // mustLeaveHeadroom reports whether, with the unit running, fewer accelerators than
@@ -314,9 +350,10 @@
 	if u.latestStart.Sub(p.now) < u.step.Spec.Estimate*headroomSlackPercent/100 {
 		return false
 	}
-	idle, total := p.idleGPUs, p.totalGPUs
+	of := p.poolOf(u)
+	idle, total := of.idleGPUs, of.totalGPUs
 	if p.mayIgnoreFailures(u) {
-		idle, total = idle+p.quarantinedIdleGPUs, total+p.quarantinedGPUs
+		idle, total = idle+of.quarantinedIdleGPUs, total+of.quarantinedGPUs
 	}
 	return idle-len(u.tasks)*u.step.Spec.Needs.GPUs < total*headroomPercent/100
 }
