stepplan: failures of several tasks do not renew each other's wait

Cause: nothing starts on a VM in quarantine within 2 s of its newest failure. Six tasks that fail every 2 to 11 s renew that time for each other.

Change: a unit that the platform does not allow to wait longer ignores it once it has waited for 2.5 s in all, as it does for isolated VMs.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -339,6 +339,12 @@
 	return u.step.Spec.LongRunning || 2*(of.idleGPUs+of.quarantinedIdleGPUs) > of.totalGPUs+of.quarantinedGPUs
 }
 
+// hasToStartSoon reports whether the unit may ignore failures and has waited for so long that
+// it also starts on VMs that are isolated, or where something has just failed.
+func (p *pass) hasToStartSoon(u unit) bool {
+	return p.now.Sub(u.waitingSince) >= maxAvoidance && p.mayIgnoreFailures(u)
+}
+
 // mustLeaveHeadroom reports whether, with the unit running, fewer accelerators than
 // the headroom for urgent units would be free although the unit has time to wait and is not
 // overdue.
@@ -468,11 +474,12 @@
 const avoidanceWait = 1200 * time.Millisecond
 
 // maxAvoidance is how long a unit with mayIgnoreFailures waits at most, for whatever causes,
-// before it may also start on isolated VMs. It is below the 3 s by a pass and the delivery of
-// the start order.
+// before it may also start on isolated VMs and on those where something has just failed. It is
+// below the 3 s by a pass and the delivery of the start order.
 const maxAvoidance = 2500 * time.Millisecond
 
-// minQuarantine is how long no unit starts on a quarantined VM after a failure there.
+// minQuarantine is how long no unit starts on a quarantined VM after a failure there, unless it
+// has to start soon.
 const minQuarantine = 2 * time.Second
 
 // allowedInOrder lists the sets of usable VMs that the unit may run on, in the order in
@@ -500,11 +507,13 @@
 }
 
 // quarantinedVMs lists the VMs in quarantine that the unit may start on if it fits nowhere
-// else: those on which nothing has failed for minQuarantine.
+// else: those on which nothing has failed for minQuarantine, and all once it has to start
+// soon. Several tasks that fail again and again could otherwise keep each other waiting.
 func (p *pass) quarantinedVMs(u unit) []*VM {
 	var allowed []*VM
+	startsSoon := p.hasToStartSoon(u)
 	for _, vm := range p.usable {
-		if p.quarantined[vm.Agent] && p.allows(u, vm) && p.now.Sub(p.scheduler.Quarantine.VMs[vm.Agent].FailedAt) >= minQuarantine {
+		if p.quarantined[vm.Agent] && p.allows(u, vm) && (startsSoon || p.now.Sub(p.scheduler.Quarantine.VMs[vm.Agent].FailedAt) >= minQuarantine) {
 			allowed = append(allowed, vm)
 		}
 	}
@@ -547,7 +556,7 @@
 // may have waited for something else before, and isolations of one VM follow each other.
 func (p *pass) allowingVMs(u unit) []*VM {
 	var allowed []*VM
-	startsSoon := p.now.Sub(u.waitingSince) >= maxAvoidance && p.mayIgnoreFailures(u)
+	startsSoon := p.hasToStartSoon(u)
 	for _, vm := range p.usable {
 		since, isolated := p.isolatedSince[vm.Agent]
 		if p.allows(u, vm) && !p.quarantined[vm.Agent] && !(isolated && p.now.Sub(since) < maxIsolation && !startsSoon) {
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -270,7 +270,7 @@
 	}
 	vm.Service, vm.Zone, vm.Rack, vm.Labels, vm.Capacity = r.Service, r.Zone, r.Rack, r.Labels, r.Capacity
 	vm.Unreachable = r.Unreachable
-	drained := vm.Draining
+	wasDraining := vm.Draining
 	if r.Unreachable {
 		sc.recordUnreachableRuns(vm, r, now)
 	} else {
@@ -282,7 +282,7 @@
 	}
 	for _, t := range sc.activeTasksOn(vm) {
 		if t.Worker != r.Worker {
-			if !drained {
+			if !wasDraining {
 				sc.recordUnexplainedEnd(vm, t, now)
 			}
 			sc.markLost(t, now, "the worker restarted, its agent does not know why")
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -444,3 +444,34 @@
 	}
 	ct.c.Check(ct.task("a").Agent, qt.Equals, ct.task("suspect").Agent)
 }
+
+// TestFailingTasksDoNotKeepEachOtherWaiting guards against lasting tasks that wait in turn for the quarantine of their only VM, which the failures of the others renew.
+func TestFailingTasksDoNotKeepEachOtherWaiting(t *testing.T) {
+	ct := newCrashTest(t, 1)
+	lasting := oneGPU
+	lasting.LongRunning = true
+	started, waitsFrom := map[string]StartOrder{}, map[string]time.Time{}
+	for i := range 6 {
+		id := fmt.Sprintf("job%d", i)
+		ct.add(id, lasting)
+		waitsFrom[id] = ct.now
+	}
+	for range 400 {
+		for _, o := range ct.pass() {
+			started[o.Task.Job] = o
+			delete(waitsFrom, o.Task.Job)
+		}
+		for i := range 6 {
+			id := fmt.Sprintf("job%d", i)
+			if o, found := started[id]; found && ct.now.Sub(ct.task(id).StartedAt) >= time.Duration(1200+300*i)*time.Millisecond {
+				ct.fail(o)
+				delete(started, id)
+				waitsFrom[id] = ct.now
+			}
+		}
+		for id, from := range waitsFrom {
+			ct.c.Assert(ct.now.Sub(from) < roomLimit, qt.IsTrue, qt.Commentf("%s", id))
+		}
+		ct.report(100 * time.Millisecond)
+	}
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -99,9 +99,9 @@
 	// order, in increasing order. A run may never have begun there, so that it takes more of
 	// them to blame the task. They are not stored: the agents report them to the next planner.
 	// absences holds the runs that were lost on workers that could not be reached until
-	// their leases had expired, or whose end their agents have not seen. They are not stored: while the worker cannot be reached, its
-	// agent reports them to the next planner. Runs up to outlivedThrough no longer count as
-	// absences, because a run has outlived the lost ones.
+	// their leases had expired, or whose end their agents have not seen. They are not stored;
+	// while the worker cannot be reached, its agent reports them to the next planner. Runs up
+	// to outlivedThrough no longer count as absences, because a run has outlived the lost ones.
 	Crashes          crashes.Record
 	lostFrom, lostAt time.Time
 	lostWith         string
