siteproof, stepplan: share the steps of similar tests

Change: the tests of vanished workers share their start and their checks, the simulations their drawing of a worker and their round of reports. Nothing is checked less.

--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -241,6 +241,28 @@
 	s.runAgent(a)
 }
 
+// startTaskOfVM starts a task that takes a whole VM, and returns the agent there.
+func (s *site) startTaskOfVM() *agentProcess {
+	s.c.Helper()
+	s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 6000", capacity.GPUs, 1, false))
+	a := s.awaitStart(jobID(1))
+	time.Sleep(100 * time.Millisecond)
+	return a
+}
+
+// checkStartedElsewhere checks that the task of startTaskOfVM completes in one further run,
+// which begins within the limit.
+func (s *site) checkStartedElsewhere(lostAt time.Time, limit time.Duration) {
+	s.c.Helper()
+	s.awaitState(s.entries[0], "normal", jobID(1), "completed")
+	starts := s.starts(jobID(1))
+	s.c.Assert(starts, qt.HasLen, 2)
+	delay := starts[1].StartedAt.Sub(lostAt)
+	s.c.Check(delay < limit, qt.IsTrue, qt.Commentf("started elsewhere after %s", delay))
+	time.Sleep(settleTime)
+	s.checkRuns()
+}
+
 // TestRunsOfVanishedWorkerAreStartedElsewhere guards against waiting for ever for a lost worker.
 func TestRunsOfVanishedWorkerAreStartedElsewhere(t *testing.T) {
 	for _, test := range []struct {
@@ -252,9 +274,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newSite(t, 1, 2)
-			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 6000", capacity.GPUs, 1, false))
-			a := s.awaitStart(jobID(1))
-			time.Sleep(100 * time.Millisecond)
+			a := s.startTaskOfVM()
 			lostAt := time.Now()
 			if test.restartAgent {
 				// The agent does not see the worker's end.
@@ -264,13 +284,7 @@
 			if test.restartAgent {
 				s.runAgent(a)
 			}
-			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
-			starts := s.starts(jobID(1))
-			s.c.Assert(starts, qt.HasLen, 2)
-			delay := starts[1].StartedAt.Sub(lostAt)
-			s.c.Check(delay < maxLease+2*time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %s", delay))
-			time.Sleep(settleTime)
-			s.checkRuns()
+			s.checkStartedElsewhere(lostAt, maxLease+2*time.Second)
 		})
 	}
 }
@@ -286,9 +300,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newSite(t, 3, 2)
-			s.submit(s.entries[0], "normal", jobID(1), s.jobBody(jobID(1), "run 6000", capacity.GPUs, 1, false))
-			a := s.awaitStart(jobID(1))
-			time.Sleep(100 * time.Millisecond)
+			a := s.startTaskOfVM()
 			lostAt := time.Now()
 			a.worker.Close()
 			for range 2 {
@@ -301,13 +313,7 @@
 				}
 				s.eventually("another entry plans", func() bool { return s.planner() != nil && s.planner().daemon.AttachedAgents() > 0 })
 			}
-			s.awaitState(s.entries[0], "normal", jobID(1), "completed")
-			starts := s.starts(jobID(1))
-			s.c.Assert(starts, qt.HasLen, 2)
-			delay := starts[1].StartedAt.Sub(lostAt)
-			s.c.Check(delay < maxLease+5*time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %s", delay))
-			time.Sleep(settleTime)
-			s.checkRuns()
+			s.checkStartedElsewhere(lostAt, maxLease+5*time.Second)
 		})
 	}
 }
--- a/stepplan/sim_test.go
+++ b/stepplan/sim_test.go
@@ -28,7 +28,9 @@
 const (
 	simLeaseDuration = 5 * time.Second
 	simVMs           = 3
-	simMaxAttempts   = 3
+	// simReportInterval is the time between two reports of an agent.
+	simReportInterval = 400 * time.Millisecond
+	simMaxAttempts    = 3
 	// maxCrashingStarts is the platform's bound: less than three further starts after
 	// three crashes.
 	maxCrashingStarts = 5
@@ -611,6 +613,19 @@
 	}
 }
 
+func (s *sim) anyWorker(rt *rapid.T) *simWorker {
+	return s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]
+}
+
+// reportAndPass lets time pass, has all agents report and runs a planning pass.
+func (s *sim) reportAndPass(after time.Duration) {
+	s.advance(after)
+	for _, w := range s.workers {
+		s.report(w)
+	}
+	s.runPass()
+}
+
 // Guards against interleavings of lost orders and answers, late orders, lost
 // connections, worker crashes and changes of planner in which a task runs twice
 // at once, starts after its success, exceeds the capacity of a worker, or is
@@ -618,9 +633,7 @@
 func TestSchedulerUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSim(rt)
-		anyWorker := func(rt *rapid.T) *simWorker {
-			return s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]
-		}
+		anyWorker := s.anyWorker
 		rt.Repeat(map[string]func(*rapid.T){
 			"accept": func(*rapid.T) {
 				if len(s.jobs) < 12 {
@@ -670,15 +683,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSim(rt)
 		s.allCrash = true
-		anyWorker := func(rt *rapid.T) *simWorker {
-			return s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]
-		}
+		anyWorker := s.anyWorker
 		reportAndPass := func(rt *rapid.T) {
-			s.advance(time.Duration(rapid.IntRange(10, 900).Draw(rt, "ms")) * time.Millisecond)
-			for _, w := range s.workers {
-				s.report(w)
-			}
-			s.runPass()
+			s.reportAndPass(time.Duration(rapid.IntRange(10, 900).Draw(rt, "ms")) * time.Millisecond)
 		}
 		rt.Repeat(map[string]func(*rapid.T){
 			"accept": func(*rapid.T) {
@@ -712,16 +719,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSim(rt)
 		s.noFaults = true
-		anyWorker := func(rt *rapid.T) *simWorker {
-			return s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]
-		}
-		reportAndPass := func(rt *rapid.T) {
-			s.advance(400 * time.Millisecond)
-			for _, w := range s.workers {
-				s.report(w)
-			}
-			s.runPass()
-		}
+		anyWorker := s.anyWorker
+		reportAndPass := func(*rapid.T) { s.reportAndPass(simReportInterval) }
 		rt.Repeat(map[string]func(*rapid.T){
 			"accept": func(*rapid.T) {
 				if len(s.jobs) < 2 {
@@ -765,13 +764,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSim(rt)
 		s.noFaults = true
-		reportAndPass := func() {
-			s.advance(400 * time.Millisecond)
-			for _, w := range s.workers {
-				s.report(w)
-			}
-			s.runPass()
-		}
+		reportAndPass := func() { s.reportAndPass(simReportInterval) }
 		handOver := func(*rapid.T) {
 			for _, w := range s.workers {
 				w.unreachable = rapid.Bool().Draw(rt, "unreachable")
@@ -820,7 +813,7 @@
 			"reportAndPass": func(*rapid.T) { reportAndPass() },
 			"handOver":      handOver,
 			"handOver2":     handOver,
-			"agent":         func(*rapid.T) { s.restartAgent(s.workers[rapid.IntRange(0, simVMs-1).Draw(rt, "vm")]) },
+			"agent":         func(*rapid.T) { s.restartAgent(s.anyWorker(rt)) },
 			"":              func(*rapid.T) {},
 		})
 	})
