stepplan: a crash after a run should have ended is weaker evidence

Callers saw a job failed after one crash of a worker: two further runs of its task had succeeded while their workers were out of reach, and these crashed before they could tell.

Cause: an agent knows the runs of its worker as of the last answer, and a crash was held against each of them, however long ago that was.

Change: a run that was lost with its lease before counts as an absence, and one that is older than its estimate like one whose start was not answered. Both are among the five losses that fail a job, not the three crashes. Runs of lasting tasks do not end by themselves and count as before.

Result: TestHiddenEndsAreNoCrashes fails before ("failed" after one crash and two hidden ends).

--- a/stepplan/absences_test.go
+++ b/stepplan/absences_test.go
@@ -174,3 +174,38 @@
 		})
 	}
 }
+
+// TestHiddenEndsAreNoCrashes guards against a job that fails after one crash, because two further runs ended while their workers were out of reach, which crashed later.
+func TestHiddenEndsAreNoCrashes(t *testing.T) {
+	ct := newCrashTest(t, 8)
+	ct.add("a", oneGPU)
+	ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+	ct.crash(ct.task("a").Agent, 100*time.Millisecond)
+	ct.report(100 * time.Millisecond)
+	// One run is lost with its lease before the crash, the other is older than it should get.
+	ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+	vm := ct.task("a").Agent
+	ct.cutOff(vm)
+	ct.crash(vm, 500*time.Millisecond)
+	ct.reach(vm)
+	ct.report(100 * time.Millisecond)
+	ct.c.Assert(ct.startsWithin("a", 3*time.Second), qt.IsTrue)
+	ct.crash(ct.task("a").Agent, ct.scheduler.Jobs["a"].Spec.Steps[0].Estimate)
+	ct.report(100 * time.Millisecond)
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseRunning)
+	ct.c.Check(ct.task("a").losses(), qt.Equals, 3)
+}
+
+// TestLateCrashesAreLimited guards against a task that crashes its workers only after the time in which it should end, and is started again and again.
+func TestLateCrashesAreLimited(t *testing.T) {
+	ct := newCrashTest(t, 8)
+	ct.add("a", oneGPU)
+	starts := 0
+	for starts <= maxCrashingStarts && ct.startsWithin("a", 3*time.Second) {
+		starts++
+		ct.crash(ct.task("a").Agent, time.Minute)
+		ct.report(100 * time.Millisecond)
+	}
+	ct.c.Check(starts <= maxCrashingStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
+	ct.c.Check(ct.scheduler.Jobs["a"].Phase, qt.Equals, stepfold.PhaseFailed)
+}
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -41,11 +41,18 @@
 	if err != nil {
 		return
 	}
-	j, _, t := sc.findTask(id)
+	j, s, t := sc.findTask(id)
 	if t == nil || t.Done || r.Number > t.Run || j.Phase.Over() {
 		return
 	}
-	if !t.addCrash(r) {
+	if slices.ContainsFunc(t.absences, func(a absence) bool { return a.run == r.Number }) {
+		// The worker was out of reach for a lease before it crashed, and the run may have ended
+		// at any time of it. decideAbsences counts the loss.
+		return
+	}
+	// The agent may not have heard of the run for some time, and of its end neither.
+	mayHaveEnded := !s.Spec.LongRunning && s.Spec.Estimate > 0 && r.Age >= s.Spec.Estimate
+	if !t.addCrash(r, r.Unanswered || mayHaveEnded) {
 		return
 	}
 	t.lostWith = former
@@ -69,9 +76,10 @@
 	}
 }
 
-// addCrash records that a run was lost in a crash, and reports whether that is new.
-func (t *Task) addCrash(r FormerRun) bool {
-	if !r.Unanswered {
+// addCrash records that a run was lost in a crash, and reports whether that is new. possible
+// says that the run may not have been in progress then.
+func (t *Task) addCrash(r FormerRun, possible bool) bool {
+	if !possible {
 		counted := t.Crashes.Add(r.Number)
 		changed := counted != t.Crashes
 		t.Crashes = counted
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -96,8 +96,9 @@
 	// lostWith is the incarnation of a worker that crashed under the newest of them, empty
 	// if only an earlier planner knew it.
 	// possibleCrashes holds the runs whose workers crashed without having answered the start
-	// order, in increasing order. A run may never have begun there, so that it takes more of
-	// them to blame the task. They are not stored: the agents report them to the next planner.
+	// order, or after the run was expected to have ended, in increasing order. A run may not
+	// have been in progress then, so that it takes more of them to blame the task. They are
+	// not stored: the agents report them to the next planner.
 	// absences holds the runs that were lost on workers that could not be reached until
 	// their leases had expired, or whose end their agents have not seen. They are not stored;
 	// while the worker cannot be reached, its agent reports them to the next planner. Runs up
