--- a/entryd/attempts.go
+++ b/entryd/attempts.go
@@ -357,7 +357,8 @@
 	record := jobfold.Abort{JobID: a.JobID, Attempt: a.ID, Reason: o.Reason, Term: a.Term, CheckpointMs: o.CheckpointMs}
 	crashedVM := cmp.Or(o.CrashedVM, o.UnansweredVM)
 	if r != nil && crashedVM != "" {
-		if record.Crashed, record.UnansweredCrash = o.CrashedVM != "", o.CrashedVM == ""; record.Crashed {
+		record.Crashed, record.UnansweredCrash = o.CrashedVM != "", o.CrashedVM == ""
+		if record.Crashed {
 			record.Ran = d.ranFor(a.ID)
 		}
 		if blamed := d.recordCrash(r, crashedVM, record); blamed {
--- a/gang/abort.go
+++ b/gang/abort.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		until := m.LeaseExpiresBy
-		if m.Refuted && m.State != MemberLost {
+		if m.ReportedNotRunning && m.State != MemberLost {
 			until = until.Add(s.timing.ConfirmEvery)
 		}
 		if s.now.Before(until) {
--- a/gang/step.go
+++ b/gang/step.go
@@ -60,7 +60,7 @@
 		s.confirmed(e)
 	case NotRunning:
 		if m := s.member(e.VM); m != nil && m.State != MemberDone {
-			m.Refuted = true
+			m.ReportedNotRunning = true
 			s.extendForEarlierPlanner()
 			s.abort(e.VM + " does not run: " + e.Reason)
 		}
--- a/gang/types.go
+++ b/gang/types.go
@@ -88,9 +88,9 @@
 	// StartConfirmed says that the member is known to have started: it confirmed
 	// the start, or reported something about its running tasks.
 	StartConfirmed bool
-	// Refuted says that the agent has answered that the member's tasks do not run, or are
+	// ReportedNotRunning says that the agent has answered that the member's tasks do not run, or are
 	// being stopped.
-	Refuted bool
+	ReportedNotRunning bool
 	// EndKnown says that the planner knows how the member's tasks ended: all
 	// ended with answers, the only task failed or was stopped, or the agent
 	// confirmed a Release and had not restarted since it granted the reservation.
