--- a/lease/lease.go
+++ b/lease/lease.go
@@ -57,7 +57,10 @@
 // EarlierTermsExpireBy returns the time by which every run has ended that leases
 // granted by planners of earlier terms keep active. claimed is when the planner of
 // the newest term had read its own claim back from the store, or a later time. An
-// earlier planner began its last successful check of its term before that.
+// earlier planner began its last successful check of its term before that. It is the only
+// bound for workers whose agents are not in contact with the planner of the newest term. An
+// agent that follows this planner passes on no lease of an earlier one, and its reports show
+// when the leases have ended; see Expired.
 func EarlierTermsExpireBy(claimed time.Time, duration time.Duration) time.Time {
 	return ExpiresBy(claimed.Add(TermValidity), duration)
 }
--- a/stepplan/absences.go
+++ b/stepplan/absences.go
@@ -15,7 +15,7 @@
 // not crash it, and the end of the incarnation counts as a crash. A task whose losses would
 // reach maxLosses if all undecided ones were crashes is not started until they are decided,
 // so that it can neither crash further workers nor be given up for cut-offs. The end of an
-// incarnation that its agent has not seen counts as a crash at once.
+// incarnation that its agent has not seen counts as such a crash at once.
 
 // maxAbsence is how long after the loss of a run its worker counts as cut off. One that is
 // out of reach for longer counts as crashed, since one that is lost for good never answers.
