recordlog: a late attempt keeps the sequence number of its append

Callers could see work run a second time after it had succeeded: a record of the planner was acknowledged by the store and never stored.

Cause: attempts of AppendWithRetry go on after the call has returned, and read the caller's fence through its pointer. The planner raises the sequence number for its next append meanwhile. A second attempt that begins at the moment of the first one's answer sends the old records with the next number, and the store takes the next append for a repetition.

Change: a call copies the fence.

Result: TestLateAttemptKeepsItsSequence fails before (number 5 instead of 4) and passes, also with -race; the tests of recordlog and stepentry pass.

--- a/recordlog/append.go
+++ b/recordlog/append.go
@@ -39,6 +39,13 @@
 // or after the outcome of one remained unknown. ErrFenced, ErrOutOfOrderSequence and
 // ErrRejected are not retried.
 func AppendWithRetry(ctx context.Context, log Log, topic string, fence *Fence, records []Record, options ...Option) (int64, error) {
+	if fence != nil {
+		// An attempt can begin, or still be in flight, when the call has returned and the caller
+		// raises the sequence number for its next append. With that number it would take the
+		// place of the next append, which the store would answer as a repetition.
+		unchanged := *fence
+		fence = &unchanged
+	}
 	call := appendCall{log: log, topic: topic, fence: fence, records: records, results: make(chan appendResult, maxInFlight)}
 	for _, o := range options {
 		o(&call)
