--- a/rpc/fuzz_test.go
+++ b/rpc/fuzz_test.go
@@ -16,10 +16,15 @@
 func (discardTransport) Close() error                { return nil }
 func (discardTransport) CloseWithError(error) error  { return nil }
 
+// pendingCallTimeout bounds the wait for the end of a pending call. If the connection closes
+// itself, its own goroutine ends the call, which can be after Done.
+const pendingCallTimeout = 10 * time.Second
+
 // receive passes the received bytes to a connection, in pieces that end at the given offset,
 // and returns the methods that its handler got and how often a pending call was answered.
 func receive(t *testing.T, data []byte, cut int) (methods []string, answers int64) {
 	var answered atomic.Int64
+	ended := make(chan struct{}, 2)
 	e := &Engine{
 		handler: func(r *Request) {
 			methods = append(methods, r.Method)
@@ -44,11 +49,21 @@
 	}
 	s := newStream(discardTransport{}, &e.bytesSent)
 	conn := e.newConn(s, "peer")
-	conn.CallAsync("call", nil, time.Now().Add(time.Hour), func([]byte, error) { answered.Add(1) })
+	conn.CallAsync("call", nil, time.Now().Add(time.Hour), func([]byte, error) {
+		answered.Add(1)
+		select {
+		case ended <- struct{}{}:
+		default:
+		}
+	})
 	s.feed(data[:cut])
 	s.feed(data[cut:])
 	s.closeQueue()
 	<-conn.Done()
+	select {
+	case <-ended:
+	case <-time.After(pendingCallTimeout):
+	}
 	conn.CallAsync("late", nil, time.Now().Add(time.Hour), func(_ []byte, err error) {
 		if err == nil {
 			t.Error("a closed connection sent a call")
