nbiosetup: small buffers do not hold large ones

Cause: what clients saw: none, until the process ran out of memory. nbio's default allocator keeps buffers of up to 1 GiB in one pool and hands out whatever it finds there. After one request of 4 MiB, the first 10 bytes of the next request can hold a buffer of 4 MiB for as long as it is not complete, so that no account of received bytes says what the process holds. Change: the process uses the library's allocator with size classes, which keeps buffers of at most 32 KiB. Conclusion: the fault is that the pool mixes sizes; a limit of the received bytes alone would not have bounded the memory.

--- a/nbiosetup/nbiosetup.go
+++ b/nbiosetup/nbiosetup.go
@@ -13,6 +13,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 )
 
 // MaxOpenFiles is the number of entries of the connection table that nbio
@@ -23,12 +24,13 @@
 
 var limitsOnce sync.Once
 
-// ApplyLimits sets nbio's log level and the size of its connection tables for the
-// whole process. Only the first call has an effect.
+// ApplyLimits sets nbio's log level, the size of its connection tables and its allocator for
+// the whole process. Only the first call has an effect.
 func ApplyLimits() {
 	limitsOnce.Do(func() {
 		logging.SetLevel(logging.LevelError)
 		nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, MaxOpenFiles)
+		mempool.DefaultMemPool = allocator{mempool.NewAligned()}
 	})
 }
 
