nbiosetup: the accept loop pauses while there are no descriptors

Cause: a client that opens enough connections made the process use a whole core. nbio's accept loops, that of nbhttp too, call Accept again at once after an error that is not a time-out, and log each. Change: Listener.Accept returns an error only when it is closed. Otherwise it reports the shortage to the server, which may close connections, pauses for 50 ms and tries again. Close ends the pause. Nothing closes connections yet, so that a process without descriptors still answers nobody.

--- a/nbiosetup/nbiosetup.go
+++ b/nbiosetup/nbiosetup.go
@@ -38,25 +38,67 @@
 // v1.6.8. If the engine itself listens and that fails, its Start may never return.
 // If Stop is called before the accept loop has begun, the loop overrides the stop
 // and then spins on the closed listener. WaitPolling works around a similar fault.
+//
+// Accept never returns an error while the listener is open, because the accept loop of nbio
+// would call it again at once. Without descriptors that is an endless loop.
 type Listener struct {
 	net.Listener
 	acceptOnce sync.Once
 	accepting  chan struct{}
+	onShortage func()
+	closeOnce  sync.Once
+	closed     chan struct{}
 }
 
+// ListenOption configures a Listener.
+type ListenOption func(*Listener)
+
+// WithShortageHandler sets a function that is called when a connection could not be accepted
+// for lack of descriptors or memory. It may close connections.
+func WithShortageHandler(f func()) ListenOption { return func(l *Listener) { l.onShortage = f } }
+
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 50 * time.Millisecond
+
 // Listen listens on the TCP address.
-func Listen(address string) (*Listener, error) {
+func Listen(address string, options ...ListenOption) (*Listener, error) {
 	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Listener: inner, accepting: make(chan struct{})}, nil
+	return newListener(inner, options...), nil
 }
 
-// Accept implements net.Listener. The first call ends the wait of WaitAccepting.
+func newListener(inner net.Listener, options ...ListenOption) *Listener {
+	l := &Listener{Listener: inner, accepting: make(chan struct{}), onShortage: func() {}, closed: make(chan struct{})}
+	for _, o := range options {
+		o(l)
+	}
+	return l
+}
+
+// Accept implements net.Listener. The first call ends the wait of WaitAccepting. It returns an
+// error only when the listener is closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	l.acceptOnce.Do(func() { close(l.accepting) })
-	return l.Listener.Accept()
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		l.onShortage()
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(acceptRetryInterval):
+		}
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // ListenFunc returns l itself, which listens already. It serves as the Listen
