httpserver: bound what all connections make the process hold

Cause: a process that clients don't control ran out of memory. Each line and each body had a bound of its own, by nbhttp's settings, and nobody counted what all connections hold together: unfinished heads with any number of lines, unfinished bodies, trailers, requests sent ahead with their bodies, responses that are not read. nbhttp parses on while requests wait, and keeps each as a request of some KB. TestBufferedBytesAreBounded sends one long line on one connection and saw none of this. Change: package connlimit counts the bytes that the connections of one server hold, and closes those that hold most when their sum is reached, so that a client that holds little is not closed for others. Requests in progress, whose memory closing does not free, are counted apart: what exceeds that is answered 503 with Retry-After and never handled. httpserver accepts the connections itself, puts a counting processor before nbhttp's, and drops the requests that wait when their connection is closed. A head or body over the limit is answered 431 or 413. An incomplete request ends after a minute, or far above the size of the largest. The limits are parts of memoryMB; an entry with the own interface has limits.memoryMB now. Counters, gauges and lines tell what was refused. TestSoundClients shows the other side: a client that sends slowly, in small chunks, 500 requests ahead, or the largest job is served while a crowd holds unfinished bodies. TestConnectionsKeepTheirRequests asked nbhttp for its connections, which are not there any more; it now asks for connections, held and active bytes.

--- a/cli/daemons.go
+++ b/cli/daemons.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -13,6 +14,7 @@
 	"celerypoint.example/celerypoint/entryd"
 	"celerypoint.example/celerypoint/frontend"
 	"celerypoint.example/celerypoint/ledger"
+	"celerypoint.example/celerypoint/nbiosetup"
 	"celerypoint.example/celerypoint/settings"
 	"celerypoint.example/celerypoint/vm"
 )
@@ -88,11 +90,13 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(s.MemoryMiB) << 20 * memoryLimitPercent / 100)
+	limits := ownLimitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
 	d, err := entryd.New(entryConfig(s), entryd.WithLogger(logger))
 	if err != nil {
 		return err
 	}
-	f, err := frontend.New(s.HTTPAddress, d)
+	f, err := frontend.New(s.HTTPAddress, d, frontend.WithLimits(limits.clients))
 	if err != nil {
 		d.Kill()
 		return err
--- a/cli/site.go
+++ b/cli/site.go
@@ -16,9 +16,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"celerypoint.example/celerypoint/balancer"
+	"celerypoint.example/celerypoint/connlimit"
+	"celerypoint.example/celerypoint/connreport"
 	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/httpserver"
+	"celerypoint.example/celerypoint/nbiosetup"
 	"celerypoint.example/celerypoint/platform"
 	"celerypoint.example/celerypoint/settings"
 	"celerypoint.example/celerypoint/stepagent"
@@ -128,6 +131,7 @@
 
 func (p *program) runSiteEntry(ctx context.Context, s settings.SiteEntry, path string, load func() (settings.SiteEntry, error)) error {
 	limitProcess(s.MemoryMiB)
+	limits := limitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
 	d, err := stepentry.New(siteEntryConfig(s), stepentry.WithOutput(p.stdout))
@@ -138,9 +142,9 @@
 	events.start(p.stdout, s.Name, d.Metrics())
 	defer events.stop()
 	servers, err := serveAll(&events,
-		server{s.ClientAddress, clientHandlers, clientBody, platform.ClientHandler(d)},
-		server{s.ReadinessAddress, probeHandlers, probeBody, platform.ReadinessHandler(d)},
-		server{s.MetricsAddress(), probeHandlers, clientBody, internalHandler(d)},
+		server{"clients", s.ClientAddress, clientHandlers, clientBody, limits.clients, platform.ClientHandler(d)},
+		server{"readiness", s.ReadinessAddress, probeHandlers, probeBody, limits.probes, platform.ReadinessHandler(d)},
+		server{"metrics", s.MetricsAddress(), probeHandlers, clientBody, limits.probes, internalHandler(d)},
 	)
 	if err != nil {
 		d.Kill()
@@ -174,6 +178,7 @@
 
 func (p *program) runSiteAgent(ctx context.Context, s settings.SiteAgent, path string, load func() (settings.SiteAgent, error)) error {
 	limitProcess(s.MemoryMiB)
+	limits := limitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
 	var events eventSink
@@ -194,8 +199,8 @@
 			events.add("announcementRejected", eventlog.Fields{"request": request, "cause": cause.Error()})
 		}))
 	servers, err := serveAll(&events,
-		server{s.HeartbeatAddress, probeHandlers, heartbeatBody, heartbeats},
-		server{s.MetricsAddress(), probeHandlers, probeBody, balancer.Metrics(d.Metrics())},
+		server{"heartbeats", s.HeartbeatAddress, probeHandlers, heartbeatBody, limits.probes, heartbeats},
+		server{"metrics", s.MetricsAddress(), probeHandlers, probeBody, limits.probes, balancer.Metrics(d.Metrics())},
 	)
 	if err != nil {
 		d.Kill()
@@ -243,12 +248,32 @@
 	}
 }
 
+// addRefusal counts and logs what the server of the given name has refused.
+func (e *eventSink) addRefusal(server string, r connlimit.Refusal) {
+	if out := e.out.Load(); out != nil {
+		out.report().Refused(server, r)
+	}
+}
+
+// addGauges registers the gauges of a server; see connreport.
+func (e *eventSink) addGauges(server string, usage func() (connections int, heldBytes, activeBytes int64)) {
+	if out := e.out.Load(); out != nil {
+		out.report().AddGauges(server, usage)
+	}
+}
+
+func (o *eventOutput) report() connreport.Report {
+	return connreport.Report{Counters: o.counters, Log: o.log}
+}
+
 // server describes an HTTP server of a process. At most handlers requests run at
-// the same time, and a body has at most maxBody bytes.
+// the same time, and a body has at most maxBody bytes. name is that in counters and log lines.
 type server struct {
+	name     string
 	address  string
 	handlers int
 	maxBody  int
+	limits   connlimit.Limits
 	handler  http.Handler
 }
 
@@ -256,7 +281,8 @@
 func serveAll(events *eventSink, all ...server) ([]*httpserver.Server, error) {
 	var running []*httpserver.Server
 	for _, s := range all {
-		h, err := httpserver.New(s.address, s.handlers, s.handler, httpserver.WithMaxBody(s.maxBody),
+		h, err := httpserver.New(s.address, s.handlers, s.handler, httpserver.WithMaxBody(s.maxBody), httpserver.WithLimits(s.limits),
+			httpserver.WithRefusalHandler(func(r connlimit.Refusal) { events.addRefusal(s.name, r) }),
 			httpserver.WithPanicHandler(func(r *http.Request, v any, stack []byte) {
 				events.add("panicRecovered", eventlog.Fields{"during": fmt.Sprintf("%s %.80q", r.Method, r.URL.Path), "cause": fmt.Sprint(v), "stack": string(stack)})
 			}))
@@ -264,6 +290,7 @@
 			closeAll(running)
 			return nil, err
 		}
+		events.addGauges(s.name, h.Usage)
 		running = append(running, h)
 	}
 	return running, nil
--- a/cli/site_test.go
+++ b/cli/site_test.go
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
+	"celerypoint.example/celerypoint/httpserver"
 	"celerypoint.example/celerypoint/loopback"
 )
 
@@ -104,7 +105,7 @@
 	var events eventSink
 	registry := metrics.NewRegistry()
 	events.start(&output, "vm", registry)
-	servers, err := serveAll(&events, server{loopback.Address(), 1, probeBody, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("malformed") })})
+	servers, err := serveAll(&events, server{"clients", loopback.Address(), 1, probeBody, httpserver.DefaultLimits, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("malformed") })})
 	c.Assert(err, qt.IsNil)
 	response, err := http.Get("http://" + servers[0].Address() + "/a")
 	c.Assert(err, qt.IsNil)
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -95,6 +95,8 @@
 	cancel context.CancelFunc
 	// wg counts the goroutines that New starts.
 	wg sync.WaitGroup
+	// refusals is taken alone.
+	refusals refusalTable
 	// killOnce makes sure that the daemon is shut down only once.
 	killOnce sync.Once
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"celerypoint.example/celerypoint/balancer"
 	"celerypoint.example/celerypoint/caller"
 	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/connlimit"
 	"celerypoint.example/celerypoint/entryd"
 	"celerypoint.example/celerypoint/httpserver"
 	"celerypoint.example/celerypoint/operator"
@@ -39,6 +40,7 @@
 type Frontend struct {
 	daemon  *entryd.Daemon
 	callers *caller.Handler
+	limits  connlimit.Limits
 	server  *httpserver.Server
 
 	mu             sync.Mutex
@@ -50,9 +52,19 @@
 	closeOnce sync.Once
 }
 
+// Option configures a Frontend.
+type Option func(*Frontend)
+
+// WithLimits bounds what the connections use together; without it,
+// httpserver.DefaultLimits do.
+func WithLimits(l connlimit.Limits) Option { return func(f *Frontend) { f.limits = l } }
+
 // New starts a server for the daemon on the TCP address.
-func New(address string, d *entryd.Daemon) (*Frontend, error) {
-	f := &Frontend{daemon: d, callers: caller.New(serviceAdapter{d}), idle: make(chan struct{})}
+func New(address string, d *entryd.Daemon, options ...Option) (*Frontend, error) {
+	f := &Frontend{daemon: d, callers: caller.New(serviceAdapter{d}), limits: httpserver.DefaultLimits, idle: make(chan struct{})}
+	for _, o := range options {
+		o(f)
+	}
 	operators, balancers := operator.New(serviceAdapter{d}), balancer.New(d, d.Metrics())
 	mux := http.NewServeMux()
 	mux.Handle("/v1/jobs", f.callers)
@@ -61,7 +73,8 @@
 	mux.Handle("/v1/", operators)
 	mux.Handle("/", balancers)
 	metrics.NewRegisteredFunctionalGauge("callersWaiting", d.Metrics(), func() int64 { return int64(f.callers.Waiting()) })
-	server, err := httpserver.New(address, maxConcurrentRequests, f.countRequests(mux))
+	server, err := httpserver.New(address, maxConcurrentRequests, f.countRequests(mux), httpserver.WithLimits(f.limits),
+		httpserver.WithRefusalHandler(func(r connlimit.Refusal) { d.ConnectionRefused("http", r) }))
 	if err != nil {
 		f.callers.Close()
 		return nil, fmt.Errorf("front end: %w", err)
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -100,9 +100,13 @@
 		})
 	}
 	wg.Wait()
-	for deadline := time.Now().Add(5 * time.Second); s.engine.Online() > 0; time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		connections, held, active := s.Usage()
+		if connections == 0 && held == 0 && active == 0 {
+			return
+		}
 		if time.Now().After(deadline) {
-			t.Fatalf("%d connections are still open", s.engine.Online())
+			t.Fatalf("%d connections are still open, with %d held and %d active bytes", connections, held, active)
 		}
 	}
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -43,6 +43,8 @@
 		intBetween(func(e *Entry) *int { return &e.BatchQueue }, 1, 1<<20)},
 	{Key{Section: "limits", Name: "workers", Default: "32", Allowed: "1 to 1024", Help: "goroutines in the entry's worker pool"},
 		intBetween(func(e *Entry) *int { return &e.Workers }, 1, 1024)},
+	{Key{Section: "limits", Name: "memoryMB", Default: "256", Allowed: "64 to 1048576", Help: "memory of the process in MiB, of which connections may use a part"},
+		intBetween(func(e *Entry) *int { return &e.MemoryMiB }, 64, 1<<20)},
 
 	{Key{Section: "timing", Name: "vmLostMs", Default: "4000", Allowed: durationMsAllowed, Help: "time without an announcement after which a VM is lost, in ms"},
 		durationMs(func(e *Entry) *time.Duration { return &e.VMLostTimeout })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,8 @@
 	UrgentQueue, NormalQueue, BatchQueue int
 	// Workers is the number of goroutines in the worker pool.
 	Workers int
+	// MemoryMiB is the memory of the process in MiB.
+	MemoryMiB int
 
 	// The help texts of section [timing] in keys.go describe these durations.
 	VMLostTimeout, PeerLostTimeout, HelloInterval time.Duration
