rpc: bound what all connections make the process hold

Cause: the port for RPCs takes connections from anybody; the address of a peer proves nothing. Each connection could have 1 MiB of an unfinished frame, 64 MiB of frames that wait and 64 MiB of replies that are not read, and the requests that wait for a worker had no bound but their number, 65,536. Nothing bounded the sum; a process beyond the memory of its VM is killed. Change: a connlimit.Table counts unfinished and waiting frames, replies that the kernel has not taken, and the requests in progress. Connections that others opened are closed before those that the process itself opened. A call that exceeds the bytes in progress gets an error reply that says "not handled", and is not. Requests give their bytes back when they are decoded or answered.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -132,7 +132,7 @@
 func TestDefaults(t *testing.T) {
 	s, err := settings.LoadEntry("../settings/testdata/good/entry.ini", nil)
 	qt.Assert(t, err, qt.IsNil)
-	got, want := entryConfig(s), entryd.DefaultConfig()
+	got, want := entryConfig(s, processLimits{}), entryd.DefaultConfig()
 	want.ID, want.Zone, want.Region, want.LogURL = got.ID, got.Zone, got.Region, got.LogURL
 	want.RPCAddress, want.HTTPAddress = got.RPCAddress, got.HTTPAddress
 	qt.Assert(t, got, qt.DeepEquals, want)
--- a/cli/daemons.go
+++ b/cli/daemons.go
@@ -75,9 +75,10 @@
 }
 
 // entryConfig converts the settings of an entry to the configuration of its daemon.
-func entryConfig(s settings.Entry) entryd.Config {
+func entryConfig(s settings.Entry, l processLimits) entryd.Config {
 	return entryd.Config{
-		ID: s.ID, Zone: s.Zone, Region: s.Region,
+		ConnectionLimits: l.peers,
+		ID:               s.ID, Zone: s.Zone, Region: s.Region,
 		RPCAddress: s.RPCAddress, HTTPAddress: s.HTTPAddress, AdvertiseAddress: s.AdvertiseAddress, Seeds: s.Seeds, LogURL: s.LogURL,
 		Placement: s.Placement, UrgentQueue: s.UrgentQueue, NormalQueue: s.NormalQueue, BatchQueue: s.BatchQueue, Workers: s.Workers,
 		VMLostTimeout: s.VMLostTimeout, PeerLostTimeout: s.PeerLostTimeout, HelloInterval: s.HelloInterval, Reservation: s.Reservation, GangLease: s.GangLease,
@@ -92,7 +93,7 @@
 	}
 	debug.SetMemoryLimit(int64(s.MemoryMiB) << 20 * memoryLimitPercent / 100)
 	limits := ownLimitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
-	d, err := entryd.New(entryConfig(s), entryd.WithLogger(logger))
+	d, err := entryd.New(entryConfig(s, limits), entryd.WithLogger(logger))
 	if err != nil {
 		return err
 	}
--- a/cli/site.go
+++ b/cli/site.go
@@ -117,9 +117,10 @@
 
 // siteEntryConfig converts the settings of an entry on the users' platform to the
 // configuration of its daemon.
-func siteEntryConfig(s settings.SiteEntry) stepentry.Config {
+func siteEntryConfig(s settings.SiteEntry, l processLimits) stepentry.Config {
 	return stepentry.Config{
-		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic, ConfigTopic: platform.TopicConfiguration,
+		ConnectionLimits: l.peers,
+		Name:             s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic, ConfigTopic: platform.TopicConfiguration,
 		Log: platform.NewStore(s.StoreAddress), DecodeOperator: platform.DecodeOperatorRecord,
 		Timing: stepplan.Timing{
 			LeaseDuration: s.MaxLease * leasePercent / 100, KeepStatus: s.KeepStatus, MaxStopTime: s.MaxStopTime, MaxReclaimTime: s.MaxReclaimTime, FarFactor: s.FarFactor,
@@ -134,7 +135,7 @@
 	limits := limitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
-	d, err := stepentry.New(siteEntryConfig(s), stepentry.WithOutput(p.stdout))
+	d, err := stepentry.New(siteEntryConfig(s, limits), stepentry.WithOutput(p.stdout))
 	if err != nil {
 		return err
 	}
@@ -156,7 +157,7 @@
 			d.LogReload(cause, err)
 			return
 		}
-		d.Reload(siteEntryConfig(next), cause)
+		d.Reload(siteEntryConfig(next, limits), cause)
 	})
 	err = stop(ctx, s.TerminationGrace-stopMargin, d.Stop)
 	closeAll(servers)
@@ -165,9 +166,10 @@
 
 // siteAgentConfig converts the settings of an agent on the users' platform to the
 // configuration of its daemon.
-func siteAgentConfig(s settings.SiteAgent, w *platform.Worker) stepagent.Config {
+func siteAgentConfig(s settings.SiteAgent, w *platform.Worker, l processLimits) stepagent.Config {
 	c := stepagent.Config{
-		Name: s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic,
+		ConnectionLimits: l.peers,
+		Name:             s.Name, Zone: s.Zone, Listen: s.Address(), Advertise: s.AdvertiseAddress, Topic: recordsTopic,
 		Log: platform.NewStore(s.StoreAddress), Worker: w,
 	}
 	if s.HeartbeatInterval > 0 && s.CapacityGrace > 0 {
@@ -185,7 +187,7 @@
 	w := platform.NewWorker(s.WorkerAddress, platform.WithUnreadableRowHandler(func(cause error) {
 		events.add("statusRowUnreadable", eventlog.Fields{"cause": cause.Error()})
 	}))
-	d, err := stepagent.New(siteAgentConfig(s, w), stepagent.WithOutput(p.stdout))
+	d, err := stepagent.New(siteAgentConfig(s, w, limits), stepagent.WithOutput(p.stdout))
 	if err != nil {
 		return err
 	}
--- a/clientlimits/crowd_test.go
+++ b/clientlimits/crowd_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"net"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -69,6 +72,28 @@
 	return b.String()
 }
 
+// frame returns an RPC frame with the text.
+func frame(text string) string {
+	return string(binary.BigEndian.AppendUint32(nil, uint32(len(text)))) + text
+}
+
+// rpcInputs lists what crowds send to a port for RPCs.
+func rpcInputs() []input {
+	const frameLimit = 1 << 20
+	unfinished := string(binary.BigEndian.AppendUint32(nil, frameLimit))
+	call := func(params string) string {
+		return frame(`{"jsonrpc":"2.0","id":1,"method":"report","params":` + params + `}`)
+	}
+	return []input{
+		{"unfinishedFrame", unfinishedConnections, unfinished, repeat(" "), frameLimit - 1},
+		{"emptyFrames", crowdConnections, "", repeat(frame("")), crowdTotal},
+		{"unknownCalls", crowdConnections, "", repeat(frame(`{"jsonrpc":"2.0","id":1,"method":"` + strings.Repeat("m", 3000) + `"}`)), crowdTotal},
+		{"calls", crowdConnections, "", repeat(call("{}")), 1 << 20},
+		{"largeCalls", crowdConnections, "", call(`{"agent":"` + strings.Repeat("a", frameLimit/2) + `"}`), crowdTotal},
+		{"notifications", crowdConnections, "", repeat(frame(`{"jsonrpc":"2.0","method":"recordStored","params":{"key":"` + strings.Repeat("a", 2000) + `"}}`)), crowdTotal},
+	}
+}
+
 // crowd is a number of connections that send the same input.
 type crowd struct {
 	mu    sync.Mutex
@@ -128,6 +153,40 @@
 	return true
 }
 
+// awaitRead waits until the process has read what its port has received, at most for the time of
+// an ordinary request. Otherwise the input would still be in the kernel's memory.
+func awaitRead(t *testing.T, address string) {
+	t.Helper()
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	local := fmt.Sprintf("0100007F:%04X", number)
+	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		sockets, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		unread := false
+		for line := range strings.Lines(string(sockets)) {
+			// The columns are the number, the local and the remote address, the state, and the
+			// bytes that wait to be sent and to be read.
+			words := strings.Fields(line)
+			const established = "01"
+			if len(words) > 4 && words[1] == local && words[3] == established && !strings.HasSuffix(words[4], ":00000000") {
+				unread = true
+			}
+		}
+		if !unread {
+			return
+		}
+	}
+}
+
 // TestInputsFit guards against inputs that are not what their names say.
 func TestInputsFit(t *testing.T) {
 	for _, in := range httpInputs("/x", 1<<20) {
--- a/clientlimits/memory_test.go
+++ b/clientlimits/memory_test.go
@@ -20,9 +20,12 @@
 		{"entryClient", startEntry, func(p *process) string { return p.client }, func(p *process) error { return submitJob(p.client, 1) }, httpInputs("/batch/5c0e7a21d94b0000", 1<<20)},
 		{"entryReadiness", startEntry, func(p *process) string { return p.readiness }, func(p *process) error { return expect(http.MethodGet, p.readiness, "/api/ready", "") }, httpInputs("/api/ready", 4<<10)},
 		{"entryMetrics", startEntry, func(p *process) string { return p.metrics }, func(p *process) error { return expect(http.MethodGet, p.metrics, "/metrics", "") }, httpInputs("/metrics", 1<<20)},
+		{"entryRPC", startEntry, func(p *process) string { return p.rpc }, func(p *process) error { return callUnknown(p.rpc) }, rpcInputs()},
 		{"agentHeartbeats", startAgent, func(p *process) string { return p.heartbeats }, func(p *process) error { return sendHeartbeat(p.heartbeats) }, httpInputs("/api/instances/i-0", 128<<10)},
 		{"agentMetrics", startAgent, func(p *process) string { return p.metrics }, func(p *process) error { return expect(http.MethodGet, p.metrics, "/metrics", "") }, httpInputs("/metrics", 4<<10)},
+		{"agentRPC", startAgent, func(p *process) string { return p.rpc }, func(p *process) error { return callUnknown(p.rpc) }, rpcInputs()},
 		{"ownClient", startOwnEntry, func(p *process) string { return p.client }, func(p *process) error { return expect(http.MethodGet, p.client, "/healthz", "") }, httpInputs("/v1/jobs", 1<<20)},
+		{"ownRPC", startOwnEntry, func(p *process) string { return p.rpc }, func(p *process) error { return callUnknown(p.rpc) }, rpcInputs()},
 	}
 }
 
@@ -36,6 +39,7 @@
 				t.Run(in.name, func(t *testing.T) {
 					p := port.start(t, 0)
 					send(t, port.address(p), in)
+					awaitRead(t, port.address(p))
 					if err := port.ordinary(p); err != nil {
 						t.Errorf("ordinary request: %v", err)
 					}
@@ -50,15 +54,16 @@
 func TestMemoryOfAllPorts(t *testing.T) {
 	p := startEntry(t, 0)
 	for _, port := range ports() {
-		if port.name == "entryClient" || port.name == "entryReadiness" || port.name == "entryMetrics" {
+		if port.name == "entryClient" || port.name == "entryReadiness" || port.name == "entryMetrics" || port.name == "entryRPC" {
 			for _, in := range port.inputs {
-				if in.name == "unfinishedBody" || in.name == "headerLines" || in.name == "bodiesAhead" {
+				if in.name == "unfinishedBody" || in.name == "headerLines" || in.name == "unfinishedFrame" || in.name == "bodiesAhead" {
 					send(t, port.address(p), in)
+					awaitRead(t, port.address(p))
 				}
 			}
 		}
 	}
-	for _, port := range ports()[:3] {
+	for _, port := range ports()[:4] {
 		if err := port.ordinary(p); err != nil {
 			t.Errorf("%s: ordinary request: %v", port.name, err)
 		}
--- a/clientlimits/ordinary_test.go
+++ b/clientlimits/ordinary_test.go
@@ -1,10 +1,14 @@
 package clientlimits
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+
+	"celerypoint.example/celerypoint/rpc"
 )
 
 // request sends one request on a connection of its own and returns the status.
@@ -51,3 +55,25 @@
 	return expect(http.MethodPut, address, "/api/instances/i-0",
 		`{"service":"paint","address":"127.0.0.1:9","zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":32000,"mem_mb":131072,"gpus":8},"labels":["a","r0"],"clock_ms":1,"sequence":0}`)
 }
+
+// callUnknown calls an RPC method that no process has. The error reply is the answer.
+func callUnknown(address string) error {
+	engine, err := rpc.New(func(*rpc.Request) {})
+	if err != nil {
+		return err
+	}
+	defer engine.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	conn, err := engine.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	err = conn.Call(ctx, "noSuchMethod", struct{}{}, nil)
+	var refused *rpc.Error
+	if errors.As(err, &refused) {
+		return nil
+	}
+	return fmt.Errorf("call of an unknown method: found %v, allowed: an error reply", err)
+}
--- a/entryd/config.go
+++ b/entryd/config.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"celerypoint.example/celerypoint/connlimit"
 	"celerypoint.example/celerypoint/placement"
 )
 
@@ -30,6 +31,9 @@
 	Seeds []string
 	// LogURL is the base URL of the platform's log service.
 	LogURL string
+	// ConnectionLimits bounds what RPC connections use together; zero means
+	// rpc.DefaultLimits.
+	ConnectionLimits connlimit.Limits
 
 	// Placement is the policy by which the planner chooses VMs.
 	Placement placement.Policy
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"celerypoint.example/celerypoint/configfold"
+	"celerypoint.example/celerypoint/connlimit"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/estimate"
 	"celerypoint.example/celerypoint/gang"
@@ -135,7 +137,8 @@
 	for _, s := range c.Seeds {
 		d.peers.seeds[s] = false
 	}
-	engine, err := rpc.New(d.handleRequest, rpc.WithListen(c.RPCAddress))
+	engine, err := rpc.New(d.handleRequest, rpc.WithListen(c.RPCAddress), rpc.WithLimits(cmp.Or(c.ConnectionLimits, rpc.DefaultLimits)),
+		rpc.WithRefusalHandler(func(r connlimit.Refusal) { d.ConnectionRefused("rpc", r) }))
 	if err != nil {
 		d.pool.Close()
 		d.logPool.Close()
--- a/rpc/fuzz_test.go
+++ b/rpc/fuzz_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"celerypoint.example/celerypoint/connlimit"
 	"celerypoint.example/celerypoint/wire"
 )
 
@@ -45,9 +46,10 @@
 			}
 			r.Reply(r.Method)
 		},
-		onPanic: func(_ *Request, v any, stack []byte) { t.Errorf("%v\n%s", v, stack) },
+		onRefused: func(r connlimit.Refusal) { t.Errorf("refused: %s", r.Reason) },
+		onPanic:   func(_ *Request, v any, stack []byte) { t.Errorf("%v\n%s", v, stack) },
 	}
-	s := newStream(discardTransport{}, &e.bytesSent)
+	s := newStream(discardTransport{}, &e.bytesSent, connlimit.New(DefaultLimits), 1)
 	conn := e.newConn(s, "peer")
 	conn.CallAsync("call", nil, time.Now().Add(time.Hour), func([]byte, error) {
 		answered.Add(1)
--- a/rpc/limits_test.go
+++ b/rpc/limits_test.go
@@ -11,13 +11,15 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"celerypoint.example/celerypoint/connlimit"
 )
 
 // TestEmptyFramesAreCounted guards against a peer that queues any number of empty frames,
 // which take more memory than their bytes.
 func TestEmptyFramesAreCounted(t *testing.T) {
 	var sent atomic.Int64
-	s := newStream(nil, &sent)
+	s := newStream(nil, &sent, connlimit.New(DefaultLimits), 1)
 	n := 0
 	for n < 4_000_000 && s.enqueue(nil) {
 		n++
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -9,6 +9,8 @@
 // connections. Lock order: the mutex of Conn, then the mutex of stream. Neither
 // is held while a message is sent or a handler or callback runs.
 //
+// What the connections hold together is bounded by a connlimit.Table, whose mutex is taken last.
+//
 // A call has a reply, a notification has none. The caller of a call is the side of
 // the connection that sent it.
 package rpc
@@ -31,6 +33,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"celerypoint.example/celerypoint/connlimit"
 	"celerypoint.example/celerypoint/nbiosetup"
 	"celerypoint.example/celerypoint/wire"
 )
@@ -67,13 +70,22 @@
 	params         []byte
 	id             jsonrpc2.ID
 	isNotification bool
+	// release removes the request from those in progress of its connection, at the first call.
+	release func()
 }
 
-// Decode decodes the parameters into v and rejects unknown fields.
-func (r *Request) Decode(v any) error { return wire.Decode(r.params, v) }
+// Decode decodes the parameters into v and rejects unknown fields. It is called at most once,
+// because it frees them.
+func (r *Request) Decode(v any) error {
+	err := wire.Decode(r.params, v)
+	r.params = nil
+	r.release()
+	return err
+}
 
 // Reply sends the result of the call. It does nothing for a notification.
 func (r *Request) Reply(result any) {
+	r.release()
 	if r.isNotification {
 		return
 	}
@@ -97,6 +109,7 @@
 // Fail sends an error as the reply to the call. It does nothing for a
 // notification.
 func (r *Request) Fail(err error) {
+	r.release()
 	if r.isNotification {
 		return
 	}
@@ -284,6 +297,10 @@
 	handler  Handler
 	onAccept func(*Conn)
 	onPanic  func(r *Request, value any, stack []byte)
+	// table bounds what the connections hold together.
+	table     *connlimit.Table
+	limits    connlimit.Limits
+	onRefused func(connlimit.Refusal)
 	// bytesReceived and bytesSent count the bytes of all connections, including
 	// frame headers.
 	bytesReceived, bytesSent atomic.Int64
@@ -293,6 +310,21 @@
 // since New, including frame headers.
 func (e *Engine) Traffic() (received, sent int64) { return e.bytesReceived.Load(), e.bytesSent.Load() }
 
+// Usage returns the number of open connections that others opened, the bytes that all
+// connections hold, and the bytes of the requests in progress.
+func (e *Engine) Usage() (connections int, heldBytes, activeBytes int64) { return e.table.Totals() }
+
+// DefaultLimits are the limits of an engine unless WithLimits is given. They are meant for
+// stand-ins and tests, which have no memory of their own configured.
+var DefaultLimits = connlimit.Limits{Connections: 8192, HeldBytes: 256 << 20, ActiveBytes: 256 << 20}
+
+// reasonBusy is the reason of a request that was refused because the bytes of the requests in
+// progress are used up.
+const reasonBusy = "busy"
+
+// errBusy is the error reply to such a request. It was not handled.
+var errBusy = errors.New("not handled: too many bytes of requests are in progress")
+
 // Option configures an Engine.
 type Option func(*Engine, *nbio.Config)
 
@@ -301,6 +333,18 @@
 	return func(_ *Engine, c *nbio.Config) { c.Addrs = []string{address} }
 }
 
+// WithLimits bounds what all connections use together. When a limit is reached, connections
+// that others opened are closed first.
+func WithLimits(l connlimit.Limits) Option {
+	return func(e *Engine, _ *nbio.Config) { e.limits = l }
+}
+
+// WithRefusalHandler sets a function that is called when a request is refused or a connection
+// is closed because of a limit. It must not block.
+func WithRefusalHandler(f func(connlimit.Refusal)) Option {
+	return func(e *Engine, _ *nbio.Config) { e.onRefused = f }
+}
+
 // WithAccept sets a function that is called with each accepted connection. It must
 // not block.
 func WithAccept(f func(*Conn)) Option {
@@ -316,11 +360,12 @@
 // New starts an engine. All its connections use the handler h.
 func New(h Handler, options ...Option) (*Engine, error) {
 	nbiosetup.ApplyLimits()
-	e := &Engine{handler: h}
+	e := &Engine{handler: h, limits: DefaultLimits, onRefused: func(connlimit.Refusal) {}}
 	config := nbio.Config{Name: "rpc", Network: "tcp", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxQueuedBytes}
 	for _, o := range options {
 		o(e, &config)
 	}
+	e.table = connlimit.New(e.limits)
 	var listener *nbiosetup.Listener
 	if len(config.Addrs) > 0 {
 		var err error
@@ -332,7 +377,7 @@
 	e.nb = nbio.NewEngine(config)
 	e.nb.OnOpen(func(c *nbio.Conn) {
 		if c.Session() == nil {
-			conn := e.attach(c)
+			conn := e.attach(c, false)
 			if e.onAccept != nil {
 				e.onAccept(conn)
 			}
@@ -349,6 +394,11 @@
 			s.closeQueue()
 		}
 	})
+	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if s, ok := c.Session().(*stream); ok {
+			s.output.Sent(n)
+		}
+	})
 	if err := e.nb.Start(); err != nil {
 		if listener != nil {
 			_ = listener.Close()
@@ -364,10 +414,18 @@
 	return e, nil
 }
 
-func (e *Engine) attach(c *nbio.Conn) *Conn {
-	s := newStream(c, &e.bytesSent)
+// attach creates the connection of c. trusted says that this process opened it.
+func (e *Engine) attach(c *nbio.Conn, trusted bool) *Conn {
+	remote := c.RemoteAddr().String()
+	var s *stream
+	// The table closes no connection that holds nothing and has just been opened.
+	id := e.table.Open(trusted, time.Now(), func(reason connlimit.Reason) {
+		e.onRefused(connlimit.Refusal{Reason: string(reason), Remote: remote})
+		s.closeForLimit(reason)
+	})
+	s = newStream(c, &e.bytesSent, e.table, id)
 	c.SetSession(s)
-	return e.newConn(s, c.RemoteAddr().String())
+	return e.newConn(s, remote)
 }
 
 func (e *Engine) newConn(s *stream, remote string) *Conn {
@@ -376,7 +434,14 @@
 	ready := make(chan struct{})
 	conn.conn = jsonrpc2.NewConn(context.Background(), s, handlerFunc(func(r *jsonrpc2.Request) {
 		<-ready
-		request := &Request{Conn: conn, Method: r.Method, id: r.ID, isNotification: r.Notif}
+		request := &Request{Conn: conn, Method: r.Method, id: r.ID, isNotification: r.Notif, release: func() {}}
+		bytes, ok := s.takeRequest()
+		if !ok {
+			e.onRefused(connlimit.Refusal{Reason: reasonBusy, Remote: remote})
+			request.Fail(errBusy)
+			return
+		}
+		request.release = sync.OnceFunc(func() { s.table.End(s.id, bytes, time.Now()) })
 		if r.Params != nil {
 			request.params = *r.Params
 		}
@@ -430,7 +495,7 @@
 		_ = raw.Close()
 		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
 	}
-	conn := e.attach(c)
+	conn := e.attach(c, true)
 	if _, err := e.nb.AddConn(c); err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
--- a/stepagent/daemon.go
+++ b/stepagent/daemon.go
@@ -35,6 +35,8 @@
 
 	"celerypoint.example/celerypoint/agent"
 	"celerypoint.example/celerypoint/codec"
+	"celerypoint.example/celerypoint/connlimit"
+	"celerypoint.example/celerypoint/connreport"
 	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
@@ -80,6 +82,9 @@
 	// AnnouncementValidity is how long the capacity in an announcement of the worker can
 	// be relied on; 0 means DefaultAnnouncementValidity.
 	AnnouncementValidity time.Duration
+	// ConnectionLimits bounds what RPC connections use together; zero means
+	// rpc.DefaultLimits.
+	ConnectionLimits connlimit.Limits
 }
 
 // DefaultAnnouncementValidity is the validity of announcements of a worker that announces
@@ -168,12 +173,15 @@
 // New starts an agent.
 func New(c Config, options ...Option) (*Daemon, error) {
 	d := newDaemon(c, options...)
-	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen))
+	report := connreport.Report{Counters: d.counters, Log: d.log}
+	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen), rpc.WithLimits(cmp.Or(c.ConnectionLimits, rpc.DefaultLimits)),
+		rpc.WithRefusalHandler(func(r connlimit.Refusal) { report.Refused("rpc", r) }))
 	if err != nil {
 		d.pool.Close()
 		return nil, fmt.Errorf("agent %s: %w", c.Name, err)
 	}
 	d.rpc = engine
+	report.AddGauges("rpc", engine.Usage)
 	d.table.vm, d.table.leaseRequestedAt = d.address(), time.Now()
 	d.log.Add("agentStarted", eventlog.Fields{"boot": d.bootID, "listen": engine.Address()})
 	d.goroutines.Go(func() { d.poll(d.ctx) })
--- a/stepentry/daemon.go
+++ b/stepentry/daemon.go
@@ -35,6 +35,8 @@
 
 	"celerypoint.example/celerypoint/access"
 	"celerypoint.example/celerypoint/boottime"
+	"celerypoint.example/celerypoint/connlimit"
+	"celerypoint.example/celerypoint/connreport"
 	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/entry"
 	"celerypoint.example/celerypoint/eventlog"
@@ -81,6 +83,9 @@
 	// take it out of rotation. Values below closeConnsTime count as
 	// closeConnsTime. Requests in progress can prolong the time.
 	ShutdownDelay time.Duration
+	// ConnectionLimits bounds what RPC connections use together; zero means
+	// rpc.DefaultLimits.
+	ConnectionLimits connlimit.Limits
 }
 
 const (
@@ -157,7 +162,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.pool = workpool.New(poolWorkers, poolQueue, workpool.WithPanicHandler(d.poolPanicked))
 	d.storePool = workpool.New(storeWorkers, storeQueue, workpool.WithPanicHandler(d.poolPanicked))
-	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen), rpc.WithPanicHandler(func(r *rpc.Request, v any, stack []byte) {
+	engine, err := rpc.New(d.handle, rpc.WithListen(c.Listen), rpc.WithLimits(cmp.Or(c.ConnectionLimits, rpc.DefaultLimits)), rpc.WithRefusalHandler(func(r connlimit.Refusal) { d.connReport().Refused("rpc", r) }), rpc.WithPanicHandler(func(r *rpc.Request, v any, stack []byte) {
 		d.logPanic(r.Method+" from "+r.Conn.Remote(), v, stack)
 	}))
 	if err != nil {
@@ -177,6 +182,10 @@
 // address is where agents and other entries connect.
 func (d *Daemon) address() string { return cmp.Or(d.cfg.Advertise, d.rpc.Address()) }
 
+func (d *Daemon) connReport() connreport.Report {
+	return connreport.Report{Counters: d.counters, Log: d.log}
+}
+
 // Metrics is the registry of counters.
 func (d *Daemon) Metrics() metrics.Registry { return d.counters.Registry }
 
@@ -192,6 +201,7 @@
 		defer d.records.mu.Unlock()
 		return boottime.Now().Sub(d.records.currentAsOf).Milliseconds()
 	})
+	d.connReport().AddGauges("rpc", d.rpc.Usage)
 	d.counters.Gauge("agentsInTouch", func() int64 { return int64(d.AttachedAgents()) })
 	d.counters.Gauge("interferingKinds", func() int64 {
 		found, _, _, _ := d.Neighbours()
