httpserver, rpc, settings: connections leave descriptors for the rest

Cause: a client that opens enough connections left a process without descriptors. It accepted no further connection on any port, could open none to its store, its peers or its worker, and waited for idle ones to end by themselves for two minutes. When a server's part is used up, the connection that has been unused for longest is closed for a new one, first those that were never served; one with a request in progress is not. Connections that the process opens itself do not count. Should there be none all the same, an idle connection is closed.

--- a/cli/daemons.go
+++ b/cli/daemons.go
@@ -92,7 +92,11 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(s.MemoryMiB) << 20 * memoryLimitPercent / 100)
-	limits := ownLimitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
+	descriptors, err := descriptorsOf(nbiosetup.MaxOpenFiles)
+	if err != nil {
+		return err
+	}
+	limits := ownLimitsOf(s.MemoryMiB, descriptors)
 	d, err := entryd.New(entryConfig(s, limits), entryd.WithLogger(logger))
 	if err != nil {
 		return err
--- a/cli/limits.go
+++ b/cli/limits.go
@@ -1,7 +1,11 @@
 package cli
 
 import (
+	"fmt"
+	"syscall"
+
 	"celerypoint.example/celerypoint/connlimit"
+	"celerypoint.example/celerypoint/nbiosetup"
 )
 
 // Parts of a process's memory and descriptors that its servers may use. All parts of the memory
@@ -49,3 +53,13 @@
 		Connections: max(1, min(connections, int(memory/heldPart/connectionBytes))), HeldBytes: memory / heldPart, ActiveBytes: memory / activePart,
 	}
 }
+
+// descriptorsOf returns the number of descriptors that the process may open: the configured
+// number, the limit of the operating system, or what nbio can serve, whichever is lowest.
+func descriptorsOf(configured int) (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, fmt.Errorf("read the limit of open files: %w", err)
+	}
+	return min(configured, int(min(limit.Cur, nbiosetup.MaxOpenFiles))), nil
+}
--- a/cli/site.go
+++ b/cli/site.go
@@ -21,7 +21,6 @@
 	"celerypoint.example/celerypoint/counters"
 	"celerypoint.example/celerypoint/eventlog"
 	"celerypoint.example/celerypoint/httpserver"
-	"celerypoint.example/celerypoint/nbiosetup"
 	"celerypoint.example/celerypoint/platform"
 	"celerypoint.example/celerypoint/settings"
 	"celerypoint.example/celerypoint/stepagent"
@@ -132,7 +131,11 @@
 
 func (p *program) runSiteEntry(ctx context.Context, s settings.SiteEntry, path string, load func() (settings.SiteEntry, error)) error {
 	limitProcess(s.MemoryMiB)
-	limits := limitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
+	descriptors, err := descriptorsOf(s.Descriptors)
+	if err != nil {
+		return err
+	}
+	limits := limitsOf(s.MemoryMiB, descriptors)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
 	d, err := stepentry.New(siteEntryConfig(s, limits), stepentry.WithOutput(p.stdout))
@@ -180,7 +183,11 @@
 
 func (p *program) runSiteAgent(ctx context.Context, s settings.SiteAgent, path string, load func() (settings.SiteAgent, error)) error {
 	limitProcess(s.MemoryMiB)
-	limits := limitsOf(s.MemoryMiB, nbiosetup.MaxOpenFiles)
+	descriptors, err := descriptorsOf(s.Descriptors)
+	if err != nil {
+		return err
+	}
+	limits := limitsOf(s.MemoryMiB, descriptors)
 	// SIGHUP must not end the process before watchSettings handles it.
 	signal.Ignore(syscall.SIGHUP)
 	var events eventSink
--- a/clientlimits/ordinary_test.go
+++ b/clientlimits/ordinary_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"celerypoint.example/celerypoint/rpc"
 )
@@ -77,3 +78,14 @@
 	}
 	return fmt.Errorf("call of an unknown method: found %v, allowed: an error reply", err)
 }
+
+// eventually repeats f until it succeeds, at most for the time of an ordinary request.
+func eventually(f func() error) error {
+	var err error
+	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if err = f(); err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/clientlimits/process_test.go
+++ b/clientlimits/process_test.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// openDescriptors returns the number of open descriptors.
+func (p *process) openDescriptors(t *testing.T) int {
+	t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		p.checkAlive(t)
+		t.Fatal(err)
+	}
+	return len(entries)
+}
+
 // freeAddresses returns n adjacent loopback addresses that nothing listens on.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
--- a/httpserver/bounds_test.go
+++ b/httpserver/bounds_test.go
@@ -236,3 +236,23 @@
 	c.Check(read, qt.Equals, size)
 	c.Check(most.Load() <= limit, qt.IsTrue, qt.Commentf("%d bytes", most.Load()))
 }
+
+// TestIdleConnectionsMakeRoom guards against a server that takes no more connections because
+// others are open and unused.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	c := qt.New(t)
+	s := serve(c, func(w http.ResponseWriter, _ *http.Request) { Reply(w, http.StatusOK, "text/plain", nil) },
+		WithLimits(connlimit.Limits{Connections: 4, HeldBytes: 1 << 20, ActiveBytes: 1 << 20}))
+	known := connect(c, s)
+	known.send(post(1))
+	c.Check(known.receive().StatusCode, qt.Equals, http.StatusOK)
+	silent := connect(c, s)
+	for range 6 {
+		l := connect(c, s)
+		l.send(post(1))
+		c.Check(l.receive().StatusCode, qt.Equals, http.StatusOK)
+		known.send(post(1))
+		c.Check(known.receive().StatusCode, qt.Equals, http.StatusOK)
+	}
+	silent.expectClosed()
+}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -107,7 +107,7 @@
 	}
 	s.table = connlimit.New(s.limits)
 	nbiosetup.ApplyLimits()
-	listener, err := nbiosetup.Listen(address)
+	listener, err := nbiosetup.Listen(address, nbiosetup.WithAdmission(s.admit), nbiosetup.WithShortageHandler(func() { s.table.CloseIdle() }))
 	if err != nil {
 		return nil, fmt.Errorf("http: listen on %s: %w", address, err)
 	}
@@ -163,6 +163,15 @@
 	}
 }
 
+// admit makes room for an accepted connection. It returns false if there is none.
+func (s *Server) admit(c net.Conn) bool {
+	ok := s.table.MakeRoom()
+	if !ok {
+		s.refused(c, string(connlimit.ReasonNoneIdle))
+	}
+	return ok
+}
+
 // serve adds an accepted connection.
 func (s *Server) serve(nb *nbio.Conn) {
 	c := newConn(s, nb)
@@ -225,7 +234,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := connOf(w); c != nil && c.refusing {
 			w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
-			Reply(w, http.StatusServiceUnavailable, "text/plain", []byte("too many requests in progress\n"))
+			JSON(w, http.StatusServiceUnavailable, map[string]string{"error": "not handled: the requests in progress use up their memory"})
 			return
 		}
 		h.ServeHTTP(w, r)
--- a/nbiosetup/listener_test.go
+++ b/nbiosetup/listener_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -46,3 +47,29 @@
 	// Each attempt but the last is followed by a pause.
 	c.Check(inner.accepts.Load() < 10, qt.IsTrue, qt.Commentf("%d attempts", inner.accepts.Load()))
 }
+
+// TestAdmission guards against a connection that is not admitted and is left open, and against
+// a listener that ends because of one.
+func TestAdmission(t *testing.T) {
+	c := qt.New(t)
+	var admitted atomic.Int64
+	l, err := Listen("127.0.0.1:0", WithAdmission(func(net.Conn) bool { return admitted.Add(1) > 1 }))
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	refused, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer refused.Close()
+	accepted, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer accepted.Close()
+	conn, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Check(conn.RemoteAddr().String(), qt.Equals, accepted.LocalAddr().String())
+	c.Assert(refused.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = refused.Read(make([]byte, 1))
+	c.Check(err, qt.Satisfies, func(err error) bool {
+		timeout, ok := err.(net.Error)
+		return err != nil && (!ok || !timeout.Timeout())
+	})
+}
--- a/nbiosetup/nbiosetup.go
+++ b/nbiosetup/nbiosetup.go
@@ -46,6 +46,7 @@
 	acceptOnce sync.Once
 	accepting  chan struct{}
 	onShortage func()
+	admit      func(net.Conn) bool
 	closeOnce  sync.Once
 	closed     chan struct{}
 }
@@ -57,6 +58,10 @@
 // for lack of descriptors or memory. It may close connections.
 func WithShortageHandler(f func()) ListenOption { return func(l *Listener) { l.onShortage = f } }
 
+// WithAdmission sets a function that decides whether an accepted connection is used. Others are
+// closed. An engine cannot refuse a connection safely once it has it.
+func WithAdmission(f func(net.Conn) bool) ListenOption { return func(l *Listener) { l.admit = f } }
+
 // acceptRetryInterval is the pause after a connection could not be accepted.
 const acceptRetryInterval = 50 * time.Millisecond
 
@@ -70,7 +75,7 @@
 }
 
 func newListener(inner net.Listener, options ...ListenOption) *Listener {
-	l := &Listener{Listener: inner, accepting: make(chan struct{}), onShortage: func() {}, closed: make(chan struct{})}
+	l := &Listener{Listener: inner, accepting: make(chan struct{}), onShortage: func() {}, admit: func(net.Conn) bool { return true }, closed: make(chan struct{})}
 	for _, o := range options {
 		o(l)
 	}
@@ -83,9 +88,13 @@
 	l.acceptOnce.Do(func() { close(l.accepting) })
 	for {
 		conn, err := l.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || err == nil && l.admit(conn) {
 			return conn, err
 		}
+		if err == nil {
+			_ = conn.Close()
+			continue
+		}
 		l.onShortage()
 		select {
 		case <-l.closed:
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -369,7 +369,7 @@
 	var listener *nbiosetup.Listener
 	if len(config.Addrs) > 0 {
 		var err error
-		if listener, err = nbiosetup.Listen(config.Addrs[0]); err != nil {
+		if listener, err = nbiosetup.Listen(config.Addrs[0], nbiosetup.WithAdmission(e.admit), nbiosetup.WithShortageHandler(func() { e.table.CloseIdle() })); err != nil {
 			return nil, fmt.Errorf("rpc: listen on %s: %w", config.Addrs[0], err)
 		}
 		config.Listen = listener.ListenFunc
@@ -414,6 +414,15 @@
 	return e, nil
 }
 
+// admit makes room for an accepted connection. It returns false if there is none.
+func (e *Engine) admit(c net.Conn) bool {
+	ok := e.table.MakeRoom()
+	if !ok {
+		e.onRefused(connlimit.Refusal{Reason: string(connlimit.ReasonNoneIdle), Remote: c.RemoteAddr().String()})
+	}
+	return ok
+}
+
 // attach creates the connection of c. trusted says that this process opened it.
 func (e *Engine) attach(c *nbio.Conn, trusted bool) *Conn {
 	remote := c.RemoteAddr().String()
--- a/settings/site.go
+++ b/settings/site.go
@@ -96,6 +96,9 @@
 	TerminationGrace time.Duration
 	// MemoryMiB is the memory limit of the process in MiB.
 	MemoryMiB int
+	// Descriptors is the number of open files that the process may have, if that is less than
+	// the limit of the operating system.
+	Descriptors int
 	// CPUShare is the share of a core that the process may use, 0 if it is not known.
 	CPUShare float64
 }
@@ -133,6 +136,8 @@
 			durationSeconds(func(s *S) *time.Duration { return &node(s).TerminationGrace })},
 		{Key{Section: "node", Name: "memoryMB", Allowed: "16 to 1048576", Help: "memory limit of the process in MiB"},
 			intBetween(func(s *S) *int { return &node(s).MemoryMiB }, 16, 1<<20)},
+		{Key{Section: "node", Name: "descriptors", Default: "1048576", Allowed: "128 to 1048576", Help: "open files that the process may have, if that is less than the limit of the operating system"},
+			intBetween(func(s *S) *int { return &node(s).Descriptors }, 128, 1<<20)},
 		{Key{Section: "node", Name: "cpuShare", Optional: true, Allowed: "above 0, at most 1024", Help: "cores, or the share of one, that the process may use"},
 			func(s *S, value string) bool {
 				f, err := strconv.ParseFloat(value, 64)
