--- a/entryhttp/entryhttp.go
+++ b/entryhttp/entryhttp.go
@@ -23,6 +23,10 @@
 	"celerypoint.example/celerypoint/wire"
 )
 
+// maxResponseHeaderBytes bounds the header of a response. net/http reads 10 MB by default,
+// on each connection.
+const maxResponseHeaderBytes = 64 << 10
+
 const (
 	// maxPollWait is the longest wait that one request asks the entry for. It is
 	// below the entry's limit of 50 s.
@@ -63,7 +67,7 @@
 // New returns a client for entries at the HTTP addresses. Each has the form
 // host:port. At least one is required.
 func New(addresses ...string) *Client {
-	return &Client{addresses: addresses, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return &Client{addresses: addresses, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxResponseHeaderBytes}}}
 }
 
 // Close closes idle connections.
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -26,6 +26,10 @@
 	"time"
 )
 
+// maxResponseHeaderBytes bounds the header of a response. net/http reads 10 MB by default,
+// on each connection.
+const maxResponseHeaderBytes = 64 << 10
+
 // The streams of the log that the system uses.
 const (
 	StreamConfig = "config"
@@ -116,6 +120,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 8
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	c.http = &http.Client{Transport: transport}
 	c.random = rand.New(rand.NewPCG(c.seed, 0))
 	return c
--- a/workerruntime/workerruntime.go
+++ b/workerruntime/workerruntime.go
@@ -19,6 +19,10 @@
 	"celerypoint.example/celerypoint/wire"
 )
 
+// maxResponseHeaderBytes bounds the header of a response. net/http reads 10 MB by default,
+// on each connection.
+const maxResponseHeaderBytes = 64 << 10
+
 // ErrNoTask says that the runtime knows no task with that ID, or that the task has
 // ended and the request needs one that has not.
 var ErrNoTask = errors.New("worker runtime: no such task")
@@ -50,7 +54,7 @@
 
 // New returns a client of the runtime at baseURL, such as http://127.0.0.1:7000.
 func New(baseURL string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	return &Client{baseURL: baseURL, http: &http.Client{Transport: transport}}
 }
 
