eventlog: a line after Close is dropped

Cause: when a process stops, its daemon closes the log before the HTTP servers are closed. A request that is refused in between adds a line, which sent on a closed channel: the panic was recovered and the client answered 500 instead of its refusal. The race detector found it in stepagent TestOldAnnouncementIsNoCapacity. Change: Add and Close share the mutex for the queue, and Add drops and counts the line once the log is closed. That a client was answered 500 for it is inferred from the order of the calls.

--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -51,9 +51,11 @@
 	droppedLines metrics.Counter
 	queue        chan *logrus.Entry
 
-	// mu guards limiters.
+	// mu guards limiters and closed. It is held while the queue is closed or a line is put
+	// into it, which does not block.
 	mu        sync.Mutex
 	limiters  map[string]*rateLimiter
+	closed    bool
 	writer    sync.WaitGroup
 	closeOnce sync.Once
 }
@@ -107,9 +109,7 @@
 	}
 	entry := l.logger.WithFields(merged).WithTime(now)
 	entry.Message = kind
-	select {
-	case l.queue <- entry:
-	default:
+	if !l.enqueue(entry) {
 		l.droppedLines.Inc(1)
 		l.mu.Lock()
 		b.dropped += dropped + 1
@@ -117,11 +117,29 @@
 	}
 }
 
-// Close writes the queued lines and stops the log. Add must not be called after
-// Close.
+// enqueue queues a line. It returns false if the queue is full or the log is closed.
+func (l *Log) enqueue(entry *logrus.Entry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	select {
+	case l.queue <- entry:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close writes the queued lines and stops the log. Lines that are added later are dropped:
+// the servers of a stopping process may still answer requests.
 func (l *Log) Close() {
 	l.closeOnce.Do(func() {
+		l.mu.Lock()
+		l.closed = true
 		close(l.queue)
+		l.mu.Unlock()
 		l.writer.Wait()
 	})
 }
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -58,3 +58,25 @@
 	c.Assert(last["event"], qt.Equals, "decided")
 	c.Assert(last[droppedField], qt.Equals, 3.0)
 }
+
+// TestLinesAfterCloseAreDropped guards against a panic in the handling of a request that a
+// server of a stopping process still answers.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	c := qt.New(t)
+	registry := metrics.NewRegistry()
+	l := New(&bytes.Buffer{}, "p", registry)
+	var adders sync.WaitGroup
+	for range 4 {
+		adders.Go(func() {
+			for range 50 {
+				l.Add("kind", Fields{"a": 1})
+				time.Sleep(10 * time.Microsecond)
+			}
+		})
+	}
+	l.Close()
+	adders.Wait()
+	before := metrics.GetOrRegisterCounter("logLinesLeftOut", registry).Count()
+	l.Add("other", Fields{})
+	c.Check(metrics.GetOrRegisterCounter("logLinesLeftOut", registry).Count(), qt.Equals, before+1)
+}
