--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -32,9 +32,9 @@
 // client cannot make the server look for the next connection to close with each of its bytes.
 const freePart = 8
 
-// MinActiveBytes is what the requests in progress of one connection may always use, also if
+// minActiveBytes is what the requests in progress of one connection may always use, also if
 // those of the others use up ActiveBytes.
-const MinActiveBytes = 16 << 10
+const minActiveBytes = 16 << 10
 
 // Reason says why a connection was closed or not accepted.
 type Reason string
@@ -58,8 +58,8 @@
 	Remote string
 }
 
-// Usage is what one open connection uses.
-type Usage struct {
+// usage is what one open connection uses.
+type usage struct {
 	// ID is never 0 and is not used again.
 	ID uint64
 	// HeldBytes and ActiveBytes count towards the limits of the same names.
@@ -77,7 +77,7 @@
 
 // connection is an entry of a Table. A closed one remains while it has requests in progress.
 type connection struct {
-	Usage
+	usage
 	close  func(Reason)
 	closed bool
 }
@@ -127,7 +127,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastID++
-	t.connections[t.lastID] = &connection{Usage: Usage{ID: t.lastID, Trusted: trusted, LastUsed: now}, close: closeConn}
+	t.connections[t.lastID] = &connection{usage: usage{ID: t.lastID, Trusted: trusted, LastUsed: now}, close: closeConn}
 	if !trusted {
 		t.open++
 	}
@@ -178,9 +178,9 @@
 	defer t.mu.Unlock()
 	c := t.connections[id]
 	if c == nil {
-		c = &connection{Usage: Usage{ID: id}, closed: true}
+		c = &connection{usage: usage{ID: id}, closed: true}
 	}
-	if t.active+bytes > t.limits.ActiveBytes && c.ActiveBytes+bytes > MinActiveBytes {
+	if t.active+bytes > t.limits.ActiveBytes && c.ActiveBytes+bytes > minActiveBytes {
 		return false
 	}
 	if c.closed {
@@ -275,7 +275,7 @@
 		if c.closed || c.Trusted || c.Requests > 0 {
 			continue
 		}
-		if first == nil || compareIdle(c.Usage, first.Usage) < 0 {
+		if first == nil || compareIdle(c.usage, first.usage) < 0 {
 			first = c
 		}
 	}
@@ -284,12 +284,12 @@
 
 // compareIdle orders connections without requests by which is closed first for a new one: those
 // that have not been served, those unused for longest.
-func compareIdle(a, b Usage) int {
+func compareIdle(a, b usage) int {
 	return cmp.Or(compareBool(a.Served, b.Served), a.LastUsed.Compare(b.LastUsed), cmp.Compare(a.ID, b.ID))
 }
 
 // compareHeld orders connections by which is closed first for its held bytes.
-func compareHeld(a, b Usage) int {
+func compareHeld(a, b usage) int {
 	return cmp.Or(compareBool(a.Trusted, b.Trusted), cmp.Compare(b.HeldBytes, a.HeldBytes), cmp.Compare(a.ID, b.ID))
 }
 
@@ -313,7 +313,7 @@
 			holders = append(holders, c)
 		}
 	}
-	slices.SortFunc(holders, func(a, b *connection) int { return compareHeld(a.Usage, b.Usage) })
+	slices.SortFunc(holders, func(a, b *connection) int { return compareHeld(a.usage, b.usage) })
 	most := t.limits.HeldBytes - t.limits.HeldBytes/freePart
 	n := 0
 	for n < len(holders) && t.held > most {
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -79,14 +79,14 @@
 	c.Assert(o.Complete(large, 1<<10, at(0)), qt.IsTrue)
 	c.Check(o.Begin(large, 1<<10), qt.IsFalse)
 	o.Refuse(large, 1<<10, at(1))
-	c.Assert(o.Complete(small, MinActiveBytes, at(0)), qt.IsTrue)
-	c.Check(o.Begin(small, MinActiveBytes), qt.IsTrue)
+	c.Assert(o.Complete(small, minActiveBytes, at(0)), qt.IsTrue)
+	c.Check(o.Begin(small, minActiveBytes), qt.IsTrue)
 	// The memory of a request stays in use when its connection closes.
 	o.Close(large)
 	_, _, active := o.Totals()
-	c.Check(active, qt.Equals, int64(100<<10+MinActiveBytes))
+	c.Check(active, qt.Equals, int64(100<<10+minActiveBytes))
 	o.End(large, 100<<10, at(2))
-	o.End(small, MinActiveBytes, at(2))
+	o.End(small, minActiveBytes, at(2))
 	connections, held, active := o.Totals()
 	c.Check([]int64{int64(connections), held, active}, qt.DeepEquals, []int64{1, 0, 0})
 }
