httpserver: each request in a row has its own time limit

Cause: the deadline of an incomplete request was set when a part of one arrived on a connection without any. A client that sends request after request, each of whose pieces ends within one, always has an incomplete request: its connection was closed a minute after the first, although each request took milliseconds. Change: the deadline belongs to the request, by its number on the connection. Also, bytes that arrive after the close no longer count as malformed, and the answer to a refused request counts as output.

--- a/httpserver/bounds_test.go
+++ b/httpserver/bounds_test.go
@@ -137,6 +137,28 @@
 	}
 }
 
+// TestRequestsInARowHaveTheirOwnTime guards against a client that sends request after request, so
+// that a part of the next one always has arrived, and is cut off by the time limit of one request.
+func TestRequestsInARowHaveTheirOwnTime(t *testing.T) {
+	c := qt.New(t)
+	const timeout, count = 400 * time.Millisecond, 40
+	s := serve(c, func(w http.ResponseWriter, _ *http.Request) { Reply(w, http.StatusOK, "text/plain", nil) }, WithRequestTimeout(timeout))
+	l := connect(c, s)
+	rest := strings.Repeat(post(100), count)
+	for piece := len(post(100)); rest != ""; time.Sleep(timeout / 10) {
+		// Each piece ends in the middle of a request.
+		n := min(len(rest), piece)
+		if len(rest) == count*piece {
+			n = piece / 2
+		}
+		l.send(rest[:n])
+		rest = rest[n:]
+	}
+	for range count {
+		c.Assert(l.receive().StatusCode, qt.Equals, http.StatusOK)
+	}
+}
+
 // TestRequestsInProgressAreBounded guards against large requests in progress that together take
 // any memory, against a refusal of one that has been handled, and against small requests that
 // are refused because of large ones.
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 	nb     *nbio.Conn
 	parser *nbhttp.Parser
 	reader *requestReader
+	writer *responseWriter
 	// ready is set once the connection has been set up. The poller reads it before anything
 	// else: the kernel orders the two, which the race detector does not see.
 	ready atomic.Bool
@@ -44,8 +46,9 @@
 	// serving counts the requests that are complete and not answered.
 	serving int
 	// incomplete says that a part of a request has arrived. Then the read deadline is that of
-	// this request.
+	// this request, and watched is its number.
 	incomplete bool
+	watched    int64
 }
 
 // queuedRequest is a complete request. serve calls the handler and writes the response.
@@ -54,12 +57,15 @@
 	serve func()
 }
 
+// newConn sets up an accepted connection and adds it to the server's table, which does not close
+// it before it holds something or has been idle.
 func newConn(s *Server, nb *nbio.Conn) *conn {
 	c := &conn{server: s, nb: nb}
 	c.id = s.table.Open(false, time.Now(), c.closeForLimit)
 	c.output = connlimit.NewOutput(s.table, c.id)
 	c.reader = &requestReader{inner: nbhttp.NewServerProcessor(), conn: c}
-	c.parser = nbhttp.NewParser(&responseWriter{Conn: nb, conn: c}, s.engine, c.reader, false, c.enqueue)
+	c.writer = &responseWriter{Conn: nb, conn: c}
+	c.parser = nbhttp.NewParser(c.writer, s.engine, c.reader, false, c.enqueue)
 	return c
 }
 
@@ -88,11 +94,13 @@
 	c.received += int64(len(data))
 	c.reader.begin()
 	if err := c.parser.Parse(data); err != nil {
-		if c.reader.refusal == "" {
+		switch {
+		case c.reader.refusal != "":
+			return c.refuse(c.reader.refusal)
+		case !errors.Is(err, net.ErrClosed):
 			c.server.refused(c.nb, refusalMalformed)
-			return err
 		}
-		return c.refuse(c.reader.refusal)
+		return err
 	}
 	c.reader.end(len(data))
 	if c.received > int64(c.server.maxBody)*framingFactor+MaxHeadBytes+readBufferBytes {
@@ -101,7 +109,7 @@
 	if reason := c.reader.refusal; reason != "" {
 		return c.refuse(reason)
 	}
-	c.watchIncomplete(c.reader.incomplete())
+	c.watchIncomplete(c.reader.incomplete(), c.reader.completed)
 	if delta := c.reader.heldBytes() - c.inputCounted; delta != 0 {
 		c.inputCounted += delta
 		if !c.server.table.Hold(c.id, delta) {
@@ -111,11 +119,12 @@
 	return nil
 }
 
-// watchIncomplete sets the deadline by which a request that is not complete must be.
-func (c *conn) watchIncomplete(incomplete bool) {
+// watchIncomplete sets the deadline by which a request that is not complete must be. number is
+// that of the request.
+func (c *conn) watchIncomplete(incomplete bool, number int64) {
 	c.mu.Lock()
-	changed := c.incomplete != incomplete
-	c.incomplete = incomplete
+	changed := c.incomplete != incomplete || incomplete && c.watched != number
+	c.incomplete, c.watched = incomplete, number
 	c.mu.Unlock()
 	switch {
 	case changed && incomplete:
@@ -132,7 +141,7 @@
 	first := c.serving == 0
 	c.mu.Unlock()
 	if status := refusalStatus[reason]; status != 0 && first {
-		_, _ = c.nb.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status)))
+		_, _ = c.writer.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status)))
 	}
 	c.server.refused(c.nb, reason)
 	return fmt.Errorf("http: request refused: %s", reason)
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -3,9 +3,10 @@
 // the same limits apply to all. A Server owns its listener and its connections.
 //
 // What the connections hold together is bounded by a connlimit.Table, and each single
-// request by the limits below. Lock order: the mutex of nbio's connection, then that of conn,
-// then that of the table. The mutex of Server is taken alone. None is held while a connection
-// is closed or a handler runs.
+// request by the limits below. Lock order: the mutex of the parser or of nbio's connection, then
+// that of connlimit.Output, then that of the table. The mutexes of conn and of Server are taken
+// last and alone. Only the mutex of a connection's own parser may be held while a connection is
+// closed, and none while a handler runs.
 package httpserver
 
 import (
--- a/httpserver/reader.go
+++ b/httpserver/reader.go
@@ -37,8 +37,9 @@
 	headBytes, bodyBytes, builtBytes int64
 	// inBody says that the head is complete.
 	inBody bool
-	// completedBytes is the size of the request that has just been completed.
-	completedBytes int64
+	// completed is the number of requests that have been completed, and completedBytes the size
+	// of the last.
+	completed, completedBytes int64
 	// buffered bounds the bytes of an incomplete line or body that the parser holds.
 	buffered int64
 	// found is the number of bytes of the pieces that the parser has found since begin, and any
@@ -177,6 +178,7 @@
 	} else {
 		r.inner.Clean(p)
 	}
+	r.completed++
 	r.building, r.inBody = false, false
 	r.headBytes, r.bodyBytes, r.builtBytes = 0, 0, 0
 	r.conn.received = 0
