httpserver: the idle deadline does not replace that of a request

Cause: the accept loop sets the idle deadline after the poller has the connection. If a part of a request had arrived by then, its deadline of a minute became one of two: the client holds what it sent for longer. Change: both are set under the connection's mutex, and the idle deadline only if no request is incomplete. The callbacks of nbio for the end of a connection and for sent bytes read the flag of the set-up first, as Parse does.

--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -24,7 +24,7 @@
 	parser *nbhttp.Parser
 	reader *requestReader
 	writer *responseWriter
-	// ready is set once the connection has been set up. The poller reads it before anything
+	// ready is set once the connection has been set up. Callbacks of nbio read it before anything
 	// else: the kernel orders the two, which the race detector does not see.
 	ready atomic.Bool
 	// id is the connection's ID in the server's table, and output counts its responses there.
@@ -123,9 +123,9 @@
 // that of the request.
 func (c *conn) watchIncomplete(incomplete bool, number int64) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	changed := c.incomplete != incomplete || incomplete && c.watched != number
 	c.incomplete, c.watched = incomplete, number
-	c.mu.Unlock()
 	switch {
 	case changed && incomplete:
 		_ = c.nb.SetReadDeadline(time.Now().Add(c.server.requestTimeout))
@@ -134,6 +134,17 @@
 	}
 }
 
+// setIdleDeadline sets the deadline of an idle connection. That of a request that is not complete
+// stays.
+func (c *conn) setIdleDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.incomplete {
+		return nil
+	}
+	return c.nb.SetReadDeadline(deadline)
+}
+
 // refuse answers a request that exceeds a limit, if no response is due before it, and returns
 // the error with which the connection is closed.
 func (c *conn) refuse(reason string) error {
@@ -233,14 +244,7 @@
 	return n, err
 }
 
-// SetReadDeadline sets the deadline of an idle connection, as nbhttp does after each response.
-// That of a request that is not complete stays.
+// SetReadDeadline is called by nbhttp after each response.
 func (w *responseWriter) SetReadDeadline(deadline time.Time) error {
-	w.conn.mu.Lock()
-	incomplete := w.conn.incomplete
-	w.conn.mu.Unlock()
-	if incomplete {
-		return nil
-	}
-	return w.Conn.SetReadDeadline(deadline)
+	return w.conn.setIdleDeadline(deadline)
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -4,9 +4,9 @@
 //
 // What the connections hold together is bounded by a connlimit.Table, and each single
 // request by the limits below. Lock order: the mutex of the parser or of nbio's connection, then
-// that of connlimit.Output, then that of the table. The mutexes of conn and of Server are taken
-// last and alone. Only the mutex of a connection's own parser may be held while a connection is
-// closed, and none while a handler runs.
+// that of connlimit.Output, then that of the table. The mutex of conn is taken before that of
+// nbio's connection, that of Server alone. Only the mutex of a connection's own parser may be held
+// while a connection is closed, and none while a handler runs.
 package httpserver
 
 import (
@@ -127,12 +127,12 @@
 		KeepaliveTime:  idleTimeout,
 	})
 	s.engine.Engine.OnClose(func(nb *nbio.Conn, cause error) {
-		if c, ok := nb.Session().(*conn); ok {
+		if c, ok := nb.Session().(*conn); ok && c.ready.Load() {
 			c.handleClose(cause)
 		}
 	})
 	s.engine.Engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if c, ok := nb.Session().(*conn); ok {
+		if c, ok := nb.Session().(*conn); ok && c.ready.Load() {
 			c.output.Sent(n)
 		}
 	})
@@ -194,7 +194,7 @@
 		c.handleClose(err)
 		return
 	}
-	_ = nb.SetReadDeadline(time.Now().Add(idleTimeout))
+	_ = c.setIdleDeadline(time.Now().Add(idleTimeout))
 }
 
 // forget removes a closed connection.
