rpc: a connection with a call in progress is not idle

Cause: when its connections were used up, the RPC port closed the one unused for longest without regard to the calls in progress on it: requests were counted when they ended and not when they began, and counted as ended when their parameters were decoded. A peer that waits for a slow answer lost it. Change: a request counts from its arrival to its reply, a notification until it is decoded. The bytes of the parameters are freed before, when they are decoded.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -99,9 +99,6 @@
 // New returns an empty table.
 func New(l Limits) *Table { return &Table{limits: l, connections: map[uint64]*connection{}} }
 
-// Limits returns the limits of the table.
-func (t *Table) Limits() Limits { return t.limits }
-
 // Totals returns the number of open connections of clients, and the sums of the held and the
 // active bytes of all connections.
 func (t *Table) Totals() (open int, held, active int64) {
@@ -194,20 +191,33 @@
 	return true
 }
 
-// End removes a request whose handler has returned and its bytes. Begin has returned true for
+// Release removes bytes of a request that are freed before its end. Begin has returned true for
 // it.
+func (t *Table) Release(id uint64, bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.connections[id]; c != nil {
+		t.release(c, bytes)
+	}
+}
+
+// End removes a request that has ended, and its bytes that have not been released. Begin has
+// returned true for it.
 func (t *Table) End(id uint64, bytes int64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.connections[id]
-	if c == nil {
-		return
+	if c := t.connections[id]; c != nil {
+		c.answered(now)
+		t.release(c, bytes)
 	}
+}
+
+// release removes active bytes of a connection. The caller holds the mutex.
+func (t *Table) release(c *connection, bytes int64) {
 	c.ActiveBytes -= bytes
 	t.active -= bytes
-	c.answered(now)
 	if c.closed && c.ActiveBytes <= 0 {
-		delete(t.connections, id)
+		delete(t.connections, c.ID)
 	}
 }
 
--- a/rpc/bounds_test.go
+++ b/rpc/bounds_test.go
@@ -112,6 +112,31 @@
 	c.Check(<-ended, qt.IsNil)
 }
 
+// TestIdleConnectionsMakeRoom guards against a peer whose call is in progress, or whose messages
+// are answered, and that loses its connection to peers that were idle for less time.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	c := qt.New(t)
+	requests := make(chan *Request, 100)
+	e := listen(t, func(r *Request) {
+		if r.Method == "wait" {
+			_ = r.Decode(new(string))
+			requests <- r
+			return
+		}
+		r.Reply("")
+	}, WithLimits(connlimit.Limits{Connections: 3, HeldBytes: 1 << 20, ActiveBytes: 1 << 20}))
+	waiting, active := dial(c, e), dial(c, e)
+	ended := make(chan error, 1)
+	go func() { ended <- waiting("wait", "x") }()
+	request := <-requests
+	for range 10 {
+		c.Check(dial(c, e)("m", ""), qt.IsNil)
+		c.Check(active("m", ""), qt.IsNil)
+	}
+	request.Reply("")
+	c.Check(<-ended, qt.IsNil)
+}
+
 // TestMessagesBeforeTheEndAreHandled guards against messages of a peer that are dropped because
 // the peer closes its connection after them.
 func TestMessagesBeforeTheEndAreHandled(t *testing.T) {
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -70,8 +70,9 @@
 	params         []byte
 	id             jsonrpc2.ID
 	isNotification bool
-	// release removes the request from those in progress of its connection, at the first call.
-	release func()
+	// release frees the bytes of the parameters in the account of the connections, and end
+	// removes the request from those in progress. Each acts at its first call.
+	release, end func()
 }
 
 // Decode decodes the parameters into v and rejects unknown fields. It is called at most once,
@@ -80,12 +81,16 @@
 	err := wire.Decode(r.params, v)
 	r.params = nil
 	r.release()
+	if r.isNotification {
+		r.end()
+	}
 	return err
 }
 
 // Reply sends the result of the call. It does nothing for a notification.
 func (r *Request) Reply(result any) {
 	r.release()
+	defer r.end()
 	if r.isNotification {
 		return
 	}
@@ -110,6 +115,7 @@
 // notification.
 func (r *Request) Fail(err error) {
 	r.release()
+	defer r.end()
 	if r.isNotification {
 		return
 	}
@@ -445,14 +451,15 @@
 	ready := make(chan struct{})
 	conn.conn = jsonrpc2.NewConn(context.Background(), s, handlerFunc(func(r *jsonrpc2.Request) {
 		<-ready
-		request := &Request{Conn: conn, Method: r.Method, id: r.ID, isNotification: r.Notif, release: func() {}}
+		request := &Request{Conn: conn, Method: r.Method, id: r.ID, isNotification: r.Notif, release: func() {}, end: func() {}}
 		bytes, ok := s.takeRequest()
 		if !ok {
 			e.onRefused(connlimit.Refusal{Reason: reasonBusy, Remote: remote})
 			request.Fail(errBusy)
 			return
 		}
-		request.release = sync.OnceFunc(func() { s.table.End(s.id, bytes, time.Now()) })
+		request.release = sync.OnceFunc(func() { s.table.Release(s.id, bytes) })
+		request.end = sync.OnceFunc(func() { s.table.End(s.id, 0, time.Now()) })
 		if r.Params != nil {
 			request.params = *r.Params
 		}
--- a/rpc/stream.go
+++ b/rpc/stream.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"celerypoint.example/celerypoint/boottime"
 	"celerypoint.example/celerypoint/connlimit"
@@ -220,7 +221,9 @@
 // takeRequest moves the frame that ReadObject has returned last, which is a request, to the
 // requests in progress. It returns its bytes, and false if these are used up.
 func (s *stream) takeRequest() (bytes int64, ok bool) {
+	s.table.Complete(s.id, 0, time.Now())
 	if !s.table.Begin(s.id, s.current) {
+		s.table.Refuse(s.id, 0, time.Now())
 		return 0, false
 	}
 	bytes, s.current = s.current, 0
