httpserver: an idle connection does not count as holding a chunked body

Cause: the lengths and line ends between the chunks of a body were not counted as found, so that a connection counted up to 32 KiB of them as a part of a next request, until that came: an idle client that had sent small chunks was closed among the first when the held bytes were used up, and after one minute instead of two. Change: the framing of chunks is counted.

--- a/httpserver/bounds_test.go
+++ b/httpserver/bounds_test.go
@@ -227,6 +227,33 @@
 	}
 }
 
+// TestIdleConnectionsHoldNothing guards against clients that are idle and count as if they held a
+// part of a request, so that they are closed for it.
+func TestIdleConnectionsHoldNothing(t *testing.T) {
+	c := qt.New(t)
+	s := serve(c, func(w http.ResponseWriter, _ *http.Request) { Reply(w, http.StatusOK, "text/plain", nil) })
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost:  a  \r\n\r\n", post(100), post(100_000), strings.Repeat(post(10), 10),
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", 5000) + "0\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("100\r\n"+strings.Repeat("b", 0x100)+"\r\n", 500) + "0\r\n\r\n",
+	} {
+		l := connect(c, s)
+		l.send(text)
+		for range max(1, strings.Count(text, "HTTP/1.1")) {
+			c.Assert(l.receive().StatusCode, qt.Equals, http.StatusOK)
+		}
+		for deadline := time.Now().Add(answerTimeout); ; time.Sleep(time.Millisecond) {
+			_, held, _ := s.Usage()
+			if held == 0 {
+				break
+			}
+			if time.Now().After(deadline) {
+				c.Fatalf("%d bytes are held after %.60q", held, text)
+			}
+		}
+	}
+}
+
 // TestUnreadResponsesAreBounded guards against responses that clients do not read and that the
 // server keeps for them, and against a client that reads slowly and is cut off for them.
 func TestUnreadResponsesAreBounded(t *testing.T) {
--- a/httpserver/reader.go
+++ b/httpserver/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -35,8 +36,8 @@
 	// builtBytes are the sizes of its head, of its body and of both with the overheads.
 	building                         bool
 	headBytes, bodyBytes, builtBytes int64
-	// inBody says that the head is complete.
-	inBody bool
+	// inBody says that the head is complete, and chunked that the body, if any, is chunked.
+	inBody, chunked bool
 	// completed is the number of requests that have been completed, and completedBytes the size
 	// of the last.
 	completed, completedBytes int64
@@ -138,7 +139,7 @@
 // OnContentLength implements nbhttp.Processor. The head is complete.
 func (r *requestReader) OnContentLength(p *nbhttp.Parser, length int) {
 	r.piece(len("\r\n"))
-	r.inBody = true
+	r.inBody, r.chunked = true, length < 0
 	if length > r.conn.server.maxBody {
 		r.refuse(refusalBody)
 	}
@@ -148,6 +149,9 @@
 // OnBody implements nbhttp.Processor.
 func (r *requestReader) OnBody(p *nbhttp.Parser, data []byte) error {
 	r.piece(len(data))
+	if r.chunked {
+		r.piece(len(strconv.FormatInt(int64(len(data)), 16)) + len("\r\n\r\n"))
+	}
 	r.bodyBytes += int64(len(data))
 	r.builtBytes += int64(len(data))
 	if r.bodyBytes > int64(r.conn.server.maxBody) {
@@ -169,6 +173,9 @@
 // OnComplete implements nbhttp.Processor. The request is complete.
 func (r *requestReader) OnComplete(p *nbhttp.Parser) {
 	r.any = true
+	if r.chunked && r.bodyBytes > 0 {
+		r.piece(len("0\r\n\r\n"))
+	}
 	// What the table counts for the incomplete request now counts for the complete one.
 	uncounted := r.builtBytes - r.conn.inputCounted
 	r.conn.inputCounted = 0
