frontend: TestPaths waits until the jobs have been read

An entry is ready once it has read the configuration; until it has read the jobs, that answer is the true one. The test began as soon as the entry was ready. Change: the test waits until the entry knows that the job does not exist. It checks the same answers as before.

--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -42,6 +42,14 @@
 	for ready, _ := d.Ready(); !ready; ready, _ = d.Ready() {
 		time.Sleep(time.Millisecond)
 	}
+	// An entry is ready once it has read the configuration. Until it has read the jobs, it does not
+	// know that a job does not exist.
+	for status := 0; status != http.StatusNotFound; time.Sleep(time.Millisecond) {
+		res, err := http.Get("http://" + f.Address() + "/v1/jobs/none")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, res.Body.Close(), qt.IsNil)
+		status = res.StatusCode
+	}
 	for _, tt := range []struct {
 		method, path, body string
 		status             int
