--- a/review/cases3/bodies.go
+++ b/review/cases3/bodies.go
@@ -73,7 +73,7 @@
 		s.note("round %d: %d clients sent a body of %d bytes: %v; %d ordinary requests answered; %d MiB resident, peak %d MiB", round+1, oversizedClients, len(body), statuses, ordinary, now, peak)
 		select {
 		case <-e.exited:
-			s.note("the entry has ended: %v", e.err)
+			s.note("the entry has ended: %s", s.spawner.exitError(e.pid))
 			return true, nil
 		default:
 		}
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -14,9 +14,13 @@
 var cases = map[string]func(s *system, trouble bool) (broken bool, err error){
 	"bodies":  runBodies,
 	"pending": runPending,
+	"vanish":  runVanish,
 }
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == spawnArgument {
+		os.Exit(serveSpawner())
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases3 CASE FOLDER, at the root of the repository")
 		os.Exit(2)
--- a/review/cases3/system.go
+++ b/review/cases3/system.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -41,9 +40,9 @@
 // process is one of the project's programs, run as on the platform.
 type process struct {
 	name    string
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	err     error
+	role    string
+	pid     int
+	exited  <-chan struct{}
 	client  string
 	metrics string
 }
@@ -51,12 +50,11 @@
 // system is a small deployment: the project's programs as processes, with a stand-in store.
 type system struct {
 	root, dir string
+	spawner   *spawner
 	store     *standinstore.Server
-	// storeAddress is where the processes call the store.
-	storeAddress string
-	entries      []*process
-	agents       []*process
-	begun        time.Time
+	entries   []*process
+	agents    []*process
+	begun     time.Time
 
 	mu     sync.Mutex
 	record *os.File
@@ -71,11 +69,15 @@
 	if err != nil {
 		return nil, err
 	}
+	spawner, err := startSpawner()
+	if err != nil {
+		return nil, err
+	}
 	store, err := standinstore.New("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	return &system{root: root, dir: dir, store: store, storeAddress: store.Address(), begun: time.Now(), record: f}, nil
+	return &system{root: root, dir: dir, spawner: spawner, store: store, begun: time.Now(), record: f}, nil
 }
 
 // note writes a line to the record of the case.
@@ -89,11 +91,7 @@
 
 // close ends all processes that the system has started.
 func (s *system) close() {
-	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-		_ = p.cmd.Process.Signal(syscall.SIGCONT)
-		_ = p.cmd.Process.Kill()
-		<-p.exited
-	}
+	s.spawner.close()
 	s.store.Close()
 	_ = os.RemoveAll(s.dir)
 	_ = s.record.Close()
@@ -150,28 +148,36 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(s.dir, name+".log"))
+	p := &process{name: name, role: role}
+	return p, s.run(p)
+}
+
+// run starts the program of the process.
+func (s *system) run(p *process) error {
+	var err error
+	p.pid, p.exited, err = s.spawner.start(spawnRequest{
+		Dir: s.root, Log: filepath.Join(s.dir, p.name+".log"),
+		Args: []string{filepath.Join(s.root, "target/celerypoint"), "site", p.role, "--settings", filepath.Join(s.dir, p.name+".ini")},
+	})
 	if err != nil {
-		return nil, err
+		return fmt.Errorf("%w: %w", errSetup, err)
 	}
-	defer log.Close()
-	p := &process{name: name, exited: make(chan struct{})}
-	p.cmd = exec.Command(filepath.Join(s.root, "target/celerypoint"), "site", role, "--settings", path)
-	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = s.root, log, log
-	if err := p.cmd.Start(); err != nil {
-		return nil, fmt.Errorf("%w: %w", errSetup, err)
+	return nil
+}
+
+// signal sends a signal to the process, unless it has ended.
+func (p *process) signal(sig syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		_ = syscall.Kill(p.pid, sig)
 	}
-	go func() {
-		p.err = p.cmd.Wait()
-		close(p.exited)
-	}()
-	return p, nil
 }
 
 // common are the values of the fields that both templates use.
 func (s *system) common(name string, port, memoryMB int) map[string]string {
 	return map[string]string{
-		"node_name": name, "zone": "a", "ip": "127.0.0.1", "internal_ports": fmt.Sprintf("%d,%d", port, port+3), "platform.address": s.storeAddress,
+		"node_name": name, "zone": "a", "ip": "127.0.0.1", "internal_ports": fmt.Sprintf("%d,%d", port, port+3), "platform.address": s.store.Address(),
 		"bounds.grace_s": "6", "limits.memory_mb": strconv.Itoa(memoryMB), "limits.max_fds": "4100", "limits.cpu_share": "0.4",
 	}
 }
@@ -259,14 +265,7 @@
 func (s *system) attached() int {
 	most := -1
 	for _, e := range s.entries {
-		client := http.Client{Timeout: time.Second}
-		response, err := client.Get("http://" + e.metrics + "/metrics")
-		if err != nil {
-			continue
-		}
-		text, _ := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		for line := range strings.Lines(string(text)) {
+		for line := range strings.Lines(e.metricsText()) {
 			words := strings.Fields(line)
 			if len(words) >= 2 && strings.Contains(words[0], "agentsInTouch") {
 				if n, err := strconv.Atoi(words[len(words)-1]); err == nil {
@@ -278,6 +277,19 @@
 	return most
 }
 
+// metricsText is what the process exposes as its metrics, empty if it does not answer.
+func (p *process) metricsText() string {
+	client := http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + p.metrics + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	return string(text)
+}
+
 // call makes one request of a client.
 func (p *process) call(method, path string, body any, timeout time.Duration) (int, []byte, error) {
 	var encoded []byte
@@ -308,7 +320,7 @@
 
 // memoryMB returns the present and the peak resident memory of the process.
 func (p *process) memoryMB() (now, peak int) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
 	if err != nil {
 		return 0, 0
 	}
