--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(s *system, trouble bool) (broken bool, err error){
 	"bodies":  runBodies,
 	"pending": runPending,
+	"gang":    runGang,
 	"vanish":  runVanish,
 }
 
--- a/review/cases3/system.go
+++ b/review/cases3/system.go
@@ -39,22 +39,26 @@
 
 // process is one of the project's programs, run as on the platform.
 type process struct {
-	name    string
-	role    string
-	pid     int
-	exited  <-chan struct{}
-	client  string
-	metrics string
+	name string
+	role string
+	pid  int
+	// stopping is set by a SIGTERM.
+	stopping bool
+	exited   <-chan struct{}
+	client   string
+	metrics  string
 }
 
 // system is a small deployment: the project's programs as processes, with a stand-in store.
 type system struct {
 	root, dir string
-	spawner   *spawner
-	store     *standinstore.Server
-	entries   []*process
-	agents    []*process
-	begun     time.Time
+	// maxAttempts is that of the queues.
+	maxAttempts int
+	spawner     *spawner
+	store       *standinstore.Server
+	entries     []*process
+	agents      []*process
+	begun       time.Time
 
 	mu     sync.Mutex
 	record *os.File
@@ -77,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &system{root: root, dir: dir, spawner: spawner, store: store, begun: time.Now(), record: f}, nil
+	return &system{root: root, maxAttempts: 4, dir: dir, spawner: spawner, store: store, begun: time.Now(), record: f}, nil
 }
 
 // note writes a line to the record of the case.
@@ -167,6 +171,7 @@
 
 // signal sends a signal to the process, unless it has ended.
 func (p *process) signal(sig syscall.Signal) {
+	p.stopping = p.stopping || sig == syscall.SIGTERM
 	select {
 	case <-p.exited:
 	default:
@@ -230,7 +235,7 @@
 	queue := func(name string, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "host": queueHost, "path_prefix": "/" + name + "/", "timeout_ms": 3000, "target_latency_ms": 1000,
-			"priority": priority, "service": service, "max_attempts": 4, "stretch": 3.0,
+			"priority": priority, "service": service, "max_attempts": s.maxAttempts, "stretch": 3.0,
 		}
 	}
 	body, err := json.Marshal(map[string]any{
--- a/review/cases3/vanish.go
+++ b/review/cases3/vanish.go
@@ -28,23 +28,8 @@
 // runVanish removes the machine that runs the units of a lasting job, and kills the planner soon
 // after that. All other machines are idle.
 func runVanish(s *system, trouble bool) (bool, error) {
-	if err := s.configure(1); err != nil {
-		return false, err
-	}
-	for _, name := range []string{"edge-a-1", "edge-b-1", "edge-c-1"} {
-		if err := s.startEntry(name); err != nil {
-			return false, err
-		}
-	}
-	var workers []*standinworker.Worker
-	for i := range workerCount {
-		w, _, err := s.addWorker(i)
-		if err != nil {
-			return false, err
-		}
-		workers = append(workers, w)
-	}
-	if err := s.awaitReady(workerCount); err != nil {
+	workers, err := s.deploy()
+	if err != nil {
 		return false, err
 	}
 	const job = "000000000000d001"
@@ -67,8 +52,10 @@
 	}
 	lostAt := time.Now()
 	if trouble {
-		s.note("machine %s is removed for good, with %d units", s.agents[lost].name, len(workers[lost].History()))
-		s.agents[lost].signal(syscall.SIGKILL)
+		s.note("machine %s is removed for good, with %d units (TROUBLE=%s)", s.agents[lost].name, len(workers[lost].History()), os.Getenv("TROUBLE"))
+		if os.Getenv("TROUBLE") != "worker" {
+			s.agents[lost].signal(syscall.SIGKILL)
+		}
 		workers[lost].Close()
 		if os.Getenv("TROUBLE") != "machine" {
 			time.Sleep(plannerKilledAfter)
