--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -15,6 +15,7 @@
 	"bodies":  runBodies,
 	"pending": runPending,
 	"gang":    runGang,
+	"rack":    runRack,
 	"vanish":  runVanish,
 }
 
