--- a/review/cases3/gang.go
+++ b/review/cases3/gang.go
@@ -16,8 +16,8 @@
 	gangFailsAfter = 6 * time.Second
 	// rollGap is the time between two machines that are stopped in turn, agentStartTime that
 	// from the SIGTERM of an agent until its next process.
-	rollGap        = time.Second
-	agentStartTime = 900 * time.Millisecond
+	rollGap        = 1300 * time.Millisecond
+	agentStartTime = 1200 * time.Millisecond
 )
 
 // runGang hands in a gang whose members fail together. A side machine of a member and the machine
