stepplan: a failure of a gang counts once over a change of the planner

Cause: the members' failures of one run count once by Step.FailedRun, which is not stored. The failed agent's restart and the loss of its acknowledgement were ruled out: a gang without a change of the planner counts once.

Change: a member in progress is stored without the failure of its own run until that run has ended. The next planner finds from the difference to the members that have ended that the run is counted, and adds the failure to all members again. The record has the form that it had, because earlier programs reject a record with an unknown field.

--- a/stepfold/stepfold.go
+++ b/stepfold/stepfold.go
@@ -45,8 +45,12 @@
 	// process to the next. Both are empty when Run is known not to be in
 	// progress.
 	Agent, Worker string
-	// Failures is the number of runs that ended in failure. Failures of several
-	// members of a gang with the same run number count once, for all members.
+	// Failures is the number of runs that ended in failure, without Run while it may be
+	// in progress. A failure of a gang counts once for each run number and for all
+	// members, for a member in progress once its own run has ended. So a member in
+	// progress has fewer failures than one that has ended if and only if the failure of
+	// their run is counted. A record that names the failed run would be rejected by
+	// programs that do not know such a field, see wire.Decode.
 	// Checkpoint is the task's newest known checkpoint. Both are dropped when Done
 	// becomes true.
 	Failures   int
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -111,6 +111,7 @@
 	for id, p := range e.Progress.Tasks {
 		sc.restoreTask(j, id, p, now)
 	}
+	j.restoreFailures()
 	switch {
 	case e.Cancelled && !e.Progress.Phase.Over():
 		sc.endJob(j, stepfold.PhaseCancelled, now)
@@ -312,7 +313,7 @@
 				}
 				id := t.ID
 				id.Job = ""
-				stored := stepfold.TaskProgress{Run: t.Run, Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes}
+				stored := stepfold.TaskProgress{Run: t.Run, Done: t.Done, Failures: s.storedFailures(t), Checkpoint: t.Checkpoint, Crashes: t.Crashes}
 				if t.Active {
 					stored.Agent, stored.Worker = t.Agent, t.Worker
 				}
@@ -329,6 +330,42 @@
 	return p
 }
 
+// storedFailures is stepfold.TaskProgress.Failures of the task, which is one of the step's.
+func (s *Step) storedFailures(t *Task) int {
+	if s.Spec.Gang && t.Active && t.Run == s.FailedRun {
+		return t.Failures - 1
+	}
+	return t.Failures
+}
+
+// restoreFailures sets Task.Failures of all members of each gang to the number of failures of
+// the gang, and Step.FailedRun where the failure of a run in progress is counted.
+func (j *Job) restoreFailures() {
+	for _, occurrence := range j.Occurrences {
+		for _, s := range occurrence {
+			if s.Spec.Gang {
+				s.restoreFailures()
+			}
+		}
+	}
+}
+
+func (s *Step) restoreFailures() {
+	most, mostEnded := 0, 0
+	for _, t := range s.Tasks {
+		most = max(most, t.Failures)
+		if !t.Active {
+			mostEnded = max(mostEnded, t.Failures)
+		}
+	}
+	for _, t := range s.Tasks {
+		if t.Active && t.Failures < mostEnded {
+			s.FailedRun = t.Run
+		}
+		t.Failures = most
+	}
+}
+
 // PruneJobs removes jobs without active runs that have been over for at least
 // Timing.KeepStatus, and cancellations of that age whose job was never added. It
 // lists all of them in Output.PrunedJobs.
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -133,7 +133,9 @@
 	ActiveCount, DoneCount int
 	// FailedRun is the run number of the last failure that was counted in
 	// Task.Failures. It is read only for gangs, where failures of several members
-	// with the same run number count once.
+	// with the same run number count once. A planner that restores the step knows it
+	// while a member of that run may be in progress, which is as long as a further
+	// failure of the run can be reported.
 	FailedRun int
 }
 
