stepplan: a job has begun when a worker has started a task of it

Cause: Job.Begun and the phase were set when a start was ordered and never reset. Orders that are refused, withdrawn, or lost with a planner or a worker all left a job begun. That the entries' records lagged was ruled out: both entries gave 0 for 13 s.

Change: a job begins with the first run that a worker is known to have started: by the answer to the order, by a report that lists the run or its end, or by what an agent knows of an ended incarnation. The beginning is stored with the planner's heartbeat, in the same append, unless another change of the job is stored before, so that a short job still has two records and no append is added. standinworker can refuse starts.

--- a/standinworker/standinworker.go
+++ b/standinworker/standinworker.go
@@ -37,6 +37,8 @@
 	// worker has been restarted by then, its next incarnation carries them out.
 	ApplyLate  int
 	ApplyDelay time.Duration
+	// RefuseStarts answers starts with 503 and does nothing, like an unhealthy worker.
+	RefuseStarts bool
 	// FailAll makes runs fail that would otherwise succeed.
 	FailAll bool
 	// Hang keeps runs from succeeding and makes all runs report no progress.
@@ -382,6 +384,11 @@
 		return
 	}
 	w.mu.Lock()
+	if w.faults.RefuseStarts {
+		w.mu.Unlock()
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	late, loseAnswer := w.faults.ApplyLate > 0, w.faults.LoseAnswers > 0
 	switch {
 	case late:
--- a/stepentry/panic_test.go
+++ b/stepentry/panic_test.go
@@ -37,7 +37,7 @@
 	d.planner.mu.Lock()
 	d.planner.scheduler.VMs["vm"] = nil
 	d.planner.mu.Unlock()
-	_, _, ok := d.runPass(context.Background())
+	_, _, ok := d.runPass(context.Background(), true)
 	c.Check(ok, qt.IsFalse)
 	c.Check(d.isPlanner(), qt.IsFalse)
 	c.Check(metrics.GetOrRegisterCounter("panicRecovered", d.Metrics()).Count(), qt.Equals, int64(1))
--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -60,12 +60,14 @@
 		case <-d.planner.passRequested:
 			pause.For(ctx, batchDelay)
 		}
-		output, fence, ok := d.runPass(ctx)
+		now := boottime.Now()
+		heartbeatDue := now.Sub(heartbeatAt) >= heartbeatInterval
+		output, fence, ok := d.runPass(ctx, heartbeatDue)
 		if !ok {
 			return
 		}
 		records := d.encodeRecords(ctx, output)
-		if now := boottime.Now(); now.Sub(heartbeatAt) >= heartbeatInterval {
+		if heartbeatDue {
 			heartbeatAt = now
 			self.Heartbeat++
 			records = append(records, d.heartbeatRecord(self)...)
@@ -78,10 +80,11 @@
 }
 
 // runPass runs one planning pass and returns its output with the fence for the
-// next append. It sends stop orders at once, because they do not depend on
+// next append. storeBegun says that the output has the beginnings of jobs too, which are
+// stored with the heartbeats, so that they cost no append of their own. It sends stop orders at once, because they do not depend on
 // stored records. It reports false when the term has ended. A pass that panics ends the
 // term, because the scheduler may be half changed.
-func (d *Daemon) runPass(ctx context.Context) (o stepplan.Output, f recordlog.Fence, ok bool) {
+func (d *Daemon) runPass(ctx context.Context, storeBegun bool) (o stepplan.Output, f recordlog.Fence, ok bool) {
 	defer func() {
 		if v := recover(); v != nil {
 			d.logPanic("planning pass", v, debug.Stack())
@@ -102,6 +105,9 @@
 	scheduler.StartDueOccurrences(time.Now(), now)
 	scheduler.PruneJobs(now)
 	scheduler.Plan(now)
+	if storeBegun {
+		scheduler.StoreBegun()
+	}
 	d.sendStops()
 	o = scheduler.TakeOutput(time.Now())
 	d.logEvents(o.Events)
--- a/stepfold/stepfold.go
+++ b/stepfold/stepfold.go
@@ -66,7 +66,8 @@
 // Progress is the stored progress of a job.
 type Progress struct {
 	Phase Phase
-	// Begun is true once a task of the job has been ordered to start.
+	// Begun is true once a worker has started a task of the job. In records of programs
+	// that set it with the first start order it may also be true without that.
 	Begun bool
 	// Tasks has no element for a task that has never been ordered to start, nor for those
 	// of DoneOccurrences. The job's ID is left empty in the keys.
--- a/stepplan/former.go
+++ b/stepplan/former.go
@@ -32,6 +32,9 @@
 				sc.markLost(t, now, lossReason(f, t))
 			}
 		}
+		for _, r := range f.Running {
+			sc.recordFormerStarted(r)
+		}
 		if f.End == worker.IncarnationCrashed {
 			for _, r := range f.Running {
 				sc.recordCrash(vm, f.Worker, r, now)
--- a/stepplan/jobs.go
+++ b/stepplan/jobs.go
@@ -406,6 +406,7 @@
 		if j := sc.Jobs[id]; j != nil {
 			o.Progress = append(o.Progress, stepfold.Progressed{ID: id, Progress: j.storedProgress(wall)})
 		}
+		delete(sc.begun, id)
 	}
 	clear(sc.dirty)
 	return o
--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"celerypoint.example/celerypoint/stepfold"
 	"celerypoint.example/celerypoint/steps"
 )
 
@@ -718,10 +717,6 @@
 	if u.step.Spec.Checkpointing {
 		checkpoint = u.tasks[0].Checkpoint
 	}
-	if !u.job.Phase.Over() {
-		u.job.Phase = stepfold.PhaseRunning
-	}
-	u.job.Begun = true
 	for i, t := range u.tasks {
 		vm := chosen[i]
 		t.Run = run
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -129,8 +129,13 @@
 // reports from the given Report.Version on list the run for as long as it may be
 // executing.
 func (sc *Scheduler) StartAnswered(o StartOrder, version int, confirmed bool) {
-	if t := sc.taskOfOrder(o); t != nil {
-		t.Running, t.ConclusiveReport = confirmed, version
+	t := sc.taskOfOrder(o)
+	if t == nil {
+		return
+	}
+	t.Running, t.ConclusiveReport = confirmed, version
+	if confirmed {
+		sc.recordStarted(t, o.Run)
 	}
 }
 
@@ -354,6 +359,9 @@
 			sc.updateRun(t, run, now)
 			continue
 		}
+		if _, _, t := sc.findTask(id); t != nil && !run.StartUnconfirmed {
+			sc.recordStarted(t, run.Number)
+		}
 		if vm.UnknownRuns++; unknownBefore == 0 && vm.UnknownRuns == 1 {
 			sc.addEvent(Event{Kind: "unknownRun", Job: id.Job, Task: run.Task, Run: run.Number, VM: vm.Agent, Reason: fmt.Sprintf("worker=%s started=%t", r.Worker, !run.StartUnconfirmed)})
 		}
@@ -379,6 +387,7 @@
 		t.ProgressAt = now
 	}
 	t.Running = true
+	sc.recordStarted(t, t.Run)
 	switch {
 	case run.Progress > t.Progress:
 		t.recordProgress(run.Progress, now)
@@ -423,7 +432,11 @@
 		return
 	}
 	j, s, t := sc.findTask(id)
-	if t == nil || t.Run != e.Run.Number || t.Active && t.Agent != vm.Agent {
+	if t == nil {
+		return
+	}
+	sc.recordStarted(t, e.Run.Number)
+	if t.Run != e.Run.Number || t.Active && t.Agent != vm.Agent {
 		return
 	}
 	if t.Done {
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -149,9 +149,12 @@
 	// job was accepted under. While it is false, no task of the job starts, and no failure
 	// ends the job.
 	QueueKnown bool
-	// Phase is one of the final phases once no further task may start.
+	// Phase is one of the final phases once no further task may start. Before that, it is
+	// PhaseRunning if Begun is set.
 	Phase stepfold.Phase
-	// Begun says that some task was ordered to start. It is never reset.
+	// Begun says that a worker has started a run of the job, by its answer or its list of
+	// runs. An order shows nothing, because it may be refused or never arrive. It is never
+	// reset.
 	Begun bool
 	// Occurrences holds the steps of each occurrence that has begun, by its
 	// number.
@@ -436,8 +439,10 @@
 	// severalCrashes holds the tasks with more than one crash. It can also hold tasks that
 	// no longer have, until the next pass.
 	severalCrashes map[steps.TaskID]*Task
-	// dirty holds the IDs of the jobs whose progress has to be stored.
+	// dirty holds the IDs of the jobs whose progress has to be stored, begun those for which
+	// only Job.Begun has to be; see StoreBegun.
 	dirty  map[string]bool
+	begun  map[string]bool
 	output Output
 	stops  []StopOrder
 }
@@ -496,7 +501,7 @@
 func New(t Timing, options ...Option) *Scheduler {
 	sc := &Scheduler{
 		Timing: t, Jobs: map[string]*Job{}, Cancelled: map[string]time.Time{}, VMs: map[string]*VM{}, Queues: map[string]access.Queue{}, Orgs: map[string]access.Org{},
-		Quarantine: quarantine.New(quarantine.WithDurations(initialQuarantine, maxQuarantine)), dirty: map[string]bool{}, severalCrashes: map[steps.TaskID]*Task{},
+		Quarantine: quarantine.New(quarantine.WithDurations(initialQuarantine, maxQuarantine)), dirty: map[string]bool{}, begun: map[string]bool{}, severalCrashes: map[steps.TaskID]*Task{},
 	}
 	for _, o := range options {
 		o(sc)
