soak: count attempts of gangs that fail, and compare pending jobs with what has run

Change: a client submits gangs whose members fail at the same time on different VMs, while agents and then entries end (family attempts); workers refuse starts (family refusal). It asks entries for the number of pending jobs, against the jobs that were accepted more than visible_ms + 2 s before and that no worker has started. It has no excuse for entries with faults.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -51,6 +52,9 @@
 	// longRuns says that all jobs have one task of one accelerator whose run takes longRunMs
 	// to twice as long.
 	longRuns bool
+	// failingGangs says that all jobs are gangs whose members run on different VMs and fail
+	// at the same time.
+	failingGangs bool
 
 	mu   sync.Mutex
 	jobs []*submission
@@ -110,6 +114,9 @@
 			c.poll(pick(c.random, c.submissions()))
 		}
 		time.Sleep(time.Duration(300+c.random.IntN(1500)) * time.Millisecond)
+		if c.failingGangs {
+			time.Sleep(failingPause)
+		}
 	}
 }
 
@@ -136,12 +143,17 @@
 	if j.crashes = c.crashRandom.IntN(crashingShare) == 0; j.crashes {
 		j.spec = fmt.Sprintf("crash %d %s", 5+c.crashRandom.IntN(300), j.id)
 	}
+	step := map[string]any{"estimate_ms": runMs}
+	if c.failingGangs {
+		count, gpus, step["anti_affinity"] = 2+c.random.IntN(2), 1, 1
+		j.taskCount, j.gang, j.crashes = count, true, false
+		j.spec = fmt.Sprintf("fail %d %s", 800+c.random.IntN(1500), j.id)
+	}
 	c.system.mu.Lock()
 	c.system.taskResources[j.id] = steps.Resources{CPU: 1000, MemMB: 1024, GPUs: gpus}
 	c.system.mu.Unlock()
-	body := map[string]any{"spec": j.spec, "steps": []any{map[string]any{
-		"count": count, "cpu": 1000, "mem_mb": 1024, "gpus": gpus, "estimate_ms": runMs, "gang": j.gang,
-	}}}
+	maps.Copy(step, map[string]any{"count": count, "cpu": 1000, "mem_mb": 1024, "gpus": gpus, "gang": j.gang})
+	body := map[string]any{"spec": j.spec, "steps": []any{step}}
 	queue := pick(c.random, []string{"urgent", "normal", "batch"})
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
@@ -151,6 +163,7 @@
 		switch status {
 		case http.StatusOK:
 			j.accepted = true
+			c.system.recordAcceptance(j.id, queue)
 			return j
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized, http.StatusNotFound:
 		case http.StatusBadRequest:
@@ -165,6 +178,7 @@
 
 func (c *client) cancel(j *submission) {
 	j.cancelSent = true
+	c.system.forgetAcceptance(j.id)
 	for range 1 + maxRetries {
 		status, _ := c.call(pick(c.random, c.system.entries), http.MethodDelete, "/normal/"+j.id, c.system.newestKey(), nil)
 		if status == http.StatusOK || status == http.StatusGone {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,8 +4,9 @@
 // the programs. A loopback proxy delays or cuts network links, or blocks them
 // in one or both directions. Signals stop, pause and kill processes, which are
 // then restarted or resumed. The store and the workers misbehave,
-// configurations change, API keys are revoked, and workers lose capacity. Some jobs
-// crash each worker that starts them. Workers stay away for a while after a crash, the
+// configurations change, API keys are revoked, and workers lose capacity or refuse starts
+// for a while. Some jobs crash each worker that starts them, and the members of some gangs
+// fail at the same time. Workers stay away for a while after a crash, the
 // paths between them and their agents are disturbed, calls reach them seconds late, and
 // other writers send heartbeats for them. Open connections go silent for good while new
 // ones work. Faults follow each other and overlap.
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -117,8 +117,12 @@
 			all = append(all, s.drawSilentFaults(length)...)
 		case "handover":
 			all = append(all, s.drawHandOvers(length)...)
+		case "attempts":
+			all = append(all, s.drawRestarts(length)...)
+		case "refusal":
+			all = append(all, s.drawRefusals(length)...)
 		default:
-			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late, silent, handover", family)
+			s.fail("-soak.faults: found %q, allowed: general, capacity, path, foreign, absence, late, silent, handover, attempts, refusal", family)
 		}
 	}
 	slices.SortStableFunc(all, func(x, y scheduledFault) int { return cmp.Compare(x.start, y.start) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 	freshSeeds    = flag.Int("soak.seeds", 0, "number of random seeds in addition to those of testdata/seeds.txt and testdata/ci.txt")
 	maxParallel   = flag.Int("soak.parallel", 3, "number of seeds that run at once; each starts about 10 processes")
 	faultDuration = flag.Duration("soak.length", 20*time.Second, "how long faults are injected")
-	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence,late,silent,handover", "families of faults that are injected")
+	families      = flag.String("soak.faults", "general,capacity,path,foreign,absence,late,silent,handover,attempts,refusal", "families of faults that are injected")
 	keepDir       = flag.String("soak.keep", "", "directory in which the logs of all seeds are kept; without it, only logs of failed seeds are kept")
 )
 
@@ -68,10 +68,11 @@
 // TestSoak guards against violations of the system's invariants that faults
 // outside the programs can cause: two runs of a task at once, a start after a
 // success, a refused or cancelled job that runs, an accepted job that is lost, a
-// worker whose capacity is exceeded, a task that crashes one worker after another, a
-// revoked API key that is still accepted, a request that is decided by a configuration
-// which was replaced too long ago, a process that ends by itself, and a process that uses
-// more memory than it may.
+// worker whose capacity is exceeded, a task that crashes one worker after another, a job
+// that is given up too early or started too often, a job that is told as begun although no
+// worker has started it, a revoked API key that is still accepted, a request that is decided
+// by a configuration which was replaced too long ago, a process that ends by itself, and a
+// process that uses more memory than it may.
 func TestSoak(t *testing.T) {
 	all := append(readSeeds(t, "testdata/seeds.txt"), readSeeds(t, "testdata/ci.txt")...)
 	for range *freshSeeds {
@@ -113,6 +114,12 @@
 		callers = append(callers, c)
 		busy.Go(func() { c.sendRequests(ctx) })
 	}
+	if slices.Contains(strings.Split(*families, ","), "attempts") {
+		c := s.newClient(clientCount + 2 + len(s.entries))
+		c.failingGangs = true
+		callers = append(callers, c)
+		busy.Go(func() { c.sendRequests(ctx) })
+	}
 	prober := s.newClient(clientCount)
 	probing, stopProbe := context.WithCancel(context.Background())
 	defer stopProbe()
@@ -122,6 +129,8 @@
 		versionProber := s.newClient(clientCount + 1 + i)
 		probes.Go(func() { versionProber.probeVersions(probing, e) })
 	}
+	pendingProber := s.newClient(clientCount + 3 + len(s.entries))
+	probes.Go(func() { pendingProber.probePending(probing) })
 	s.injectFaults(s.drawSchedules(*faultDuration))
 	stop()
 	// A client may be in the middle of a submission.
@@ -298,7 +307,7 @@
 				s.fail("%s ran %q instead of %q", task, b.Spec, j.spec)
 			}
 		}
-		for _, text := range duplicateStarts(runs) {
+		for _, text := range append(duplicateStarts(runs), startsBeyondAttempts(runs)...) {
 			s.fail("%s", text)
 		}
 	}
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -112,8 +112,10 @@
 	// configuring is held while a version is stored. It is taken before mu.
 	configuring  sync.Mutex
 	keyRevokedAt map[string]time.Time
-	timeline     []string
-	startedAt    time.Time
+	// accepted has the accepted jobs of which no cancellation was sent, by their IDs.
+	accepted  map[string]acceptance
+	timeline  []string
+	startedAt time.Time
 	// ended says that workers are not started again.
 	ended atomic.Bool
 }
@@ -135,7 +137,7 @@
 func newSystem(t *testing.T, seed uint64, dir string) *system {
 	s := &system{
 		seed: seed, random: rand.New(rand.NewPCG(seed, 1)), dir: dir, startedAt: time.Now(),
-		taskResources: map[string]steps.Resources{}, keyRevokedAt: map[string]time.Time{apiKeyName(0): {}},
+		taskResources: map[string]steps.Resources{}, keyRevokedAt: map[string]time.Time{apiKeyName(0): {}}, accepted: map[string]acceptance{},
 	}
 	store, err := standinstore.New("127.0.0.1:0")
 	if err != nil {
@@ -179,7 +181,7 @@
 	queue := func(name string, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "host": queueHost, "path_prefix": "/" + name + "/", "timeout_ms": 3000, "target_latency_ms": 1000,
-			"priority": priority, "service": "paint", "max_attempts": 4, "stretch": 3.0,
+			"priority": priority, "service": "paint", "max_attempts": maxAttempts, "stretch": 3.0,
 		}
 	}
 	body, err := json.Marshal(map[string]any{
