stepplan: a refused start is avoided for a time, not for good

Cause: StartRefused put the VM into Task.FailedOn, which nothing shortens. Such a VM is left out while others could hold the task when empty.

Change: refusals have a record of their own. The VM is avoided for 1.5 s, twice as long after each further refusal in a row, up to 30 s.

Result: TestRefusedTaskStartsOnceTheWorkerIsHealthy fails before the change. TestTaskThatIsAlwaysRefused guards the other side, a task that keeps a worker from all other work: 6 starts in a minute. Where another VM has room, a refused task starts there as before (TestRefusedTaskStartsElsewhere).

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -274,7 +274,7 @@
 	for i, t := range joined.tasks {
 		u := joined
 		u.tasks, u.waitingSince = joined.tasks[i:i+1], t.WaitSince
-		if p.place(u) == placementWaits && len(t.FailedOn) == 0 && !t.WaitSince.After(joined.waitingSince) {
+		if p.place(u) == placementWaits && len(t.FailedOn) == 0 && len(t.Refusals) == 0 && !t.WaitSince.After(joined.waitingSince) {
 			return
 		}
 	}
@@ -521,8 +521,9 @@
 
 // allowedVMs lists the usable VMs that the unit may run on at once. It leaves out isolated
 // and quarantined VMs and, unless the unit would not fit on the others even when these are
-// empty, for a single task the VMs in Task.FailedOn and for the last attempt of a unit all
-// VMs on which a job failed since the VM's last success.
+// empty, for a single task the VMs in Task.FailedOn and those in Task.Refusals that are to be
+// avoided, and for the last attempt of a unit all VMs on which a job failed since the VM's last
+// success.
 func (p *pass) allowedVMs(u unit) []*VM {
 	failures := 0
 	for _, t := range u.tasks {
@@ -536,8 +537,8 @@
 			continue
 		}
 		allowed = append(allowed, vm)
-		failed := len(u.tasks) == 1 && slices.Contains(u.tasks[0].FailedOn, vm.Agent)
-		if failed || lastAttempt && len(p.scheduler.Quarantine.VMs[vm.Agent].FailedJobs) > 0 {
+		avoided := len(u.tasks) == 1 && u.tasks[0].avoids(vm, p.now)
+		if avoided || lastAttempt && len(p.scheduler.Quarantine.VMs[vm.Agent].FailedJobs) > 0 {
 			continue
 		}
 		preferred = append(preferred, vm)
@@ -549,6 +550,11 @@
 	return preferred
 }
 
+// avoids reports whether the task starts on other VMs than this one if they could hold it.
+func (t *Task) avoids(vm *VM, now time.Time) bool {
+	return slices.Contains(t.FailedOn, vm.Agent) || now.Before(t.Refusals[vm.Agent].AvoidUntil)
+}
+
 // allowingVMs lists the usable VMs that have the service and the label that the unit's
 // tasks require, except those that are quarantined or have been isolated for less than
 // maxIsolation. A unit that has to start soon does not wait for the end of an isolation: it
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -135,6 +135,7 @@
 	}
 	t.Running, t.ConclusiveReport = confirmed, version
 	if confirmed {
+		delete(t.Refusals, o.Agent)
 		sc.recordStarted(t, o.Run)
 	}
 }
@@ -165,8 +166,30 @@
 const (
 	refusedTaskBackoff = 200 * time.Millisecond
 	unhealthyVMBackoff = 1500 * time.Millisecond
+	// maxRefusalBackoff bounds the time for which the task avoids the VM. A VM that refuses
+	// one task again and again for a cause of the task takes no other in unhealthyVMBackoff.
+	maxRefusalBackoff = 30 * time.Second
 )
 
+// Refusal is what a task knows of the refused starts on one VM. A refusal mostly says that the
+// worker is unhealthy at the moment, so that it weighs less than a failure.
+type Refusal struct {
+	// Count is the number of refusals in a row.
+	Count int
+	// AvoidUntil is the time until which other VMs that could hold the task are preferred,
+	// also while they are full.
+	AvoidUntil time.Time
+}
+
+// next is the record after a further refusal. The time to avoid the VM doubles each time.
+func (r Refusal) next(now time.Time) Refusal {
+	backoff := unhealthyVMBackoff
+	for n := 0; n < r.Count && backoff < maxRefusalBackoff; n++ {
+		backoff *= 2
+	}
+	return Refusal{Count: r.Count + 1, AvoidUntil: now.Add(min(backoff, maxRefusalBackoff))}
+}
+
 // StartRefused records that the agent or the worker refused a start order for
 // good, so that the run never executes.
 func (sc *Scheduler) StartRefused(o StartOrder, reason string, now time.Time) {
@@ -177,9 +200,10 @@
 	sc.VMs[o.Agent].UnhealthyUntil = now.Add(unhealthyVMBackoff)
 	sc.markLost(t, now, "start refused: "+reason)
 	t.NotBefore = now.Add(refusedTaskBackoff)
-	if !slices.Contains(t.FailedOn, o.Agent) {
-		t.FailedOn = append(t.FailedOn, o.Agent)
+	if t.Refusals == nil {
+		t.Refusals = map[string]Refusal{}
 	}
+	t.Refusals[o.Agent] = t.Refusals[o.Agent].next(now)
 }
 
 // taskOfOrder finds the task of a start order. It returns nil if the run of the
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -114,8 +114,10 @@
 	needs steps.Resources
 
 	// FailedOn lists the agents on whose VMs a run of the task failed or was lost in a
-	// crash, or a start was refused.
+	// crash.
 	FailedOn []string
+	// Refusals holds the agents on whose VMs starts of the task were refused in a row.
+	Refusals map[string]Refusal
 	// NotBefore is the earliest time of the next start.
 	NotBefore time.Time
 	// WaitSince is when the task's newest run ended. Before the first run has
