stepplan: a start that is refused or not sent does not restart the wait

Callers' jobs waited longer for their rack with each refusal: a task that waits 2 s for the rack with its data, and is refused there after 1.5 s, waited for another 2 s.

Cause: Task.WaitSince is the end of the newest run, and an order that was never carried out counted as one. All waits that are bounded by it began anew: for the rack, for other VMs than those with failures, and for the guarantee.

Change: the wait goes on after a start that was refused or not sent.

Result: TestRefusalsDoNotRestartTheWait fails before (not started within 2.1 s); the task now starts on another rack after 2 s. Each VM that refuses a start still takes none for 1.5 s, and the task none for 0.2 s, so that no loop gets shorter; TestTaskThatIsAlwaysRefused passes unchanged.

--- a/stepplan/refusals_test.go
+++ b/stepplan/refusals_test.go
@@ -57,3 +57,24 @@
 	// Refusals at 0, 1.5, 4.5, 10.5, 22.5 and 46.5 s.
 	ct.c.Check(refused, qt.Equals, 6)
 }
+
+// TestRefusalsDoNotRestartTheWait guards against a task that waits for its rack from the
+// newest refused start on, so that a VM there that refuses it keeps it from other racks.
+func TestRefusalsDoNotRestartTheWait(t *testing.T) {
+	ct := newCrashTest(t, 4)
+	ct.add("long", steps.Step{Count: 1, Needs: steps.Resources{GPUs: 8}, PreferredRack: "r0"})
+	full := ct.pass()[0].Agent
+	ct.add("a", steps.Step{Count: 1, Needs: steps.Resources{GPUs: 1}, PreferredRack: "r0"})
+	added := ct.now
+	for ct.now.Sub(added) < unhealthyVMBackoff+100*time.Millisecond {
+		for _, o := range ct.passRefused() {
+			ct.c.Assert(ct.scheduler.VMs[o.Agent].Rack, qt.Equals, "r0")
+			ct.c.Assert(o.Agent, qt.Not(qt.Equals), full)
+		}
+		ct.report(100 * time.Millisecond)
+	}
+	// The step's estimate is 2 s, and another rack would add twice as much, of which the task
+	// waits for half.
+	ct.c.Assert(ct.startsWithin("a", added.Add(2100*time.Millisecond).Sub(ct.now)), qt.IsTrue)
+	ct.c.Check(ct.scheduler.VMs[ct.task("a").Agent].Rack, qt.Equals, "r1")
+}
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -143,10 +143,18 @@
 // StartWithdrawn records that a start order will not be sent.
 func (sc *Scheduler) StartWithdrawn(o StartOrder, reason string, now time.Time) {
 	if t := sc.taskOfOrder(o); t != nil {
-		sc.markLost(t, now, "start withdrawn: "+reason)
+		sc.markNotStarted(t, now, "start withdrawn: "+reason)
 	}
 }
 
+// markNotStarted marks the task's run as lost whose order was not carried out. The task goes
+// on waiting.
+func (sc *Scheduler) markNotStarted(t *Task, now time.Time, reason string) {
+	since := t.WaitSince
+	sc.markLost(t, now, reason)
+	t.WaitSince = since
+}
+
 // StartWanted reports whether the order still has to be sent: its run is active,
 // was not requested to stop, its job is not over, and its VM takes new runs, has not
 // lost capacity that the runs there need and holds a lease. Without one the run would
@@ -198,7 +206,7 @@
 		return
 	}
 	sc.VMs[o.Agent].UnhealthyUntil = now.Add(unhealthyVMBackoff)
-	sc.markLost(t, now, "start refused: "+reason)
+	sc.markNotStarted(t, now, "start refused: "+reason)
 	t.NotBefore = now.Add(refusedTaskBackoff)
 	if t.Refusals == nil {
 		t.Refusals = map[string]Refusal{}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -120,8 +120,8 @@
 	Refusals map[string]Refusal
 	// NotBefore is the earliest time of the next start.
 	NotBefore time.Time
-	// WaitSince is when the task's newest run ended. Before the first run has
-	// ended, it is Job.OccurrenceStarts of the task's occurrence, so that the time
+	// WaitSince is when the task's newest run ended, other than one whose start was refused
+	// or not sent. Before the first run has ended, it is Job.OccurrenceStarts of the task's occurrence, so that the time
 	// before the preceding steps are done counts as waiting.
 	WaitSince time.Time
 }
