stepplan: Task.FailedOn has each VM once

A list as long as the number of usable VMs also made a suspect count as failed everywhere, so that it was no longer kept from the VM where it had failed.

Cause: handleFailure appended without a look at what was there; recordCrash looked.

--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -533,7 +533,7 @@
 		sc.addEvent(Event{Kind: "vmQuarantined", VM: vm.Agent, Reason: fmt.Sprintf("until %s", result.QuarantinedUntil.Sub(now).Round(time.Millisecond))})
 	}
 	sc.endRun(t, now)
-	t.FailedOn = append(t.FailedOn, vm.Agent)
+	t.failedOn(vm)
 	sc.stopOtherMembers(t, now, "a member failed")
 	if s.Spec.Gang && s.FailedRun == t.Run {
 		return
--- a/stepplan/suspects.go
+++ b/stepplan/suspects.go
@@ -62,9 +62,7 @@
 	if t.lostAt.Sub(t.lostFrom) < r.Age {
 		t.lostFrom, t.lostAt = now.Add(-r.Age), now
 	}
-	if !slices.Contains(t.FailedOn, vm.Agent) {
-		t.FailedOn = append(t.FailedOn, vm.Agent)
-	}
+	t.failedOn(vm)
 	sc.dirty[id.Job] = true
 	kind := "taskSuspected"
 	if t.blamed() {
@@ -76,6 +74,13 @@
 	}
 }
 
+// failedOn records that a run of the task failed or was lost in a crash on the VM.
+func (t *Task) failedOn(vm *VM) {
+	if !slices.Contains(t.FailedOn, vm.Agent) {
+		t.FailedOn = append(t.FailedOn, vm.Agent)
+	}
+}
+
 // addCrash records that a run was lost in a crash, and reports whether that is new. possible
 // says that the run may not have been in progress then.
 func (t *Task) addCrash(r FormerRun, possible bool) bool {
--- a/stepplan/suspects_test.go
+++ b/stepplan/suspects_test.go
@@ -475,3 +475,22 @@
 		ct.report(100 * time.Millisecond)
 	}
 }
+
+// TestFailedOnHasEachVMOnce guards against a list that grows with each failure of a
+// long-running task, and against a task that seems to have failed on as many VMs as there are,
+// so that it is no longer kept from those where it has failed.
+func TestFailedOnHasEachVMOnce(t *testing.T) {
+	ct := newCrashTest(t, 2)
+	ct.add("full", steps.Step{Count: 1, Needs: steps.Resources{GPUs: 8}})
+	ct.pass()
+	ct.add("a", steps.Step{Count: 1, LongRunning: true, Needs: steps.Resources{GPUs: 1}})
+	failures := 0
+	for end := ct.now.Add(time.Minute); ct.now.Before(end); ct.report(100 * time.Millisecond) {
+		for _, o := range ct.pass() {
+			ct.fail(o)
+			failures++
+		}
+	}
+	ct.c.Assert(failures > 5, qt.IsTrue, qt.Commentf("%d failures", failures))
+	ct.c.Check(ct.task("a").FailedOn, qt.HasLen, 1)
+}
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -113,8 +113,8 @@
 	// needs is the VM capacity that the active run occupies.
 	needs steps.Resources
 
-	// FailedOn lists the agents on whose VMs a run of the task failed or was lost in a
-	// crash.
+	// FailedOn lists, each once, the agents on whose VMs a run of the task failed or was
+	// lost in a crash.
 	FailedOn []string
 	// Refusals holds the agents on whose VMs starts of the task were refused in a row.
 	Refusals map[string]Refusal
