httpbody: too many items are refused before a body is decoded

Cause: the whole list was decoded before its length was checked, a struct of 250 bytes for each 3 bytes of the body, and each object got a map for its field names. Requests in progress are bounded by the bytes of their bodies alone.

Change: the pass over the tokens that comes before the decoding refuses a list of more than 1,024 items and an object of more than 1,024 fields, and uses the maps of closed objects again. Heartbeats are decoded in the same way.

--- a/clientlimits/crowd_test.go
+++ b/clientlimits/crowd_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// bodyInputs lists complete bodies that a port decodes, within its limit of bodies. head has
+// the lines of the request but for the length of the body.
+func bodyInputs(head string, bodyLimit int) []input {
+	request := func(begin, item, end string) string {
+		body := begin + strings.Repeat(item, (bodyLimit-len(begin)-len(end))/len(item)) + end
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+	}
+	var names strings.Builder
+	for i := 0; names.Len() < bodyLimit-100; i++ {
+		fmt.Fprintf(&names, `"f%d":"",`, i)
+	}
+	all := []input{
+		{name: "emptyObjects", block: request(`{"spec":"a","steps":[`, "{},", "{}]}")},
+		{name: "emptyTexts", block: request(`{"labels":[`, `"",`, `""]}`)},
+		{name: "numbers", block: request(`{"steps":[{"after":[`, "0,", "0]}]}")},
+		{name: "distinctFields", block: request("{"+names.String(), " ", `"f":""}`)},
+		{name: "distinctLabels", block: request(`{"labels":{`+names.String(), " ", `"f":""}}`)},
+	}
+	for i := range all {
+		all[i].connections, all[i].total = crowdConnections, 4*len(all[i].block)
+	}
+	return all
+}
+
 // distinctLines returns header lines with different names.
 func distinctLines() string {
 	var b strings.Builder
--- a/clientlimits/memory_test.go
+++ b/clientlimits/memory_test.go
@@ -17,14 +17,14 @@
 
 func ports() []port {
 	return []port{
-		{"entryClient", startEntry, func(p *process) string { return p.client }, func(p *process) error { return submitJob(p.client, 1) }, httpInputs("/batch/5c0e7a21d94b0000", 1<<20)},
+		{"entryClient", startEntry, func(p *process) string { return p.client }, func(p *process) error { return submitJob(p.client, 1) }, append(httpInputs("/batch/5c0e7a21d94b0000", 1<<20), bodyInputs("POST /batch/5c0e7a21d94b0000 HTTP/1.1\r\nHost: "+queueHost+"\r\nAuthorization: Token "+apiKey+"\r\n", 500<<10)...)},
 		{"entryReadiness", startEntry, func(p *process) string { return p.readiness }, func(p *process) error { return expect(http.MethodGet, p.readiness, "/api/ready", "") }, httpInputs("/api/ready", 4<<10)},
 		{"entryMetrics", startEntry, func(p *process) string { return p.metrics }, func(p *process) error { return expect(http.MethodGet, p.metrics, "/metrics", "") }, httpInputs("/metrics", 1<<20)},
 		{"entryRPC", startEntry, func(p *process) string { return p.rpc }, func(p *process) error { return callUnknown(p.rpc) }, rpcInputs()},
-		{"agentHeartbeats", startAgent, func(p *process) string { return p.heartbeats }, func(p *process) error { return sendHeartbeat(p.heartbeats) }, httpInputs("/api/instances/i-0", 128<<10)},
+		{"agentHeartbeats", startAgent, func(p *process) string { return p.heartbeats }, func(p *process) error { return sendHeartbeat(p.heartbeats) }, append(httpInputs("/api/instances/i-0", 128<<10), bodyInputs("PUT /api/instances/i-0 HTTP/1.1\r\nHost: "+queueHost+"\r\n", 60<<10)...)},
 		{"agentMetrics", startAgent, func(p *process) string { return p.metrics }, func(p *process) error { return expect(http.MethodGet, p.metrics, "/metrics", "") }, httpInputs("/metrics", 4<<10)},
 		{"agentRPC", startAgent, func(p *process) string { return p.rpc }, func(p *process) error { return callUnknown(p.rpc) }, rpcInputs()},
-		{"ownClient", startOwnEntry, func(p *process) string { return p.client }, func(p *process) error { return expect(http.MethodGet, p.client, "/healthz", "") }, httpInputs("/v1/jobs", 1<<20)},
+		{"ownClient", startOwnEntry, func(p *process) string { return p.client }, func(p *process) error { return expect(http.MethodGet, p.client, "/healthz", "") }, append(httpInputs("/v1/jobs", 1<<20), bodyInputs("POST /v1/jobs HTTP/1.1\r\nHost: "+queueHost+"\r\n", 1000<<10)...)},
 		{"ownRPC", startOwnEntry, func(p *process) string { return p.rpc }, func(p *process) error { return callUnknown(p.rpc) }, rpcInputs()},
 	}
 }
--- a/httpbody/httpbody.go
+++ b/httpbody/httpbody.go
@@ -27,15 +27,34 @@
 // MaxDepth bounds how deeply the values of a body that DecodeOpen decodes are nested.
 const MaxDepth = 16
 
+// MaxItems bounds the items of each list and the fields of each object of a body that
+// DecodeOpen decodes, unless WithMaxItems is given. An item of three bytes can take a hundred
+// times as much memory once it is decoded.
+const MaxItems = 1024
+
+// limits bounds the structure of a body.
+type limits struct{ maxItems int }
+
+// Option changes how DecodeOpen decodes.
+type Option func(*limits)
+
+// WithMaxItems replaces MaxItems.
+func WithMaxItems(n int) Option { return func(l *limits) { l.maxItems = n } }
+
 // DecodeOpen decodes a body of exactly one JSON value into v, a pointer. It ignores
 // unknown fields, which a peer of a later version may send. Text that is not UTF-8,
-// values that are nested more deeply than MaxDepth, and a field that occurs twice in one
-// object are errors.
-func DecodeOpen(body []byte, v any) error {
+// values that are nested more deeply than MaxDepth, lists and objects with more than MaxItems
+// items, and a field that occurs twice in one object are errors. They are found before
+// anything is decoded, so that a body that is refused takes little more memory than its bytes.
+func DecodeOpen(body []byte, v any, options ...Option) error {
+	l := limits{maxItems: MaxItems}
+	for _, o := range options {
+		o(&l)
+	}
 	if !utf8.Valid(body) {
 		return fmt.Errorf("body: found %d bytes that are not UTF-8, allowed: UTF-8", len(body))
 	}
-	if err := checkStructure(body); err != nil {
+	if err := l.checkStructure(body); err != nil {
 		return err
 	}
 	if err := json.Unmarshal(body, v); err != nil {
@@ -44,11 +63,20 @@
 	return nil
 }
 
-// checkStructure reports excessive nesting and repeated fields. It reports no syntax
-// error.
-func checkStructure(body []byte) error {
-	// Each open object has the set of its field names so far; an open list has nil.
-	var open []map[string]bool
+// scope is an open object or list of a body.
+type scope struct {
+	// names holds the field names of an object so far, in lower case. It is nil in a list.
+	names map[string]bool
+	// items counts the items of a list so far.
+	items int
+}
+
+// checkStructure reports excessive nesting, too many items and repeated fields. It reports no
+// syntax error.
+func (l limits) checkStructure(body []byte) error {
+	var open []scope
+	// names holds the maps of objects that have been closed.
+	var names []map[string]bool
 	// isName is true where the next token of an object is a field name.
 	isName := false
 	d := json.NewDecoder(bytes.NewReader(body))
@@ -59,14 +87,30 @@
 			return nil
 		}
 		n := len(open)
+		closing := token == json.Delim('}') || token == json.Delim(']')
+		if n > 0 && open[n-1].names == nil && !closing {
+			if open[n-1].items++; open[n-1].items > l.maxItems {
+				return fmt.Errorf("body: found a list of more than %d items, allowed: at most %d", l.maxItems, l.maxItems)
+			}
+		}
 		switch token := token.(type) {
 		case json.Delim:
 			switch token {
 			case '{':
-				open = append(open, map[string]bool{})
+				var s scope
+				if k := len(names); k > 0 {
+					s.names, names = names[k-1], names[:k-1]
+				} else {
+					s.names = map[string]bool{}
+				}
+				open = append(open, s)
 			case '[':
-				open = append(open, nil)
+				open = append(open, scope{})
 			default:
+				if closed := open[n-1].names; closed != nil {
+					clear(closed)
+					names = append(names, closed)
+				}
 				open = open[:n-1]
 			}
 			if len(open) > MaxDepth {
@@ -74,18 +118,29 @@
 			}
 		case string:
 			if isName {
-				// encoding/json ignores the case of field names.
-				name := strings.ToLower(token)
-				if open[n-1][name] {
-					return fmt.Errorf("%.64s: found twice, allowed: once", token)
+				if err := l.addName(open[n-1].names, token); err != nil {
+					return err
 				}
-				open[n-1][name] = true
 				isName = false
 				continue
 			}
 		}
-		isName = len(open) > 0 && open[len(open)-1] != nil
+		isName = len(open) > 0 && open[len(open)-1].names != nil
+	}
+}
+
+// addName adds the name of a field to those of its object.
+func (l limits) addName(names map[string]bool, name string) error {
+	// encoding/json ignores the case of field names.
+	lower := strings.ToLower(name)
+	switch {
+	case names[lower]:
+		return fmt.Errorf("%.64s: found twice, allowed: once", name)
+	case len(names) == l.maxItems:
+		return fmt.Errorf("body: found an object of more than %d fields, allowed: at most %d", l.maxItems, l.maxItems)
 	}
+	names[lower] = true
+	return nil
 }
 
 // describe returns the error of decoding body into v in the words of this package.
