stepplan: a job with nothing running waits 2 s for its rack beside idle workers

Cause: the wait for a rack is half of the time that another rack would add by the caller's estimate, whatever is idle there. Long-running and guaranteed work had a bound, the rest none.

Change: with room for two, less than half of the accelerators in use and nothing of the job running, the wait is 2 s at most. Otherwise it is as before.

--- a/stepplan/place.go
+++ b/stepplan/place.go
@@ -297,6 +297,10 @@
 // platform allows it 3 s.
 const maxLongRunningWait = 2 * time.Second
 
+// maxIdleRackWait is how long a unit of a job that has nothing running waits for the rack of its
+// step while less than half of the accelerators are in use. The platform allows it 3 s.
+const maxIdleRackWait = maxLongRunningWait
+
 // maxJobSharePercent is the maximum percentage of the accelerators of all usable
 // VMs of its service that one job occupies. It limits tasks that start one by one, which are
 // those outside gangs, and are not covered by a guarantee.
@@ -433,7 +437,8 @@
 // guarantee stops waiting early enough to start elsewhere within
 // Timing.MaxReclaimTime, even if runs have to be stopped first. A unit without a
 // guarantee waits for half of the run time that another rack would add according to
-// the caller's estimate, and a long-running one at most for maxLongRunningWait. However,
+// the caller's estimate, a long-running one at most for maxLongRunningWait, and one that
+// has to start at most for maxIdleRackWait. However,
 // another single task of a SameRack step without a guarantee waits without limit if no
 // PreferredRack is set that can hold it.
 func (p *pass) maxLocalityWait(u unit) time.Duration {
@@ -444,8 +449,11 @@
 		return maxLongRunningWait
 	}
 	wait := time.Duration(float64(u.step.Spec.Estimate) * (p.scheduler.Timing.FarFactor - 1) / 2)
-	if u.step.Spec.LongRunning {
+	switch {
+	case u.step.Spec.LongRunning:
 		return min(wait, maxLongRunningWait)
+	case p.mayIgnoreFailures(u) && !u.job.hasActiveRuns():
+		return min(wait, maxIdleRackWait)
 	}
 	return wait
 }
--- a/stepplan/room_test.go
+++ b/stepplan/room_test.go
@@ -37,11 +37,11 @@
 		Count: rapid.IntRange(1, 4).Draw(rt.t, "count"), Needs: steps.Resources{GPUs: rapid.IntRange(1, 8).Draw(rt.t, "gpus")},
 		MaxPerVM: rapid.IntRange(0, 1).Draw(rt.t, "maxPerVM"), LongRunning: rapid.Bool().Draw(rt.t, "longRunning"),
 	}
-	if step.LongRunning {
-		step.SameRack = rapid.Bool().Draw(rt.t, "sameRack")
-		step.PreferredRack = rapid.SampledFrom([]string{"", "r0"}).Draw(rt.t, "preferredRack")
-	}
+	step.Gang = !step.LongRunning && rapid.Bool().Draw(rt.t, "gang")
+	step.SameRack = rapid.Bool().Draw(rt.t, "sameRack")
+	step.PreferredRack = rapid.SampledFrom([]string{"", "r0"}).Draw(rt.t, "preferredRack")
 	j := newJob(fmt.Sprintf("%016x", len(rt.jobs)), rapid.SampledFrom([]string{"urgent", "normal"}).Draw(rt.t, "queue"), rt.now, step)
+	j.Steps[0].Estimate = rapid.SampledFrom([]time.Duration{2 * time.Second, time.Minute}).Draw(rt.t, "estimate")
 	rt.jobs = append(rt.jobs, j)
 	rt.scheduler.AddJob(j, rt.now)
 }
@@ -151,12 +151,16 @@
 	return fitting, used, total
 }
 
-// mustStart reports whether a waiting task of the step has to be started: there is room for
-// two, and the step is long-running, or nothing of the job runs and less than half of the
+// mustStart reports whether a waiting task of the step, or the gang, has to be started: there is
+// room for two, and the step is long-running, or nothing of the job runs and less than half of the
 // accelerators are in use.
 func (rt *roomTest) mustStart(j *Job, s *Step) bool {
 	fitting, used, total := rt.room(j, s)
-	return fitting >= 2 && (s.Spec.LongRunning || s.ActiveCount == 0 && 2*used < total)
+	needed := 2
+	if s.Spec.Gang {
+		needed = 2 * len(s.Tasks)
+	}
+	return fitting >= needed && (s.Spec.LongRunning || s.ActiveCount == 0 && 2*used < total)
 }
 
 // limit is how long a task of the step may wait. An urgent unit that waits for runs to end
@@ -174,7 +178,8 @@
 	return roomLimit
 }
 
-// TestTasksStartWhereThereIsRoom guards against tasks that earlier failures and crashes keep from running.
+// TestTasksStartWhereThereIsRoom guards against tasks that earlier failures, crashes and refusals,
+// or a rack that is full, keep from running.
 func TestTasksStartWhereThereIsRoom(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		rt := &roomTest{crashTest: newCrashTest(t, rapid.IntRange(2, 6).Draw(r, "vms")), t: r, lost: map[string]bool{}, stored: map[string]stepfold.Progress{}}
