--- a/stepentry/plan.go
+++ b/stepentry/plan.go
@@ -81,9 +81,9 @@
 
 // runPass runs one planning pass and returns its output with the fence for the
 // next append. storeBegun says that the output has the beginnings of jobs too, which are
-// stored with the heartbeats, so that they cost no append of their own. It sends stop orders at once, because they do not depend on
-// stored records. It reports false when the term has ended. A pass that panics ends the
-// term, because the scheduler may be half changed.
+// stored with the heartbeats, so that they cost no append of their own. It sends stop orders
+// at once, because they do not depend on stored records. It reports false when the term has
+// ended. A pass that panics ends the term, because the scheduler may be half changed.
 func (d *Daemon) runPass(ctx context.Context, storeBegun bool) (o stepplan.Output, f recordlog.Fence, ok bool) {
 	defer func() {
 		if v := recover(); v != nil {
--- a/stepplan/runs.go
+++ b/stepplan/runs.go
@@ -174,8 +174,9 @@
 const (
 	refusedTaskBackoff = 200 * time.Millisecond
 	unhealthyVMBackoff = 1500 * time.Millisecond
-	// maxRefusalBackoff bounds the time for which the task avoids the VM. A VM that refuses
-	// one task again and again for a cause of the task takes no other in unhealthyVMBackoff.
+	// maxRefusalBackoff bounds the time for which the task avoids the VM. That time grows,
+	// because each refusal also keeps other tasks from the VM for unhealthyVMBackoff, and a
+	// task may be refused for a cause of its own.
 	maxRefusalBackoff = 30 * time.Second
 )
 
--- a/stepplan/types.go
+++ b/stepplan/types.go
@@ -121,8 +121,8 @@
 	// NotBefore is the earliest time of the next start.
 	NotBefore time.Time
 	// WaitSince is when the task's newest run ended, other than one whose start was refused
-	// or not sent. Before the first run has ended, it is Job.OccurrenceStarts of the task's occurrence, so that the time
-	// before the preceding steps are done counts as waiting.
+	// or not sent. Before the first run has ended, it is Job.OccurrenceStarts of the task's
+	// occurrence, so that the time before the preceding steps are done counts as waiting.
 	WaitSince time.Time
 }
 
