termhistory: a planner whose process is young takes the age of the term that it found

Cause: an entry that has followed the records for less than 18 s had the full bound from its start on, for terms that it may have missed.

Change: such terms were lost before the term that the entry found first, and that one has lasted at least as long as its heartbeats took, which are 0.5 s apart at least. The bound for unseen terms counts from its begin.

--- a/siteproof/lives_test.go
+++ b/siteproof/lives_test.go
@@ -323,24 +323,28 @@
 // TestRunsOfVanishedVMAcrossPlanners guards against a wait of 18 s for the runs of a VM that is lost with
 // its agent, after a change of the planner by which no earlier one is left.
 func TestRunsOfVanishedVMAcrossPlanners(t *testing.T) {
+	restart := func(s *site, planner *entryProcess) {
+		planner.kill()
+		time.Sleep(500 * time.Millisecond)
+		s.startEntry(planner.listenAddress)
+	}
 	for _, test := range []struct {
-		name string
+		name    string
+		entries int
 		// end ends the process of the planner.
 		end func(s *site, planner *entryProcess)
 	}{
-		{"planner killed and restarted", func(s *site, planner *entryProcess) {
-			planner.kill()
-			time.Sleep(500 * time.Millisecond)
-			s.startEntry(planner.listenAddress)
-		}},
-		{"planner stopped", func(s *site, planner *entryProcess) {
+		{"planner killed and restarted", 3, restart},
+		// The next planner has observed no earlier term.
+		{"only entry killed and restarted", 1, restart},
+		{"planner stopped", 3, func(s *site, planner *entryProcess) {
 			planner.clientServer.Close(100 * time.Millisecond)
 			s.c.Check(planner.daemon.Stop(context.Background()), qt.IsNil)
 			planner.storeProxy.Close()
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s := newSite(t, 3, 2)
+			s := newSite(t, test.entries, 2)
 			// Terms of before the entries began to follow could still grant leases for so long.
 			time.Sleep(lease.TermValidity)
 			a := s.startTaskOfVM()
--- a/stepentry/elect.go
+++ b/stepentry/elect.go
@@ -19,7 +19,9 @@
 	// electionInterval is how often an entry checks whether it has to take over
 	// from the planner.
 	electionInterval = 150 * time.Millisecond
-	// heartbeatInterval is how often the planner stores a heartbeat record.
+	// heartbeatInterval is how often the planner stores a heartbeat record. Package
+	// termhistory takes the number of heartbeats for a bound of a term's age, so that a
+	// shorter interval has to be changed there first.
 	heartbeatInterval = 500 * time.Millisecond
 	// heartbeatTimeout is how long an entry that can read the store waits for a
 	// heartbeat before it takes over, unless a ping shows that the planner still
--- a/stepentry/follow.go
+++ b/stepentry/follow.go
@@ -135,7 +135,7 @@
 			d.records.mu.Lock()
 			d.records.state.FinishLoad(l.Keys, l.End)
 			// The load has only the newest record of a planner.
-			d.records.terms.RecordGap(boottime.Now())
+			d.records.terms.RecordLoad(boottime.Now())
 			d.records.mu.Unlock()
 		},
 		OnUpToDate: func(begun time.Time) {
--- a/termhistory/termhistory.go
+++ b/termhistory/termhistory.go
@@ -5,7 +5,8 @@
 // lease.TermValidity after its last successful check in the store. It is over sooner if its
 // process is known to have ended, or to have ended the term: a process never resumes one.
 // An entry that has not followed all records for so long may have missed a term. So the bound
-// also covers terms that were lost before the entry began to follow.
+// also covers terms that were lost before the entry began to follow, or before the term that it
+// then found, which has lasted at least as long as its heartbeats took.
 //
 // The package uses no clock and does no input or output. It owns no state and takes no lock;
 // a History belongs to its caller, which serializes its use. All times are readings of one
@@ -31,6 +32,8 @@
 type Term struct {
 	// Planner is the newest record of the term that was observed.
 	Planner stepfold.Planner
+	// ObservedAt is when Planner was first observed.
+	ObservedAt time.Time
 	// Begun says that the planner has stored a heartbeat after its claim, so that it has
 	// begun to plan.
 	Begun bool
@@ -43,15 +46,42 @@
 
 // History holds the terms that one entry has observed. The zero value has observed none.
 type History struct {
-	// FollowedSince is the time since which all records of planners have been observed. It is
+	// UnseenLostBy is a time by which all terms that were not observed had been lost. It is
 	// zero if there is no such time.
-	FollowedSince time.Time
+	UnseenLostBy time.Time
 	// Terms holds the observed terms in the order in which they were first observed.
 	Terms []Term
 }
 
-// RecordGap records that records before now may have been missed.
-func (h *History) RecordGap(now time.Time) { h.FollowedSince = now }
+// RecordGap records that records before now may have been missed, also the newest one of a
+// planner.
+func (h *History) RecordGap(now time.Time) { h.UnseenLostBy = now }
+
+// RecordLoad records that records before now may have been missed, except the newest one of a
+// planner, which has been observed. Terms that were missed were lost before the term of that
+// record began.
+func (h *History) RecordLoad(now time.Time) {
+	h.UnseenLostBy = now
+	newest := Term{}
+	for _, t := range h.Terms {
+		if t.Planner.Term > newest.Planner.Term {
+			newest = t
+		}
+	}
+	if began := newest.ObservedAt.Add(-newest.lasted()); newest.Begun && began.Before(now) {
+		h.UnseenLostBy = began
+	}
+}
+
+// heartbeatInterval is the least time between two heartbeats of a planner, which stores one at
+// most every 500 ms by its own clock.
+const heartbeatInterval = 490 * time.Millisecond
+
+// lasted is the least time from the claim of the term to the newest heartbeat that was observed. A
+// claim has the heartbeat 1, and the next one may follow at once.
+func (t Term) lasted() time.Duration {
+	return time.Duration(max(0, t.Planner.Heartbeat-2)) * heartbeatInterval
+}
 
 // Observe records that a planner's record was read. Records may be observed repeatedly and in any
 // order.
@@ -62,7 +92,7 @@
 		t = h.add(p, now)
 	}
 	if p.Heartbeat > t.Planner.Heartbeat {
-		t.Planner.Heartbeat = p.Heartbeat
+		t.Planner.Heartbeat, t.ObservedAt = p.Heartbeat, now
 	}
 	// A claim has the heartbeat 1.
 	t.Begun = t.Begun || p.Heartbeat > 1
@@ -74,7 +104,7 @@
 
 // add adds a term and marks those that it supersedes.
 func (h *History) add(p stepfold.Planner, now time.Time) *Term {
-	added := Term{Planner: p}
+	added := Term{Planner: p, ObservedAt: now}
 	for i := range h.Terms {
 		other := &h.Terms[i]
 		switch {
@@ -146,10 +176,10 @@
 // duration keep active which planners of other terms than that of self granted. now is a time at
 // which all records up to the claim of self had been observed.
 func (h *History) EarlierLeasesExpireBy(self stepfold.Planner, now time.Time, duration time.Duration) time.Time {
-	if h.FollowedSince.IsZero() {
+	if h.UnseenLostBy.IsZero() {
 		return lease.EarlierTermsExpireBy(now, duration)
 	}
-	until := lease.EarlierTermsExpireBy(h.FollowedSince, duration)
+	until := lease.EarlierTermsExpireBy(h.UnseenLostBy, duration)
 	for _, t := range h.Terms {
 		if t.Planner.Term == self.Term && t.Planner.Entry == self.Entry && t.Planner.BootID == self.BootID {
 			continue
--- a/termhistory/termhistory_test.go
+++ b/termhistory/termhistory_test.go
@@ -20,8 +20,8 @@
 	// ended says that the process has ended, and endedTerm that it knows that its term has.
 	ended, endedTerm bool
 	// begun says that it has read its claim back and plans.
-	begun   bool
-	checked time.Time
+	begun                bool
+	checked, heartbeatAt time.Time
 }
 
 // model has planners that follow each other in the store, and one entry that observes them.
@@ -61,9 +61,9 @@
 	case p.ended || p.endedTerm:
 	case action == "begin":
 		p.begun = true
-	case action == "heartbeat" && p.begun && newest:
+	case action == "heartbeat" && p.begun && newest && m.now.Sub(p.heartbeatAt) >= 500*time.Millisecond:
 		p.planner.Heartbeat++
-		p.checked = m.now
+		p.checked, p.heartbeatAt = m.now, m.now
 		m.records = append(m.records, p.planner)
 	case action == "resign" && p.begun:
 		p.endedTerm = true
@@ -83,6 +83,29 @@
 	}
 }
 
+// plan lets the newest process store heartbeats for a time.
+func (m *model) plan(heartbeats int) {
+	for i := range heartbeats {
+		if i > 0 {
+			m.now = m.now.Add(500 * time.Millisecond)
+		}
+		m.act(m.newest(), "heartbeat")
+	}
+}
+
+// latestEnd is the latest time at which a run can end that a lease keeps active which a process
+// has granted, or may yet grant.
+func (m *model) latestEnd() time.Time {
+	latest := m.lastLease
+	for _, p := range m.processes {
+		last := p.checked.Add(lease.TermValidity - time.Nanosecond)
+		if end := lease.ExpiresBy(last, leaseDuration); !p.ended && !p.endedTerm && !m.now.After(last) && end.After(latest) {
+			latest = end
+		}
+	}
+	return latest
+}
+
 // readAll lets the entry read all records, or only the newest one if it has a gap.
 func (m *model) readAll(gap bool) {
 	if gap && m.read < len(m.records) {
@@ -92,7 +115,7 @@
 		m.history.Observe(m.records[m.read], m.now)
 	}
 	if gap {
-		m.history.RecordGap(m.now)
+		m.history.RecordLoad(m.now)
 	}
 }
 
@@ -120,7 +143,7 @@
 		m := &model{t: rt, now: time.Unix(1000, 0)}
 		for range rapid.IntRange(1, 60).Draw(rt, "actions") {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
-			action := rapid.SampledFrom([]string{"claim", "own", "read", "gap", "ask", "begin", "heartbeat", "resign", "grant", "grant", "learn", "end"}).Draw(rt, "action")
+			action := rapid.SampledFrom([]string{"claim", "own", "read", "gap", "ask", "begin", "heartbeat", "plan", "plan", "resign", "grant", "grant", "learn", "end"}).Draw(rt, "action")
 			switch {
 			case action == "claim" && m.self.Term == 0:
 				m.claim()
@@ -133,6 +156,8 @@
 				m.readAll(action == "gap")
 			case action == "ask":
 				m.ask()
+			case action == "plan" && m.newest() != nil:
+				m.plan(rapid.IntRange(1, 40).Draw(rt, "heartbeats"))
 			case len(m.processes) > 0:
 				m.act(rapid.SampledFrom(m.processes).Draw(rt, "process"), action)
 			}
@@ -143,13 +168,41 @@
 			if m.until.IsZero() || until.Before(m.until) {
 				m.until = until
 			}
-			if m.lastLease.After(m.until) {
-				rt.Fatalf("a run ends %s after the bound", m.lastLease.Sub(m.until))
+			if end := m.latestEnd(); end.After(m.until) {
+				rt.Fatalf("a run may end %s after the bound", end.Sub(m.until))
 			}
 		}
 	})
 }
 
+// TestBoundCoversUnseenTerm guards against a bound that leaves out a term which the entry never
+// observed, because it takes the term that it found first for older than that is.
+func TestBoundCoversUnseenTerm(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &model{t: rt, now: time.Unix(1000, 0)}
+		wait := func(label string) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 600).Draw(rt, label)) * time.Millisecond)
+		}
+		for _, heartbeats := range []string{"unseen", "seen"} {
+			m.claim()
+			wait("claimed")
+			m.act(m.newest(), "begin")
+			m.plan(rapid.IntRange(0, 20).Draw(rt, heartbeats))
+			wait("planned")
+		}
+		m.readAll(true)
+		m.act(m.newest(), "end")
+		wait("ended")
+		m.self = stepfold.Planner{Entry: "self", BootID: "self", Term: 3, Heartbeat: 1}
+		m.records = append(m.records, m.self)
+		m.readAll(false)
+		m.history.RecordOver(m.processes[1].planner, m.now)
+		if until, end := m.history.EarlierLeasesExpireBy(m.self, m.now, leaseDuration), m.latestEnd(); end.After(until) {
+			rt.Fatalf("a run may end %s after the bound", end.Sub(until))
+		}
+	})
+}
+
 // TestBoundIsShortOnceEarlierTermsAreOver guards against a wait of 18 s for runs of a VM that is
 // gone, after a change of the planner by which no earlier one is left.
 func TestBoundIsShortOnceEarlierTermsAreOver(t *testing.T) {
@@ -186,6 +239,15 @@
 			h.RecordOver(first, at(0))
 			return h
 		}, lease.EarlierTermsExpireBy(at(-1), leaseDuration)},
+		{"over, followed for a second, but it had lasted for long", func() *History {
+			h := &History{}
+			old := first
+			old.Heartbeat = 102
+			h.Observe(old, at(-1))
+			h.RecordLoad(at(-1))
+			h.RecordOver(first, at(0))
+			return h
+		}, lease.ExpiresBy(at(0), leaseDuration)},
 		{"nothing followed", func() *History { return &History{} }, lease.EarlierTermsExpireBy(at(0), leaseDuration)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
