termhistory: a load whose planner's record cannot be read has the full bound

Where the record of a later planner cannot be read, which a program of another version may have written, that was an older term, so that leases of the later planner could outlast the bound.

Change: the age of a term counts only if a record of it was observed after the last one that could not be read.

Result: a case of TestBoundIsShortOnceEarlierTermsAreOver fails without the condition.

--- a/stepentry/serve.go
+++ b/stepentry/serve.go
@@ -176,8 +176,8 @@
 
 // Pending returns the number of the queue's accepted jobs that have not ended and of which
 // no task is known to have started. A start is counted after at most heartbeatInterval and an
-// append. If the records of this entry are out of
-// date, it asks the planner's entry, and returns OutcomeRefused if that cannot tell either.
+// append. If the records of this entry are out of date, it asks the planner's entry, and returns
+// OutcomeRefused if that cannot tell either.
 func (d *Daemon) Pending(queue string) (int, steps.Outcome) {
 	n, outcome := d.ownPending(queue)
 	if outcome == steps.OutcomeRefused {
--- a/termhistory/termhistory.go
+++ b/termhistory/termhistory.go
@@ -32,8 +32,9 @@
 type Term struct {
 	// Planner is the newest record of the term that was observed.
 	Planner stepfold.Planner
-	// ObservedAt is when Planner was first observed.
-	ObservedAt time.Time
+	// ObservedAt is when Planner was first observed, SeenAt when a record of the term was last
+	// observed.
+	ObservedAt, SeenAt time.Time
 	// Begun says that the planner has stored a heartbeat after its claim, so that it has
 	// begun to plan.
 	Begun bool
@@ -49,17 +50,19 @@
 	// UnseenLostBy is a time by which all terms that were not observed had been lost. It is
 	// zero if there is no such time.
 	UnseenLostBy time.Time
+	// UnreadableAt is when RecordGap was last called.
+	UnreadableAt time.Time
 	// Terms holds the observed terms in the order in which they were first observed.
 	Terms []Term
 }
 
 // RecordGap records that records before now may have been missed, also the newest one of a
 // planner.
-func (h *History) RecordGap(now time.Time) { h.UnseenLostBy = now }
+func (h *History) RecordGap(now time.Time) { h.UnseenLostBy, h.UnreadableAt = now, now }
 
 // RecordLoad records that records before now may have been missed, except the newest one of a
-// planner, which has been observed. Terms that were missed were lost before the term of that
-// record began.
+// planner, which has been observed unless RecordGap was called since. Terms that were missed were
+// lost before the term of that record began.
 func (h *History) RecordLoad(now time.Time) {
 	h.UnseenLostBy = now
 	newest := Term{}
@@ -68,7 +71,7 @@
 			newest = t
 		}
 	}
-	if began := newest.ObservedAt.Add(-newest.lasted()); newest.Begun && began.Before(now) {
+	if began := newest.ObservedAt.Add(-newest.lasted()); newest.Begun && newest.SeenAt.After(h.UnreadableAt) && began.Before(now) {
 		h.UnseenLostBy = began
 	}
 }
@@ -91,6 +94,7 @@
 	if t == nil {
 		t = h.add(p, now)
 	}
+	t.SeenAt = now
 	if p.Heartbeat > t.Planner.Heartbeat {
 		t.Planner.Heartbeat, t.ObservedAt = p.Heartbeat, now
 	}
--- a/termhistory/termhistory_test.go
+++ b/termhistory/termhistory_test.go
@@ -248,6 +248,16 @@
 			h.RecordOver(first, at(0))
 			return h
 		}, lease.ExpiresBy(at(0), leaseDuration)},
+		{"the record of a later planner cannot be read", func() *History {
+			h := &History{}
+			old := first
+			old.Heartbeat = 102
+			h.Observe(old, at(-3))
+			h.RecordGap(at(-2))
+			h.RecordLoad(at(-1))
+			h.RecordOver(first, at(0))
+			return h
+		}, lease.EarlierTermsExpireBy(at(-1), leaseDuration)},
 		{"nothing followed", func() *History { return &History{} }, lease.EarlierTermsExpireBy(at(0), leaseDuration)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
